--- /dev/null
+++ b/internal/cli/command/checkcmd.go
@@ -0,0 +1,3 @@
+package command
+
+type checkCmd struct{}
--- /dev/null
+++ b/internal/cli/command/servecmd.go
@@ -0,0 +1,40 @@
+package command
+
+import (
+	"context"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarcross/fulmarcross/internal/cli/settings"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/entry"
+)
+
+// serveCmd runs an entry instance.
+type serveCmd struct {
+	Settings string `help:"The settings, a JSON file." required:"" type:"existingfile"`
+}
+
+// Run runs the command.
+func (c *serveCmd) Run(ctx context.Context, logger zerolog.Logger) error {
+	cfg, err := readSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+
+	e, err := entry.New(cfg, logger)
+	if err != nil {
+		return err
+	}
+
+	return e.Run(ctx)
+}
+
+func readSettings(file string) (*settings.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+
+	return settings.Decode(data)
+}
--- /dev/null
+++ b/internal/cli/command/trycmd.go
@@ -0,0 +1,172 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarcross/fulmarcross/internal/standin/trial"
+)
+
+// tryCmd runs the whole path in one process.
+type tryCmd struct {
+	JSON   bool          `help:"Print one JSON object last."           name:"json"`
+	Faults bool          `help:"Bring about failures during the load."`
+	For    time.Duration `help:"How long requests are sent."`
+	Seed   uint64        `default:"1"                                  help:"Seed of the load."`
+}
+
+// How long requests are sent by default. With what comes before and after, a
+// trial ends within 30 s.
+const (
+	calmFor   = 10 * time.Second
+	faultsFor = 18 * time.Second
+)
+
+var errBroken = errors.New("a promise was broken")
+
+// Run runs the command.
+func (c *tryCmd) Run(ctx context.Context, s *streams, logger zerolog.Logger) error {
+	opt := trial.Options{Seed: c.Seed, For: c.For, Faults: c.Faults, Logger: logger.Level(zerolog.ErrorLevel)}
+
+	if opt.For == 0 {
+		opt.For = calmFor
+		if c.Faults {
+			opt.For = faultsFor
+		}
+	}
+
+	if isTerminal(s.err) {
+		opt.Progress = s.err
+	}
+
+	r, err := trial.Run(ctx, opt)
+	if err != nil {
+		return err
+	}
+
+	if opt.Progress != nil {
+		_, _ = fmt.Fprint(opt.Progress, "\r\x1b[K")
+	}
+
+	if c.JSON {
+		err = json.NewEncoder(s.out).Encode(fromReport(&r))
+	} else {
+		err = printReport(s.out, &r)
+	}
+
+	if err == nil && r.Broken() {
+		return errBroken
+	}
+
+	return err
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+
+	info, err := f.Stat()
+
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// tryReport is a trial's report in JSON.
+type tryReport struct {
+	Requests               int64   `json:"requests"`
+	Answered               int64   `json:"answered"`
+	Refused                int64   `json:"refused"`
+	Lost                   int64   `json:"lost"`
+	Crossed                int64   `json:"crossed"`
+	Truncated              int64   `json:"truncated"`
+	Doubled                int64   `json:"doubled"`
+	UntrueRefusals         int64   `json:"untrueRefusals"`
+	Late                   int64   `json:"late"`
+	Overcommitted          int64   `json:"overcommitted"`
+	ExcessReplicas         int64   `json:"excessReplicas"`
+	ColdStartP99Ms         float64 `json:"coldStartP99Ms"`
+	FirstTokenP95Ms        float64 `json:"firstTokenP95Ms"`
+	IdleAcceleratorSeconds float64 `json:"idleAcceleratorSeconds"`
+	AddedLatencyP50Us      int64   `json:"addedLatencyP50Us"`
+	AddedLatencyP99Us      int64   `json:"addedLatencyP99Us"`
+	ColdStarts             int64   `json:"coldStarts"`
+	PoisonCrashes          int     `json:"poisonCrashes"`
+	TableReads             int64   `json:"tableReads"`
+	TableWrites            int64   `json:"tableWrites"`
+	// RefusedBy counts the refusals by code.
+	RefusedBy map[string]int `json:"refusedBy,omitempty"`
+}
+
+func fromReport(r *trial.Report) tryReport {
+	out := tryReport{
+		Requests:               r.Requests,
+		Answered:               r.Answered,
+		Refused:                r.Refused,
+		Lost:                   r.Lost,
+		Crossed:                r.Crossed,
+		Truncated:              r.Truncated,
+		Doubled:                r.Doubled,
+		UntrueRefusals:         r.UntrueRefusals,
+		Late:                   r.Late,
+		Overcommitted:          r.Overcommitted,
+		ExcessReplicas:         r.ExcessReplicas,
+		ColdStartP99Ms:         milliseconds(r.ColdStartP99),
+		FirstTokenP95Ms:        milliseconds(r.FirstTokenP95),
+		IdleAcceleratorSeconds: r.IdleAccelerators.Seconds(),
+		AddedLatencyP50Us:      r.AddedLatencyP50.Microseconds(),
+		AddedLatencyP99Us:      r.AddedLatencyP99.Microseconds(),
+		ColdStarts:             r.ColdStarts,
+		PoisonCrashes:          r.PoisonCrashes,
+		TableReads:             r.TableReads,
+		TableWrites:            r.TableWrites,
+		RefusedBy:              make(map[string]int),
+	}
+
+	for code, n := range r.Refusals {
+		out.RefusedBy[string(code)] = n
+	}
+
+	return out
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func printReport(w io.Writer, r *trial.Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	line := func(name string, v any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, v) }
+
+	line("requests", r.Requests)
+	line("answered", r.Answered)
+	line("refused", r.Refused)
+
+	for _, code := range slices.Sorted(maps.Keys(r.Refusals)) {
+		line("  "+string(code), r.Refusals[code])
+	}
+
+	line("lost", r.Lost)
+	line("crossed", r.Crossed)
+	line("truncated", r.Truncated)
+	line("doubled", r.Doubled)
+	line("untrue refusals", r.UntrueRefusals)
+	line("late", r.Late)
+	line("overcommitted", r.Overcommitted)
+	line("excess replicas", r.ExcessReplicas)
+	line("cold start p99", r.ColdStartP99)
+	line("first token p95", r.FirstTokenP95)
+	line("idle accelerators", r.IdleAccelerators)
+	line("added latency p50", r.AddedLatencyP50)
+	line("added latency p99", r.AddedLatencyP99)
+
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/customer/list/store.go
@@ -0,0 +1,224 @@
+// Package list keeps the operators' two lists: in the table service, where
+// edits race and one wins, and in each entry, where the newest version known
+// is in force.
+package list
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+// Store reads and edits the lists in the table service.
+type Store struct{ Table table.Service }
+
+// ConflictError says that an edit was made on an old version and is not
+// accepted.
+type ConflictError struct {
+	Base, Version uint64
+	// Since are the edits that were accepted after Base, oldest first.
+	Since []plan.Edit
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("list: the edit is based on version %d, but version %d is in force", e.Base, e.Version)
+}
+
+// UnknownError says that nobody can tell yet whether the edit was accepted.
+// Putting the same edit again with the same WriteID is harmless and tells.
+type UnknownError struct {
+	WriteID string
+	Err     error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("list: edit %s may or may not have been accepted: %v", e.WriteID, e.Err)
+}
+
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// Put is an edit to be accepted.
+type Put struct {
+	// Base is the version that the operator edited.
+	Base    uint64
+	WriteID string
+	Author  string
+	At      time.Time
+	Changes []plan.Change
+}
+
+// Put accepts the edit or refuses it with a *ConflictError. It returns the
+// edit with its version. A put that was accepted before, as its WriteID
+// shows, is not applied again.
+func (s *Store) Put(ctx context.Context, p Put) (plan.Edit, error) {
+	current, row, err := s.version(ctx)
+	if err != nil {
+		return plan.Edit{}, err
+	}
+
+	if current != p.Base {
+		return s.stale(ctx, p, current)
+	}
+
+	e := plan.Edit{Version: current + 1, WriteID: p.WriteID, Author: p.Author, At: p.At, Changes: p.Changes}
+
+	_, err = table.Settle(ctx, s.Table, transaction(e, row))
+
+	switch {
+	case err == nil:
+		return e, nil
+	case !table.IsConflict(err):
+		return plan.Edit{}, &UnknownError{WriteID: p.WriteID, Err: err}
+	}
+
+	current, _, err = s.version(ctx)
+	if err != nil {
+		return plan.Edit{}, &UnknownError{WriteID: p.WriteID, Err: err}
+	}
+
+	return s.stale(ctx, p, current)
+}
+
+// Resolve finds out what became of a put that was made on an old version,
+// without putting anything: it returns the edit if the put was accepted, and
+// a *ConflictError otherwise.
+func (s *Store) Resolve(ctx context.Context, p Put) (plan.Edit, error) {
+	current, _, err := s.version(ctx)
+	if err != nil {
+		return plan.Edit{}, err
+	}
+
+	return s.stale(ctx, p, current)
+}
+
+// stale finds out whether an edit on an old version is a repeat of one that
+// was accepted.
+func (s *Store) stale(ctx context.Context, p Put, current uint64) (plan.Edit, error) {
+	since, err := s.History(ctx, p.Base, maxHistory)
+	if err != nil {
+		return plan.Edit{}, &UnknownError{WriteID: p.WriteID, Err: err}
+	}
+
+	for _, e := range since {
+		if e.WriteID == p.WriteID {
+			return e, nil
+		}
+	}
+
+	return plan.Edit{}, &ConflictError{Base: p.Base, Version: current, Since: since}
+}
+
+// maxHistory bounds how many edits are read at once.
+const maxHistory = 1000
+
+// transaction writes the version first, as the witness, then the history and
+// the changed rows.
+func transaction(e plan.Edit, versionRow uint64) table.Transaction {
+	tx := table.Transaction{
+		Conditions: []table.Condition{{Key: record.VersionKey, Version: versionRow}},
+		Writes: []table.Write{
+			{
+				Key:   record.VersionKey,
+				Value: record.EncodeVersion(record.Version{Version: e.Version, WriteID: e.WriteID}),
+			},
+			{Key: record.EditKey(e.Version), Value: record.EncodeEdit(e)},
+		},
+	}
+
+	for _, c := range e.Changes {
+		tx.Writes = append(tx.Writes, write(c))
+	}
+
+	return tx
+}
+
+func write(c plan.Change) table.Write {
+	switch c := c.(type) {
+	case plan.SetPlan:
+		return table.Write{Key: record.PlanKey(c.Plan.Name), Value: record.EncodePlan(c.Plan)}
+	case plan.RemovePlan:
+		return table.Write{Key: record.PlanKey(c.Name), Delete: true}
+	case plan.Allow:
+		return table.Write{Key: record.AllowanceKey(c.Allowance), Value: record.EncodeAllowance(c.Allowance)}
+	case plan.Disallow:
+		return table.Write{Key: record.AllowanceKey(c.Allowance), Delete: true}
+	}
+
+	panic(fmt.Sprintf("list: change %T", c))
+}
+
+// Version returns the lists' version in the table.
+func (s *Store) Version(ctx context.Context) (uint64, error) {
+	v, _, err := s.version(ctx)
+
+	return v, err
+}
+
+func (s *Store) version(ctx context.Context) (version, row uint64, err error) {
+	rows, err := s.Table.Read(ctx, record.VersionKey)
+	if err != nil {
+		return 0, 0, err
+	}
+
+	v, err := record.DecodeVersion(rows[0].Value)
+
+	return v.Version, rows[0].Version, err
+}
+
+// History returns at most limit edits after the version, oldest first.
+func (s *Store) History(ctx context.Context, after uint64, limit int) ([]plan.Edit, error) {
+	rows, err := s.Table.Scan(ctx, record.HistoryPrefix, record.EditKey(after), limit)
+	if err != nil {
+		return nil, err
+	}
+
+	edits := make([]plan.Edit, len(rows))
+
+	for i, row := range rows {
+		if edits[i], err = record.DecodeEdit(row.Key, row.Value); err != nil {
+			return nil, err
+		}
+	}
+
+	return edits, nil
+}
+
+// Load reads the whole lists. Edits that are accepted during the reading may
+// be in it or not; applying them again is harmless, so the state counts as of
+// the version read before.
+func (s *Store) Load(ctx context.Context) (plan.State, error) {
+	version, _, err := s.version(ctx)
+	if err != nil {
+		return plan.State{}, err
+	}
+
+	planRows, err := table.ScanAll(ctx, s.Table, record.PlansPrefix)
+	if err != nil {
+		return plan.State{}, err
+	}
+
+	allowanceRows, err := table.ScanAll(ctx, s.Table, record.AllowancesPrefix)
+	if err != nil {
+		return plan.State{}, err
+	}
+
+	plans := make([]plan.Plan, len(planRows))
+	for i, row := range planRows {
+		if plans[i], err = record.DecodePlan(row.Key, row.Value); err != nil {
+			return plan.State{}, err
+		}
+	}
+
+	allowances := make([]plan.Allowance, len(allowanceRows))
+	for i, row := range allowanceRows {
+		if allowances[i], err = record.DecodeAllowance(row.Key, row.Value); err != nil {
+			return plan.State{}, err
+		}
+	}
+
+	return plan.Restore(version, plans, allowances), nil
+}
--- /dev/null
+++ b/internal/customer/plan/plan.go
@@ -0,0 +1,91 @@
+// Package plan describes the operators' two lists: the customers' plans, and
+// what each plan may use.
+package plan
+
+import (
+	"crypto/sha256"
+	"time"
+)
+
+// KeyHash is the SHA-256 of a caller's key. Only the hash is kept.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of a caller's key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Removal says what happens to a plan's running requests when the plan is
+// taken off the list. Waiting requests are always refused.
+type Removal string
+
+// The rules for running requests.
+const (
+	FinishRunning Removal = "finish"
+	CancelRunning Removal = "cancel"
+)
+
+// Plan is a customer's contract.
+type Plan struct {
+	// Name is unique among plans.
+	Name     string
+	Customer string
+	Keys     []KeyHash
+	// RequestsPerSecond, Concurrency and TokensPerMinute hold over all
+	// entries together. Zero means without limit.
+	RequestsPerSecond int
+	Concurrency       int
+	TokensPerMinute   int
+	// Accelerators is how many accelerators are kept for the plan.
+	Accelerators int
+	// Priority is from 0 to 9, highest first.
+	Priority int
+	// RequestTimeout applies to requests that bring no timeout.
+	RequestTimeout time.Duration
+	OnRemoval      Removal
+}
+
+// Kind says what an allowance allows.
+type Kind string
+
+// The kinds of allowances.
+const (
+	Model   Kind = "model"
+	Service Kind = "service"
+)
+
+// Allowance lets a plan use a model, an adapter or a service.
+type Allowance struct {
+	Plan string
+	Kind Kind
+	Name string
+}
+
+// Change is one line changed in one of the lists.
+type Change interface{ change() }
+
+// SetPlan adds or replaces a plan.
+type SetPlan struct{ Plan Plan }
+
+// RemovePlan removes a plan.
+type RemovePlan struct{ Name string }
+
+// Allow adds an allowance.
+type Allow struct{ Allowance Allowance }
+
+// Disallow removes an allowance.
+type Disallow struct{ Allowance Allowance }
+
+func (SetPlan) change()    {}
+func (RemovePlan) change() {}
+func (Allow) change()      {}
+func (Disallow) change()   {}
+
+// Edit is an accepted set of changes.
+type Edit struct {
+	// Version is the lists' version after this edit. Versions grow by one.
+	Version uint64
+	// WriteID is unique to the put that made the edit.
+	WriteID string
+	Author  string
+	At      time.Time
+	Changes []Change
+}
--- /dev/null
+++ b/internal/fleet/entry/limits.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// homes grants the limits of the plans whose home this entry is.
+type homes struct {
+	mu   sync.Mutex
+	home limit.Home
+}
+
+func (h *homes) membershipChanged(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.home.MembershipChanged(now)
+}
+
+// grant answers an ask for a plan whose home is this entry.
+func (e *Entry) grant(a limit.Ask) limit.Grant {
+	p, ok := e.lists.Current().Plan(a.Plan)
+	if !ok {
+		return limit.Grant{}
+	}
+
+	e.home.mu.Lock()
+	defer e.home.mu.Unlock()
+
+	return e.home.home.Grant(p, a, len(e.fleet.Entries()), time.Now())
+}
+
+// askHome asks the plan's home entry for a grant.
+func (e *Entry) askHome(ctx context.Context, a limit.Ask) (limit.Grant, error) {
+	const timeout = 300 * time.Millisecond
+
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+
+	if err := e.gate.Wait(ctx); err != nil {
+		return limit.Grant{}, err
+	}
+
+	a.Entry = e.cfg.ID
+
+	home := instance.Rank("plan/"+a.Plan, e.fleet.Entries())[0]
+	if home == e.cfg.ID {
+		return e.grant(a), nil
+	}
+
+	c, err := e.peer(home)
+	if err != nil {
+		return limit.Grant{}, err
+	}
+
+	return c.Ask(ctx, a)
+}
+
+const renewEvery = limit.GrantFor / 4
+
+func (e *Entry) renewGrants(ctx context.Context) {
+	every(ctx, renewEvery, func() { e.shares.Renew(ctx, e.lists.Current()) })
+}
--- /dev/null
+++ b/internal/fleet/peer/set.go
@@ -0,0 +1,243 @@
+package peer
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// Terms are the times of the membership.
+type Terms struct {
+	// Heartbeat is the time between two heartbeats to a peer.
+	Heartbeat time.Duration
+	// Silence is after how long without a heartbeat a peer counts as dead.
+	Silence time.Duration
+	// ListLag bounds how far the platform's list lags behind.
+	ListLag time.Duration
+}
+
+// DefaultTerms fit a list that lags by a few seconds.
+func DefaultTerms() Terms {
+	return Terms{Heartbeat: 500 * time.Millisecond, Silence: 2 * time.Second, ListLag: 10 * time.Second}
+}
+
+// Set is the view of all instances. Readers take no lock. The zero value is
+// empty; set Self and Terms before use.
+type Set struct {
+	Self  instance.ID
+	Terms Terms
+
+	mu      sync.Mutex
+	current atomic.Pointer[members]
+}
+
+// members is one immutable version of the view.
+type members struct {
+	listed map[instance.ID]instance.Instance
+	// listedAt is when the list was last read. Zero means never.
+	listedAt time.Time
+	// firstListed is when the list was first read. Zero means never.
+	firstListed time.Time
+	// goneSince is when an instance was first missing from the list.
+	goneSince map[instance.ID]time.Time
+	heard     map[instance.ID]heard
+	// entries are the ids of the live entries, this one included, sorted.
+	entries []instance.ID
+}
+
+type heard struct {
+	Status
+
+	at time.Time
+}
+
+func (s *Set) members() *members {
+	if m := s.current.Load(); m != nil {
+		return m
+	}
+
+	return &members{}
+}
+
+// List takes in the platform's list as read at now.
+func (s *Set) List(all []instance.Instance, now time.Time) {
+	s.update(now, func(m *members) {
+		listed := make(map[instance.ID]instance.Instance, len(all))
+		for _, in := range all {
+			listed[in.ID] = in
+		}
+
+		for id := range m.listed {
+			if _, ok := listed[id]; !ok {
+				m.goneSince[id] = now
+			}
+		}
+
+		for id := range listed {
+			delete(m.goneSince, id)
+		}
+
+		if m.firstListed.IsZero() {
+			m.firstListed = now
+		}
+
+		m.listed, m.listedAt = listed, now
+	})
+}
+
+// Hear takes in a peer's status, received at now.
+func (s *Set) Hear(st Status, now time.Time) {
+	s.update(now, func(m *members) { m.heard[st.ID] = heard{Status: st, at: now} })
+}
+
+// Refresh recomputes which entries are live at now.
+func (s *Set) Refresh(now time.Time) { s.update(now, func(*members) {}) }
+
+func (s *Set) update(now time.Time, change func(*members)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	old := s.members()
+	next := &members{
+		listed:      old.listed,
+		listedAt:    old.listedAt,
+		firstListed: old.firstListed,
+		goneSince:   cloneMap(old.goneSince),
+		heard:       cloneMap(old.heard),
+	}
+	change(next)
+	next.entries = next.live(s.Self, s.Terms, now)
+	s.current.Store(next)
+}
+
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+
+	return maps.Clone(m)
+}
+
+// live returns the entries that were heard lately and are not draining.
+func (m *members) live(self instance.ID, t Terms, now time.Time) []instance.ID {
+	ids := []instance.ID{self}
+
+	for id, h := range m.heard {
+		if id != self && !h.Draining && now.Sub(h.at) <= t.Silence {
+			ids = append(ids, id)
+		}
+	}
+
+	slices.Sort(ids)
+
+	return ids
+}
+
+// Entries returns the ids of the live entries, this one included, sorted. The
+// caller must not change the slice.
+func (s *Set) Entries() []instance.ID {
+	m := s.members()
+	if m.entries == nil {
+		return []instance.ID{s.Self}
+	}
+
+	return m.entries
+}
+
+// Listed returns the instances of the role that are on the list, sorted by
+// id.
+func (s *Set) Listed(role instance.Role) []instance.Instance {
+	m := s.members()
+
+	var out []instance.Instance
+
+	for _, in := range m.listed {
+		if in.Role == role {
+			out = append(out, in)
+		}
+	}
+
+	slices.SortFunc(out, func(a, b instance.Instance) int {
+		if a.ID < b.ID {
+			return -1
+		}
+
+		return 1
+	})
+
+	return out
+}
+
+// Lookup returns the instance's line on the list.
+func (s *Set) Lookup(id instance.ID) (instance.Instance, bool) {
+	in, ok := s.members().listed[id]
+
+	return in, ok
+}
+
+// ListedAt returns when the list was last read.
+func (s *Set) ListedAt() time.Time { return s.members().listedAt }
+
+// Gone reports whether the instance has been missing from the list for longer
+// than the list lags.
+func (s *Set) Gone(id instance.ID, now time.Time) bool {
+	m := s.members()
+	if m.listedAt.IsZero() {
+		return false
+	}
+
+	if _, ok := m.listed[id]; ok {
+		return false
+	}
+
+	since, ok := m.goneSince[id]
+	if !ok {
+		since = m.firstListed
+	}
+
+	return now.Sub(since) > s.Terms.ListLag
+}
+
+// Statuses returns the last status of every peer heard within the silence
+// bound, sorted by id.
+func (s *Set) Statuses(now time.Time) []Status {
+	m := s.members()
+
+	var out []Status
+
+	for _, id := range slices.Sorted(maps.Keys(m.heard)) {
+		if h := m.heard[id]; now.Sub(h.at) <= s.Terms.Silence {
+			out = append(out, h.Status)
+		}
+	}
+
+	return out
+}
+
+// Settled reports whether the process that ran on the instance is proved to
+// have nothing to do with the cell any more. The proof is a status of the
+// process itself, received after since; a status of a later process on the
+// same instance; or the instance's absence from the list.
+func (s *Set) Settled(id instance.ID, process string, cell int, since, now time.Time) bool {
+	if s.Gone(id, now) {
+		return true
+	}
+
+	h, ok := s.members().heard[id]
+	if !ok || !h.at.After(since) {
+		return false
+	}
+
+	return h.Process != process || h.Settled(cell)
+}
+
+// Heard returns the last status of a peer, and when it came.
+func (s *Set) Heard(id instance.ID) (Status, time.Time, bool) {
+	h, ok := s.members().heard[id]
+
+	return h.Status, h.at, ok
+}
--- /dev/null
+++ b/internal/fleet/target/engine.go
@@ -0,0 +1,220 @@
+// Package target describes the back ends: model engines that batch requests
+// and load checkpoints, and what they report about themselves.
+package target
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// Engine is one model engine. Its contract is held by the suite in this
+// package's tests, which runs against the stand-in in memory and over TCP.
+type Engine interface {
+	// Generate starts a generation. An error of type *NotLoadedError or
+	// *NotReachedError proves that nothing ran.
+	Generate(ctx context.Context, g Generation) (Stream, error)
+	// Cancel stops a generation. Cancelling an unknown one succeeds.
+	Cancel(ctx context.Context, requestID string) error
+	// Submit hands over an order. An order with an id seen before is not
+	// carried out again. An engine that checks fencing tokens refuses an old
+	// one with a *StaleTokenError.
+	Submit(ctx context.Context, o Order) (Inventory, error)
+	// Inventory returns what is loaded now.
+	Inventory(ctx context.Context) (Inventory, error)
+	// Report returns the engine's load, which lags behind.
+	Report(ctx context.Context) (Report, error)
+	// Events returns the cache events numbered above after. Numbers may be
+	// missing.
+	Events(ctx context.Context, after uint64) ([]CacheEvent, error)
+	// ExportKV returns the state of a running generation.
+	ExportKV(ctx context.Context, requestID string) ([]byte, error)
+	// ImportKV makes a state known to this engine, so that a generation
+	// resumed here need not read its prompt again.
+	ImportKV(ctx context.Context, requestID string, state []byte) error
+}
+
+// Generation is one request to an engine.
+type Generation struct {
+	RequestID string
+	// Model is the name of the model or adapter to run.
+	Model  string
+	Prompt string
+	// MaxTokens is positive.
+	MaxTokens int
+	// Offset is the index of the first token to send. It is above zero when a
+	// broken stream is resumed.
+	Offset int
+	// Priority orders requests that wait for a slot, highest first.
+	Priority int
+}
+
+// Stream yields a generation's tokens in order.
+type Stream interface {
+	// Next returns the next frame. io.EOF before a frame with End set means
+	// that the stream was cut.
+	Next() (Frame, error)
+	Close() error
+}
+
+// Frame is one token of a stream.
+type Frame struct {
+	// RequestID is the request that the engine says the token belongs to.
+	RequestID string
+	// Index is the token's position in the answer, from zero.
+	Index int
+	Text  string
+	// End marks the frame after the last token. It carries no text.
+	End bool
+}
+
+// Order is an instruction to an engine.
+type Order struct {
+	// ID is unique, so that an order that is sent twice is carried out once.
+	ID string
+	// Token is the fencing token of the lease under which it was decided.
+	Token  uint64
+	Action Action
+}
+
+// Action is what an order asks for.
+type Action interface{ action() }
+
+// Load asks to load a model, or an adapter beside its base.
+type Load struct {
+	Model string
+	Base  string
+	Bytes int64
+}
+
+// Unload asks to free a model or an adapter.
+type Unload struct{ Model string }
+
+// ChangeRole asks the engine to change which phase it serves.
+type ChangeRole struct{ Role string }
+
+// RaiseToken asks for nothing but that older tokens be refused from now on.
+type RaiseToken struct{}
+
+func (Load) action()       {}
+func (Unload) action()     {}
+func (ChangeRole) action() {}
+func (RaiseToken) action() {}
+
+// Phase says how far a load has come.
+type Phase string
+
+// The phases of a checkpoint on an engine.
+const (
+	Loading   Phase = "loading"
+	Ready     Phase = "ready"
+	Unloading Phase = "unloading"
+	Failed    Phase = "failed"
+)
+
+// Held is a checkpoint that holds memory on an engine.
+type Held struct {
+	Model string
+	Base  string
+	Bytes int64
+	Phase Phase
+}
+
+// Inventory is what an engine says of itself.
+type Inventory struct {
+	// Incarnation changes whenever the engine's process starts anew. What an
+	// earlier incarnation had loaded is gone.
+	Incarnation string
+	// Token is the highest fencing token seen. It is zero on engines that
+	// ignore tokens.
+	Token  uint64
+	Memory int64
+	// Speed is the engine's relative speed; 1 is the slowest kind.
+	Speed   float64
+	Role    string
+	Leaving bool
+	Held    []Held
+	// Cached names checkpoints that load from local memory or disk.
+	Cached map[string]Tier
+}
+
+// Tier says where a checkpoint's bytes come from.
+type Tier int
+
+// The tiers, fastest first.
+const (
+	TierMemory Tier = iota + 1
+	TierDisk
+	TierRemote
+)
+
+// Report is an engine's load.
+type Report struct {
+	// At is when the load was measured, by the engine's clock.
+	At      time.Time
+	Running int
+	Waiting int
+	// Slots is how many generations run together.
+	Slots   int
+	Leaving bool
+}
+
+// CacheEvent says that a prompt prefix was cached or dropped.
+type CacheEvent struct {
+	Number uint64
+	Prefix string
+	Cached bool
+}
+
+// NotLoadedError says that a generation did not run, because its model is not
+// ready on the engine.
+type NotLoadedError struct {
+	Target instance.ID
+	Model  string
+}
+
+func (e *NotLoadedError) Error() string {
+	return fmt.Sprintf("target %s: %s is not loaded", e.Target, e.Model)
+}
+
+// NotReachedError says that no byte of the call reached the target.
+type NotReachedError struct {
+	Target instance.ID
+	Err    error
+}
+
+func (e *NotReachedError) Error() string {
+	return fmt.Sprintf("target %s: not reached: %v", e.Target, e.Err)
+}
+
+func (e *NotReachedError) Unwrap() error { return e.Err }
+
+// LeavingError says that a generation did not run, because the target takes
+// no new work.
+type LeavingError struct{ Target instance.ID }
+
+func (e *LeavingError) Error() string { return fmt.Sprintf("target %s: leaving", e.Target) }
+
+// StaleTokenError says that an order was not carried out, because the engine
+// has seen a newer fencing token.
+type StaleTokenError struct {
+	Target  instance.ID
+	Token   uint64
+	Highest uint64
+}
+
+func (e *StaleTokenError) Error() string {
+	return fmt.Sprintf("target %s: token %d is older than %d", e.Target, e.Token, e.Highest)
+}
+
+// NoMemoryError says that a load was refused for want of memory.
+type NoMemoryError struct {
+	Target instance.ID
+	Model  string
+}
+
+func (e *NoMemoryError) Error() string {
+	return fmt.Sprintf("target %s: no memory for %s", e.Target, e.Model)
+}
--- /dev/null
+++ b/internal/placement/cell/cell.go
@@ -0,0 +1,478 @@
+// Package cell runs the control of one cell: it watches the cell's lease,
+// takes it when it is free, and while it holds it decides and orders what is
+// loaded. The decisions themselves are in the packages lease, ledger, demand
+// and replica; this package connects them to the table, the engines and the
+// entries.
+package cell
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+// Config is what a cell's control works with.
+type Config struct {
+	Cell, Cells int
+	Self        instance.ID
+	Process     string
+	Table       table.Service
+	Weights     weight.Store
+	Fleet       *peer.Set
+	// Dial returns the engine behind an instance.
+	Dial func(instance.Instance) target.Engine
+	// ChecksTokens says which engines refuse old fencing tokens.
+	ChecksTokens func(instance.ID) bool
+	// Leaving says which targets are known to be leaving by another sign than
+	// the list.
+	Leaving func(instance.ID) bool
+	// Send hands a snapshot to an entry, this one included. It reports false
+	// when the entry needs the whole.
+	Send func(ctx context.Context, to instance.ID, s *router.Snapshot) (bool, error)
+	// Nudge tells an instance that a lease was released to it.
+	Nudge func(to instance.ID, cell int)
+	// Lists returns the lists in force.
+	Lists func() plan.State
+	// Expected tells when models are expected to be used next. Nil means that
+	// nothing is expected.
+	Expected func(now time.Time) map[string]time.Time
+	// Used records a model's use, for Expected. Nil means that nobody asks.
+	Used   func(model string, now time.Time)
+	Log    *timeline.Log
+	Logger zerolog.Logger
+	Terms  lease.Terms
+	Policy replica.Terms
+	// Loads and AdapterLoads are how many loads the cell may have in flight.
+	Loads, AdapterLoads int
+	// BytesPerSecond is the assumed speed of a remote load until some were
+	// measured.
+	BytesPerSecond float64
+}
+
+// Cell is one instance's part in the control of one cell.
+type Cell struct {
+	cfg  Config
+	wake chan struct{}
+
+	mu     sync.Mutex
+	watch  lease.Watch
+	held   lease.Held
+	tenure *tenure
+	// bestSince is since when another instance ranks first for the cell.
+	bestSince time.Time
+	best      instance.ID
+	draining  bool
+
+	// inHand counts the orders that were decided and not yet answered, over
+	// all tenures of this process.
+	inHand atomic.Int64
+	// Counts for the measurements.
+	Takeovers atomic.Int64
+}
+
+// NotHolderError says that this instance does not hold the cell's lease.
+type NotHolderError struct {
+	Cell int
+	// Hint is who held it when this instance last looked.
+	Hint instance.ID
+}
+
+func (e *NotHolderError) Error() string {
+	return fmt.Sprintf("cell %d: not the holder, try %s", e.Cell, e.Hint)
+}
+
+// New returns the control of a cell. Run starts it.
+func New(cfg Config) *Cell {
+	if cfg.Terms == (lease.Terms{}) {
+		cfg.Terms = lease.DefaultTerms()
+	}
+
+	return &Cell{cfg: cfg, wake: make(chan struct{}, 1)}
+}
+
+// Name returns the key by which instances are ranked for a cell.
+func Name(cell int) string { return fmt.Sprintf("cell/%d", cell) }
+
+// Of returns the cell of a target or a model.
+func Of(name string, cells int) int {
+	best, most := 0, uint64(0)
+
+	for c := range cells {
+		if s := instance.Score(name, instance.ID(Name(c))); s > most {
+			best, most = c, s
+		}
+	}
+
+	return best
+}
+
+// watchers is how many instances look at a lease that another one holds.
+const watchers = 3
+
+// Run watches or holds the lease until ctx ends.
+func (c *Cell) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := c.step(ctx)
+
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-t.C:
+		}
+
+		t.Stop()
+	}
+
+	c.endTenure()
+}
+
+// Wake makes Run look at the lease at once.
+func (c *Cell) Wake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// step does what is due and returns how long nothing is.
+func (c *Cell) step(ctx context.Context) time.Duration {
+	c.mu.Lock()
+	held, draining := c.held, c.draining
+	c.mu.Unlock()
+
+	if held.Token != 0 {
+		return c.renew(ctx, held)
+	}
+
+	rank := c.rank()
+	if draining || rank >= watchers {
+		return c.cfg.Terms.Poll
+	}
+
+	c.look(ctx, rank)
+
+	return c.cfg.Terms.Poll
+}
+
+func (c *Cell) rank() int {
+	ranked := instance.Rank(Name(c.cfg.Cell), c.cfg.Fleet.Entries())
+
+	return slices.Index(ranked, c.cfg.Self)
+}
+
+// look reads the lease of another instance and takes it if it is free.
+func (c *Cell) look(ctx context.Context, rank int) {
+	rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell), record.FenceKey(c.cfg.Cell))
+	if err != nil {
+		return
+	}
+
+	current, err := c.decode(rows[0])
+	if err != nil {
+		c.cfg.Logger.Error().Err(err).Int("cell", c.cfg.Cell).Msg("lease row cannot be read")
+
+		return
+	}
+
+	now := time.Now()
+
+	c.mu.Lock()
+	c.watch.Observe(rows[0].Version, current, now)
+	free := c.watch.Free(now, c.cfg.Terms, c.cfg.Self, rank)
+	c.mu.Unlock()
+
+	if free {
+		c.take(ctx, current, rows[0].Version, rows[1].Version)
+	}
+}
+
+func (c *Cell) decode(row table.Row) (lease.Record, error) {
+	if row.Version == 0 {
+		return lease.Record{Cell: c.cfg.Cell}, nil
+	}
+
+	return record.DecodeLease(c.cfg.Cell, row.Value)
+}
+
+// take writes the lease and the fence in one transaction. From then on no
+// ledger write of a former holder can succeed.
+func (c *Cell) take(ctx context.Context, old lease.Record, leaseVersion, fenceVersion uint64) {
+	next := lease.Record{
+		Cell:    c.cfg.Cell,
+		Holder:  c.cfg.Self,
+		Process: c.cfg.Process,
+		Token:   old.Token + 1,
+		WriteID: uuid.NewString(),
+	}
+	sent := time.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Duration/2)
+	defer cancel()
+
+	version, err := table.Settle(ctx, c.cfg.Table, table.Transaction{
+		Conditions: []table.Condition{
+			{Key: record.LeaseKey(c.cfg.Cell), Version: leaseVersion},
+			{Key: record.FenceKey(c.cfg.Cell), Version: fenceVersion},
+		},
+		Writes: []table.Write{
+			{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)},
+			{Key: record.FenceKey(c.cfg.Cell), Value: record.EncodeFence(next.Token)},
+		},
+	})
+	if err != nil {
+		return
+	}
+
+	held := lease.Held{Record: next, Version: version, Fence: version, Sent: sent}
+
+	c.Takeovers.Add(1)
+	c.cfg.Log.Add(timeline.Event{Kind: timeline.LeaseTaken, Detail: fmt.Sprintf("cell %d token %d", c.cfg.Cell, next.Token)})
+	c.cfg.Logger.Info().Int("cell", c.cfg.Cell).Uint64("token", next.Token).Msg("lease taken")
+
+	c.mu.Lock()
+	c.held = held
+	c.tenure = newTenure(c, held)
+	t := c.tenure
+	c.mu.Unlock()
+
+	t.start()
+}
+
+// renew writes the lease again and returns when the next renewal is due.
+func (c *Cell) renew(ctx context.Context, held lease.Held) time.Duration {
+	if c.handBack() {
+		c.Release(ctx)
+
+		return 0
+	}
+
+	due := held.Sent.Add(c.cfg.Terms.Renew)
+	if wait := time.Until(due); wait > 0 {
+		return wait
+	}
+
+	next := held.Record
+	next.WriteID = uuid.NewString()
+	sent := time.Now()
+
+	tryCtx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Renew)
+	defer cancel()
+
+	version, err := table.Settle(tryCtx, c.cfg.Table, table.Transaction{
+		Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: held.Version}},
+		Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
+	})
+
+	switch {
+	case err == nil:
+		c.renewed(next, version, sent)
+	case table.IsConflict(err):
+		c.conflict(ctx, held)
+	}
+
+	return c.cfg.Terms.Poll / 2 //nolint:mnd // Two tries in the time of a look.
+}
+
+func (c *Cell) renewed(next lease.Record, version uint64, sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.held.Token != next.Token {
+		return
+	}
+
+	c.held.Record, c.held.Version, c.held.Sent = next, version, sent
+	c.tenure.setHeld(c.held)
+}
+
+// conflict finds out whether the lease was lost. A renewal of this process
+// whose answer came too late has changed the row as well, and then the lease
+// is still held: the row names this process and its token.
+func (c *Cell) conflict(ctx context.Context, held lease.Held) {
+	rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell))
+	if err != nil {
+		return
+	}
+
+	current, err := c.decode(rows[0])
+	if err == nil && current.Process == c.cfg.Process && current.Token == held.Token && !current.Released {
+		c.mu.Lock()
+		c.held.Version = rows[0].Version
+		c.mu.Unlock()
+
+		return
+	}
+
+	c.lost(held.Token)
+}
+
+// lost ends the tenure, because another instance holds the lease.
+func (c *Cell) lost(token uint64) {
+	c.mu.Lock()
+	if c.held.Token != token {
+		c.mu.Unlock()
+
+		return
+	}
+
+	c.held = lease.Held{}
+	c.watch = lease.Watch{}
+	t := c.tenure
+	c.tenure = nil
+	c.mu.Unlock()
+
+	t.stop()
+	c.cfg.Log.Add(timeline.Event{Kind: timeline.LeaseLost, Detail: fmt.Sprintf("cell %d token %d", c.cfg.Cell, token)})
+	c.cfg.Logger.Warn().Int("cell", c.cfg.Cell).Uint64("token", token).Msg("lease lost")
+}
+
+// rebalanceAfter is how long another instance must rank first before the
+// lease is handed to it. It keeps a lease from following an instance that
+// comes and goes.
+const rebalanceAfter = 30 * time.Second
+
+// handBack reports whether another instance should hold the lease.
+func (c *Cell) handBack() bool {
+	ranked := instance.Rank(Name(c.cfg.Cell), c.cfg.Fleet.Entries())
+	now := time.Now()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if len(ranked) == 0 || ranked[0] == c.cfg.Self {
+		c.best = ""
+
+		return false
+	}
+
+	if c.best != ranked[0] {
+		c.best, c.bestSince = ranked[0], now
+
+		return false
+	}
+
+	return now.Sub(c.bestSince) > rebalanceAfter
+}
+
+// Drain makes the instance give up the lease and not take it again.
+func (c *Cell) Drain(ctx context.Context) {
+	c.mu.Lock()
+	c.draining = true
+	c.mu.Unlock()
+
+	c.Release(ctx)
+}
+
+// Release hands the lease to the instance that ranks first among the others.
+// Orders in hand are finished first, so that the successor need not wait for
+// proof that none will come.
+func (c *Cell) Release(ctx context.Context) {
+	c.mu.Lock()
+	held, t := c.held, c.tenure
+	c.held, c.tenure = lease.Held{}, nil
+	c.watch = lease.Watch{}
+	c.mu.Unlock()
+
+	if held.Token == 0 {
+		return
+	}
+
+	t.stop()
+
+	next := held.Record
+	next.Released = true
+	next.Successor = c.successor()
+	next.WriteID = uuid.NewString()
+
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Renew)
+	defer cancel()
+
+	_, err := table.Settle(ctx, c.cfg.Table, table.Transaction{
+		Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: held.Version}},
+		Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
+	})
+	if err != nil {
+		return
+	}
+
+	c.cfg.Log.Add(timeline.Event{
+		Kind:   timeline.LeaseReleased,
+		Detail: fmt.Sprintf("cell %d token %d to %s", c.cfg.Cell, held.Token, next.Successor),
+	})
+
+	if next.Successor != "" && c.cfg.Nudge != nil {
+		c.cfg.Nudge(next.Successor, c.cfg.Cell)
+	}
+}
+
+func (c *Cell) successor() instance.ID {
+	for _, id := range instance.Rank(Name(c.cfg.Cell), c.cfg.Fleet.Entries()) {
+		if id != c.cfg.Self {
+			return id
+		}
+	}
+
+	return ""
+}
+
+func (c *Cell) endTenure() {
+	c.mu.Lock()
+	t := c.tenure
+	c.tenure = nil
+	c.held = lease.Held{}
+	c.mu.Unlock()
+
+	if t != nil {
+		t.stop()
+	}
+}
+
+// Report takes in what an entry asks of the cell.
+func (c *Cell) Report(r demand.Report) error {
+	c.mu.Lock()
+	t, hint := c.tenure, c.watch.Record().Holder
+	c.mu.Unlock()
+
+	if t == nil {
+		return &NotHolderError{Cell: c.cfg.Cell, Hint: hint}
+	}
+
+	t.report(r)
+
+	return nil
+}
+
+// Lease returns the lease that this instance believes to hold.
+func (c *Cell) Lease() (peer.Lease, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return peer.Lease{Cell: c.cfg.Cell, Token: c.held.Token}, c.held.Token != 0
+}
+
+// OrdersInHand reports whether an order of this process may still reach an
+// engine of the cell.
+func (c *Cell) OrdersInHand() bool { return c.inHand.Load() > 0 }
+
+// Number returns the cell's number.
+func (c *Cell) Number() int { return c.cfg.Cell }
--- /dev/null
+++ b/internal/placement/cell/orders.go
@@ -0,0 +1,330 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+func newID() string { return uuid.NewString() }
+
+// load writes the ledger row and then orders the load. The row comes first:
+// whatever dies in between, the order can only do what the table counts.
+func (t *tenure) load(k ledger.Key, writeID string) {
+	t.mu.Lock()
+	row := t.book.Row(k)
+
+	if row == nil || row.WriteID != writeID {
+		t.mu.Unlock()
+
+		return
+	}
+
+	value, fence := record.EncodeLedger(row), t.held.Fence
+	bytes, base := row.Bytes, row.Base
+	t.mu.Unlock()
+
+	key := record.LedgerKey(t.cfg.Cell, k)
+
+	version, err := table.Settle(t.ctx, t.cfg.Table, table.Transaction{
+		Conditions: []table.Condition{
+			{Key: key},
+			{Key: record.FenceKey(t.cfg.Cell), Version: fence},
+		},
+		Writes: []table.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		t.notWritten(k, err)
+
+		return
+	}
+
+	t.mu.Lock()
+	row.Version = version
+	t.mu.Unlock()
+
+	t.event(timeline.LedgerWritten, k, "")
+	t.orderLoad(k, target.Load{Model: k.Model, Base: base, Bytes: bytes}, "load/"+writeID)
+}
+
+// notWritten handles a row that could not be written. On a conflict it had no
+// effect, and the reservation is dropped. In any other case the tenure has
+// ended while the write was in doubt; the successor reads what is there.
+func (t *tenure) notWritten(k ledger.Key, err error) {
+	if !table.IsConflict(err) {
+		return
+	}
+
+	t.mu.Lock()
+	t.book.Remove(k)
+	t.mu.Unlock()
+
+	t.lostLease(err)
+}
+
+// orderLoad sends the order until the engine has answered it. Sending it
+// again under the same id is harmless.
+func (t *tenure) orderLoad(k ledger.Key, a target.Load, id string) {
+	t.event(timeline.LoadOrdered, k, "")
+
+	for {
+		inv, err := t.submit(k, a, id)
+		if err == nil {
+			t.answered(k, inv, true)
+
+			return
+		}
+
+		if t.settledBy(k, err) || !t.sleep(orderRetry) {
+			return
+		}
+	}
+}
+
+// orderRetry is the pause before an order without an answer is sent again.
+const orderRetry = 200 * time.Millisecond
+
+// settledBy reports whether the error ends the order, so that it is not sent
+// again.
+func (t *tenure) settledBy(k ledger.Key, err error) bool {
+	if isStale(err) {
+		t.lostLease(err)
+
+		return true
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	row := t.book.Row(k)
+	if row == nil {
+		return true
+	}
+
+	if isNoMemory(err) {
+		// The engine proved that it did not load.
+		row.State.Acked = true
+		row.State.Incarnation = t.targets[k.Target].inventory.Incarnation
+		t.fail(row, time.Now())
+
+		return true
+	}
+
+	// A target that is gone takes no orders. Its rows are removed when the
+	// list proves that it is gone.
+	_, listed := t.cfg.Fleet.Lookup(k.Target)
+
+	return !listed
+}
+
+// submit sends one order, if this holder may. It checks the lease right
+// before and right after.
+func (t *tenure) submit(k ledger.Key, a target.Action, id string) (target.Inventory, error) {
+	t.mu.Lock()
+
+	now := time.Now()
+	token := t.held.Token
+
+	row, e := t.book.Row(k), t.targets[k.Target]
+	if row == nil || e == nil || !t.mayOrder(row, now) {
+		t.mu.Unlock()
+
+		return target.Inventory{}, &lease.LapsedError{Cell: t.cfg.Cell, Token: token}
+	}
+
+	row.State.LastSent = now
+
+	t.inHand.Add(1)
+
+	e.orders++
+	t.mu.Unlock()
+
+	inv, err := e.engine.Submit(t.ctx, target.Order{ID: id, Token: token, Action: a})
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.inHand.Add(-1)
+
+	e.orders--
+	e.epoch++
+
+	if !t.mayOrder(row, time.Now()) {
+		// The order went out while the lease lapsed. The row stays counted
+		// until the order's effect is proved, by this holder or the next.
+		t.cfg.Log.Add(timeline.Event{Kind: timeline.LateOrder, Model: k.Model, Target: k.Target, Detail: id})
+	}
+
+	return inv, err
+}
+
+// mayOrder reports whether an order for the row may be sent. Without a valid
+// lease it may only if the engine itself refuses former holders, and only for
+// a row that the table is known to count.
+func (t *tenure) mayOrder(row *ledger.Row, now time.Time) bool {
+	if t.held.Valid(now, t.cfg.Terms) {
+		return true
+	}
+
+	return row.Version != 0 && t.cfg.ChecksTokens(row.Target)
+}
+
+// answered takes in the inventory that came with the answer to an order.
+func (t *tenure) answered(k ledger.Key, inv target.Inventory, load bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	row := t.book.Row(k)
+	if row == nil {
+		return
+	}
+
+	if load {
+		row.State.Acked = true
+		row.State.Incarnation = inv.Incarnation
+	}
+
+	if e := t.targets[k.Target]; e != nil {
+		t.reconcile(k.Target, e, inv, time.Now())
+	}
+
+	t.poke()
+}
+
+// unload orders an unload until it is answered.
+func (t *tenure) unload(k ledger.Key) {
+	t.event(timeline.UnloadOrdered, k, "")
+
+	id := "unload/" + newID()
+
+	for {
+		inv, err := t.submit(k, target.Unload{Model: k.Model}, id)
+		if err == nil {
+			t.answered(k, inv, false)
+
+			return
+		}
+
+		if isStale(err) {
+			t.lostLease(err)
+
+			return
+		}
+
+		if _, listed := t.cfg.Fleet.Lookup(k.Target); !listed || !t.sleep(orderRetry) {
+			return
+		}
+	}
+}
+
+// remove deletes a row that is proved to hold nothing.
+func (t *tenure) remove(k ledger.Key, version, fence uint64) {
+	err := table.SettleDelete(t.ctx, t.cfg.Table, record.LedgerKey(t.cfg.Cell, k), version,
+		table.Condition{Key: record.FenceKey(t.cfg.Cell), Version: fence})
+	if table.IsConflict(err) {
+		t.lostLease(err)
+
+		return
+	}
+
+	if err != nil {
+		return
+	}
+
+	t.event(timeline.LedgerRemoved, k, "")
+
+	t.mu.Lock()
+	t.book.Remove(k)
+	t.mu.Unlock()
+	t.poke()
+}
+
+func (t *tenure) event(kind timeline.Kind, k ledger.Key, detail string) {
+	t.cfg.Log.Add(timeline.Event{Kind: kind, Model: k.Model, Target: k.Target, Detail: detail})
+}
+
+// advance moves every row on that waits for something: replicas to be
+// unloaded, rows to be removed, orders to be repeated after a take-over.
+func (t *tenure) advance(now time.Time) {
+	t.book.All(func(r *ledger.Row) { t.advanceRow(r, now) })
+}
+
+func (t *tenure) advanceRow(r *ledger.Row, now time.Time) {
+	e := t.targets[r.Target]
+
+	switch {
+	case r.Version == 0 || r.State.Busy:
+	case e == nil || r.State.Phase == target.Unloading:
+		t.tryRemove(r, e, now)
+	case r.Unloadable() && t.quiet(r.Key, now):
+		r.State.Phase = target.Unloading
+		t.background(r, func(context.Context) { t.unload(r.Key) })
+	case t.orphaned(r, e):
+		id := "load/" + r.WriteID + "/" + detail("%d", t.held.Token)
+		load := target.Load{Model: r.Model, Base: r.Base, Bytes: r.Bytes}
+		t.background(r, func(context.Context) { t.orderLoad(r.Key, load, id) })
+	}
+}
+
+// orphaned reports whether the row was adopted and no order of its former
+// holder has shown an effect: the load is then ordered again.
+func (t *tenure) orphaned(r *ledger.Row, e *engineState) bool {
+	return r.State.Adopted && !r.State.Acked && r.State.Phase == target.Loading && e.usable
+}
+
+func (t *tenure) quiet(k ledger.Key, now time.Time) bool {
+	return t.feed.publishedWithout(k) && t.asks.Quiet(k, t.held.Token, t.feed.withoutSince(k), now)
+}
+
+func (t *tenure) tryRemove(r *ledger.Row, e *engineState, now time.Time) {
+	ev := ledger.Evidence{
+		Now:           now,
+		ChecksTokens:  t.cfg.ChecksTokens(r.Target),
+		Token:         t.held.Token,
+		WriterSettled: t.settled(r, now),
+		TargetGone:    t.cfg.Fleet.Gone(r.Target, now),
+	}
+	if e != nil && e.fresh && e.orders == 0 {
+		ev.Inventory = &e.inventory
+	}
+
+	if !r.Removable(ev) {
+		return
+	}
+
+	k, version, fence := r.Key, r.Version, t.held.Fence
+	t.background(r, func(context.Context) { t.remove(k, version, fence) })
+}
+
+// settled reports whether whoever wrote the row has no order for it in hand.
+// This process knows of its own; a former tenure of it has ended only when
+// its orders were answered.
+func (t *tenure) settled(r *ledger.Row, now time.Time) bool {
+	if r.Process == t.cfg.Process {
+		return true
+	}
+
+	return t.cfg.Fleet.Settled(r.Holder, r.Process, t.cfg.Cell, t.since, now)
+}
+
+// background runs f for the row; until it ends nothing else is begun for it.
+func (t *tenure) background(r *ledger.Row, f func(context.Context)) {
+	r.State.Busy = true
+
+	t.wg.Go(func() {
+		f(t.ctx)
+
+		t.mu.Lock()
+		r.State.Busy = false
+		t.mu.Unlock()
+		t.poke()
+	})
+}
--- /dev/null
+++ b/internal/placement/demand/demand.go
@@ -0,0 +1,175 @@
+// Package demand merges what all entries ask of a cell's models, so that a
+// burst over many entries makes one load. It does no I/O and reads no clock.
+package demand
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+)
+
+// Use is how many of an entry's requests run on a replica.
+type Use struct {
+	ledger.Key
+
+	Running int
+	// Served is how many requests ended there since the last report.
+	Served int
+}
+
+// Report is what one entry tells a cell's holder. A report replaces the
+// entry's last one.
+type Report struct {
+	Entry   instance.ID
+	Process string
+	Cell    int
+	// Token and Number are the snapshot that the entry had applied when it
+	// counted its use.
+	Token, Number uint64
+	Waiting       []replica.Demand
+	Uses          []Use
+}
+
+// Expiry is how long a report counts. An entry that says nothing for so long
+// has died or is cut off, and its requests with it.
+const Expiry = 3 * time.Second
+
+// Book keeps the last report of each entry. The zero value is empty. It is
+// not safe for concurrent use.
+type Book struct {
+	entries map[instance.ID]entry
+}
+
+type entry struct {
+	Report
+
+	at time.Time
+}
+
+// Take replaces the entry's report.
+func (b *Book) Take(r Report, now time.Time) {
+	if b.entries == nil {
+		b.entries = make(map[instance.ID]entry)
+	}
+
+	b.entries[r.Entry] = entry{Report: r, at: now}
+}
+
+// Merged returns the demand of all entries, one line a model, sorted by
+// model. Reports that have expired are dropped.
+func (b *Book) Merged(now time.Time) []replica.Demand {
+	merged := make(map[string]*replica.Demand)
+
+	for id, e := range b.entries {
+		if now.Sub(e.at) > Expiry {
+			delete(b.entries, id)
+
+			continue
+		}
+
+		for _, d := range e.Waiting {
+			merge(line(merged, d.Model), d)
+		}
+
+		for _, u := range e.Uses {
+			line(merged, u.Model).Running += u.Running
+		}
+	}
+
+	out := make([]replica.Demand, 0, len(merged))
+	for _, d := range merged {
+		if d.Waiting > 0 || d.Running > 0 {
+			out = append(out, *d)
+		}
+	}
+
+	slices.SortFunc(out, func(a, b replica.Demand) int { return strings.Compare(a.Model, b.Model) })
+
+	return out
+}
+
+func line(merged map[string]*replica.Demand, model string) *replica.Demand {
+	d := merged[model]
+	if d == nil {
+		d = &replica.Demand{Model: model}
+		merged[model] = d
+	}
+
+	return d
+}
+
+// merge adds d. The plan of the most urgent request stands for the model.
+func merge(into *replica.Demand, d replica.Demand) {
+	if into.Plan == "" || d.Priority > into.Priority {
+		into.Plan = d.Plan
+	}
+
+	into.Waiting += d.Waiting
+	into.Priority = max(into.Priority, d.Priority)
+
+	if into.Deadline.IsZero() || !d.Deadline.IsZero() && d.Deadline.Before(into.Deadline) {
+		into.Deadline = d.Deadline
+	}
+}
+
+// Running returns how many requests run on the replica, over all entries.
+func (b *Book) Running(k ledger.Key) int {
+	n := 0
+
+	for _, e := range b.entries {
+		for _, u := range e.Uses {
+			if u.Key == k {
+				n += u.Running
+			}
+		}
+	}
+
+	return n
+}
+
+// Uses returns all uses that were reported.
+func (b *Book) Uses() []Use {
+	var out []Use
+	for _, e := range b.entries {
+		out = append(out, e.Uses...)
+	}
+
+	return out
+}
+
+// Quiet reports whether no entry sends to the replica any more: every live
+// entry has reported after it applied the snapshot number that took the
+// replica out, and none has a request running there. Entries that have not
+// reported within the expiry do not hold it up.
+func (b *Book) Quiet(k ledger.Key, token, number uint64, now time.Time) bool {
+	for _, e := range b.entries {
+		if now.Sub(e.at) > Expiry {
+			continue
+		}
+
+		behind := cmp.Or(cmp.Compare(e.Token, token), cmp.Compare(e.Number, number)) < 0
+		if behind {
+			return false
+		}
+	}
+
+	return b.Running(k) == 0
+}
+
+// Entries returns how many entries have reported within the expiry.
+func (b *Book) Entries(now time.Time) int {
+	n := 0
+
+	for _, e := range b.entries {
+		if now.Sub(e.at) <= Expiry {
+			n++
+		}
+	}
+
+	return n
+}
--- /dev/null
+++ b/internal/serving/dispatch/dispatch.go
@@ -0,0 +1,340 @@
+// Package dispatch takes an admitted request to a target and its answer back:
+// it queues requests per model, chooses targets, sends, checks every frame,
+// resumes broken streams and refuses truthfully what cannot be answered.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/serving/stream"
+)
+
+// Config is what a dispatcher works with.
+type Config struct {
+	Table *router.Table
+	// Engine returns the client of a target, which may be shared.
+	Engine func(t *router.Target) target.Engine
+	// Probe asks a target on a connection of its own for its inventory.
+	Probe func(ctx context.Context, t *router.Target) (target.Inventory, error)
+	// Refresh makes the next call to the target use a new connection.
+	Refresh func(t *router.Target)
+	// Entries returns how many entries there are.
+	Entries func() int
+	// CellOf returns the cell that decides about a model.
+	CellOf func(model string) int
+	// Demanded is called when a model is wanted that has no free replica.
+	Demanded func(model string)
+	// Noticed is called with a target that was found to be leaving or a
+	// request that was found to crash targets.
+	Noticed func(leaving instance.ID, poisoned request.Fingerprint)
+	Log     *timeline.Log
+	Metrics tally.Scope
+	// MaxWaiting bounds the requests that wait for one model.
+	MaxWaiting int
+}
+
+// Sink receives an answer's tokens in order.
+type Sink interface {
+	// Token hands over one token. An error means that the caller is gone or
+	// too slow.
+	Token(text string) error
+}
+
+// Dispatcher serves requests for models. Create it with New.
+type Dispatcher struct {
+	cfg    Config
+	lines  sync.Map // lines maps a model to its *line.
+	uses   sync.Map // uses maps a ledger.Key to its *use.
+	speed  sync.Map // speed maps a model to its *pace.
+	budget budget
+
+	crashMu sync.Mutex
+	crashes crash.Book
+	// blocked is how many requests are blocked, so that the common case of
+	// none needs no lock.
+	blocked atomic.Int64
+
+	running atomic.Int64
+}
+
+// use counts the requests on one replica.
+type use struct {
+	running atomic.Int64
+	served  atomic.Int64
+}
+
+// pace is what was learnt of a model's answers.
+type pace struct {
+	mu       sync.Mutex
+	first    stream.Gap
+	perToken stream.Gap
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+
+	d := &Dispatcher{cfg: cfg}
+	d.budget.level.Store(budgetMax)
+
+	return d
+}
+
+// Result is what became of an answered request.
+type Result struct {
+	Tokens int
+	// FirstToken is the time from the request's arrival to its first token.
+	FirstToken time.Duration
+	// Cold says that the request had to wait for a replica to be loaded.
+	Cold bool
+}
+
+// Do answers the request into sink or returns a *request.Refusal. It returns
+// the context's error when the caller has left.
+func (d *Dispatcher) Do(ctx context.Context, req *request.Request, sink Sink) (Result, error) {
+	if wait, blocked := d.isBlocked(req.Fingerprint()); blocked {
+		return Result{}, request.Refuse(request.Poisoned, wait, "this request has crashed the targets that ran it")
+	}
+
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+
+	d.running.Add(1)
+	defer d.running.Add(-1)
+
+	d.budget.deposit()
+
+	f := &flight{
+		Dispatcher: d,
+		req:        req,
+		sink:       sink,
+		checker:    stream.Checker{RequestID: req.EngineID, Max: req.MaxTokens},
+		pace:       d.paceOf(req.Model),
+	}
+
+	return f.fly(ctx)
+}
+
+// Running returns how many requests are being served or wait.
+func (d *Dispatcher) Running() int { return int(d.running.Load()) }
+
+func (d *Dispatcher) paceOf(model string) *pace {
+	if p, ok := d.speed.Load(model); ok {
+		return p.(*pace) //nolint:forcetypeassert // The map holds nothing else.
+	}
+
+	p, _ := d.speed.LoadOrStore(model, &pace{})
+
+	return p.(*pace) //nolint:forcetypeassert // The map holds nothing else.
+}
+
+func (d *Dispatcher) useOf(t *router.Target, model string) *use {
+	k := ledger.Key{Target: t.ID, Model: model}
+	if u, ok := d.uses.Load(k); ok {
+		return u.(*use) //nolint:forcetypeassert // The map holds nothing else.
+	}
+
+	u, _ := d.uses.LoadOrStore(k, &use{})
+
+	return u.(*use) //nolint:forcetypeassert // The map holds nothing else.
+}
+
+// duration estimates how long an answer of n tokens takes once it is sent.
+func (p *pace) duration(n int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.first.Mean() + time.Duration(n)*p.perToken.Mean()
+}
+
+// bounds returns how long the first token and further tokens may take.
+func (p *pace) bounds() (first, next time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return max(p.first.Bound(), minFirstBound), p.perToken.Bound()
+}
+
+// minFirstBound is the least silence before the first token that is
+// suspicious. Engines may queue a request behind others.
+const minFirstBound = time.Second
+
+func (p *pace) learn(first time.Duration, perToken time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if first > 0 {
+		p.first.Learn(first)
+	}
+
+	if perToken > 0 {
+		p.perToken.Learn(perToken)
+	}
+}
+
+// Report returns what this entry asks of a cell.
+func (d *Dispatcher) Report(cell int) ([]replica.Demand, []demand.Use) {
+	var waiting []replica.Demand
+
+	d.lines.Range(func(key, value any) bool {
+		model, _ := key.(string)
+		if d.cfg.CellOf(model) != cell {
+			return true
+		}
+
+		if dem, ok := value.(*line).demand(model); ok { //nolint:forcetypeassert // The map holds nothing else.
+			waiting = append(waiting, dem)
+		}
+
+		return true
+	})
+
+	var uses []demand.Use
+
+	d.uses.Range(func(key, value any) bool {
+		k, _ := key.(ledger.Key)
+		u, _ := value.(*use)
+
+		if d.cfg.CellOf(k.Model) != cell {
+			return true
+		}
+
+		running, served := int(u.running.Load()), int(u.served.Swap(0))
+		if running > 0 || served > 0 {
+			uses = append(uses, demand.Use{Key: k, Running: running, Served: served})
+		}
+
+		return true
+	})
+
+	return waiting, uses
+}
+
+// Waiting returns how many requests of the plan wait, by plan.
+func (d *Dispatcher) Waiting() map[string]int {
+	n := make(map[string]int)
+
+	d.lines.Range(func(_, value any) bool {
+		value.(*line).countPlans(n) //nolint:forcetypeassert // The map holds nothing else.
+
+		return true
+	})
+
+	return n
+}
+
+// Block refuses a request that a peer found to crash targets.
+func (d *Dispatcher) Block(fp request.Fingerprint) {
+	d.crashMu.Lock()
+	defer d.crashMu.Unlock()
+
+	d.crashes.Block(fp, time.Now())
+	d.blocked.Store(int64(len(d.crashes.BlockedNow(time.Now()))))
+}
+
+// Blocked returns the requests that are blocked.
+func (d *Dispatcher) Blocked() []request.Fingerprint {
+	if d.blocked.Load() == 0 {
+		return nil
+	}
+
+	d.crashMu.Lock()
+	defer d.crashMu.Unlock()
+
+	return d.crashes.BlockedNow(time.Now())
+}
+
+func (d *Dispatcher) isBlocked(fp request.Fingerprint) (time.Duration, bool) {
+	if d.blocked.Load() == 0 {
+		return 0, false
+	}
+
+	d.crashMu.Lock()
+	defer d.crashMu.Unlock()
+
+	return d.crashes.Blocked(fp, time.Now())
+}
+
+// died records that a target died under the request. It reports whether the
+// request is blocked by now.
+func (d *Dispatcher) died(fp request.Fingerprint, t *router.Target) bool {
+	d.crashMu.Lock()
+	now := time.Now()
+	news := d.crashes.Died(fp, t.ID, now)
+	_, blocked := d.crashes.Blocked(fp, now)
+	d.blocked.Store(int64(len(d.crashes.BlockedNow(now))))
+	d.crashMu.Unlock()
+
+	if news {
+		d.cfg.Noticed("", fp)
+	}
+
+	return blocked
+}
+
+func (d *Dispatcher) cleared(fp request.Fingerprint) {
+	d.crashMu.Lock()
+	defer d.crashMu.Unlock()
+
+	d.crashes.Cleared(fp)
+}
+
+// RefuseWaiting refuses all waiting requests for which why returns a refusal.
+func (d *Dispatcher) RefuseWaiting(why func(*request.Request) *request.Refusal) {
+	d.lines.Range(func(_, value any) bool {
+		value.(*line).refuseWaiting(why) //nolint:forcetypeassert // The map holds nothing else.
+
+		return true
+	})
+}
+
+// budget bounds retries to a share of the requests, so that retries cannot
+// multiply the load when targets fail in numbers.
+type budget struct{ level atomic.Int64 }
+
+// The budget is counted in tenths of a retry.
+const (
+	budgetMax     = 1000
+	budgetDeposit = 1
+	budgetRetry   = 10
+)
+
+func (b *budget) deposit() {
+	if n := b.level.Load(); n < budgetMax {
+		b.level.Add(budgetDeposit)
+	}
+}
+
+func (b *budget) take() bool {
+	if b.level.Add(-budgetRetry) >= 0 {
+		return true
+	}
+
+	b.level.Add(budgetRetry)
+
+	return false
+}
+
+// asRefusal returns err as a refusal, if it is one.
+func asRefusal(err error) (*request.Refusal, bool) {
+	var r *request.Refusal
+
+	return r, errors.As(err, &r)
+}
--- /dev/null
+++ b/internal/serving/gateway/gateway.go
@@ -0,0 +1,272 @@
+// Package gateway is the callers' side of an entry: HTTP handlers that admit
+// requests and write answers and refusals.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
+	"github.com/fulmarcross/fulmarcross/internal/customer/list"
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/claim"
+	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/wire/caller"
+)
+
+// Config is what a gateway works with.
+type Config struct {
+	Lists    *list.Register
+	Shares   *limit.Shares
+	Dispatch *dispatch.Dispatcher
+	Claims   *claim.Book
+	Fleet    *peer.Set
+	Log      *timeline.Log
+	Metrics  tally.Scope
+	MaxBody  int64
+	// Draining reports whether the entry is shutting down.
+	Draining func() bool
+	// Settled reports whether a process can no longer be running a claim.
+	Settled func(p claim.Pending) bool
+}
+
+// Gateway serves callers. Create it with New.
+type Gateway struct {
+	cfg    Config
+	mux    *http.ServeMux
+	counts Counts
+	// running maps a running request's engine id to its *admission.
+	running sync.Map
+	calls   calls
+}
+
+// admission is one admitted request.
+type admission struct {
+	plan   plan.Plan
+	model  string
+	cancel context.CancelCauseFunc
+}
+
+// New returns a gateway.
+func New(cfg Config) *Gateway {
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+
+	g := &Gateway{cfg: cfg, mux: http.NewServeMux()}
+	g.mux.HandleFunc("POST /v1/chat/completions", g.serveChat)
+	g.mux.HandleFunc("POST /v1/completions", g.serveCompletion)
+	g.mux.HandleFunc("GET /v1/models", g.serveModels)
+	g.mux.HandleFunc("/services/{service}/{path...}", g.serveService)
+	g.mux.HandleFunc("/services/{service}", g.serveService)
+
+	return g
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.mux.ServeHTTP(w, r) }
+
+// Counts returns what was counted per plan.
+func (g *Gateway) Counts() []peer.PlanCount {
+	return g.counts.all(g.cfg.Shares, g.cfg.Dispatch.Waiting())
+}
+
+const (
+	requestIDHeader = "X-Request-Id"
+	timeoutHeader   = "Request-Timeout-Ms"
+	keyHeader       = "Idempotency-Key"
+	maxIDLen        = 128
+	bearer          = "Bearer "
+	maxTimeout      = 10 * time.Minute
+)
+
+// call is one HTTP request on its way through the gateway.
+type call struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	plan     plan.Plan
+	arrived  time.Time
+	deadline time.Time
+}
+
+// begin identifies the caller and the deadline. It answers the request itself
+// and returns nil when it is refused.
+func (g *Gateway) begin(w http.ResponseWriter, r *http.Request) *call {
+	c := &call{w: w, r: r, id: requestID(r), arrived: time.Now()}
+	w.Header().Set(requestIDHeader, c.id)
+
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok {
+		g.refuse(c, request.Refuse(request.Unauthorized, 0, "no bearer key"))
+
+		return nil
+	}
+
+	p, ok := g.cfg.Lists.Current().Authenticate(plan.HashKey(key))
+	if !ok {
+		g.refuse(c, request.Refuse(request.Unauthorized, 0, "the key belongs to no plan"))
+
+		return nil
+	}
+
+	c.plan = p
+
+	timeout, err := timeoutOf(r, p.RequestTimeout)
+	if err != nil {
+		g.refuse(c, request.Refuse(request.BadRequest, 0, err.Error()))
+
+		return nil
+	}
+
+	c.deadline = c.arrived.Add(timeout)
+
+	if g.cfg.Draining() {
+		g.refuse(c, request.Refuse(request.ShuttingDown, time.Second, "this instance is shutting down"))
+
+		return nil
+	}
+
+	return c
+}
+
+func requestID(r *http.Request) string {
+	id := r.Header.Get(requestIDHeader)
+
+	printable := strings.IndexFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+	if id == "" || len(id) > maxIDLen || !printable {
+		return uuid.NewString()
+	}
+
+	return id
+}
+
+// TimeoutError says that a request's timeout cannot be used.
+type TimeoutError struct{ Text string }
+
+func (e *TimeoutError) Error() string {
+	return fmt.Sprintf("%s: %q is not a number of milliseconds from 1 to %d", timeoutHeader, e.Text, maxTimeout.Milliseconds())
+}
+
+func timeoutOf(r *http.Request, fallback time.Duration) (time.Duration, error) {
+	text := r.Header.Get(timeoutHeader)
+	if text == "" {
+		return fallback, nil
+	}
+
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return 0, &TimeoutError{Text: text}
+	}
+
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// refuse writes a refusal as the whole answer.
+func (g *Gateway) refuse(c *call, r *request.Refusal) {
+	g.counts.refused(c.plan.Name, r.Code)
+	g.cfg.Metrics.Tagged(map[string]string{"code": string(r.Code), "run": string(r.Run)}).Counter("refused").Inc(1)
+
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+
+	if r.RetryAfter > 0 {
+		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+
+	c.w.WriteHeader(r.Status())
+	_, _ = c.w.Write(caller.EncodeRefusal(r))
+}
+
+// readBody reads a bounded body. It answers the request itself when the body
+// is too large or broken off.
+func (g *Gateway) readBody(c *call) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, g.cfg.MaxBody))
+	if err == nil {
+		return body, true
+	}
+
+	if tooLarge, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		g.refuse(c, request.Refuse(request.TooLarge, 0, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)))
+	} else {
+		g.refuse(c, request.Refuse(request.BadRequest, 0, "the body was broken off: "+err.Error()))
+	}
+
+	return nil, false
+}
+
+// admit counts the request against its plan's limits.
+func (g *Gateway) admit(c *call) bool {
+	retryAfter, ok := g.cfg.Shares.Admit(c.r.Context(), c.plan)
+	if !ok {
+		g.refuse(c, request.Refuse(request.Limited, retryAfter, "the plan's limit is used up"))
+	}
+
+	return ok
+}
+
+// hold registers the running request, so that a change of the lists can end
+// it.
+func (g *Gateway) hold(c *call, id, model string) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	g.running.Store(id, &admission{plan: c.plan, model: model, cancel: cancel})
+
+	return ctx, func() {
+		g.running.Delete(id)
+		cancel(nil)
+	}
+}
+
+// ListsChanged refuses waiting requests that the lists no longer allow, and
+// ends running ones of removed plans if the plan's rule says so.
+func (g *Gateway) ListsChanged() {
+	lists := g.cfg.Lists.Current()
+
+	g.cfg.Dispatch.RefuseWaiting(func(req *request.Request) *request.Refusal {
+		if _, ok := lists.Plan(req.Plan); !ok {
+			return request.Refuse(request.PlanRemoved, 0, "the plan is no longer on the list")
+		}
+
+		if !lists.Allows(req.Plan, plan.Model, req.Model) {
+			return request.Refuse(request.NotAllowed, 0, "the plan may no longer use this model")
+		}
+
+		return nil
+	})
+
+	g.running.Range(func(_, value any) bool {
+		a, _ := value.(*admission)
+		if _, ok := lists.Plan(a.plan.Name); !ok && a.plan.OnRemoval == plan.CancelRunning {
+			a.cancel(request.Refuse(request.PlanRemoved, 0, "the plan was removed from the list"))
+		}
+
+		return true
+	})
+}
+
+// Running returns how many requests are in the gateway.
+func (g *Gateway) Running() int {
+	n := 0
+
+	g.running.Range(func(any, any) bool {
+		n++
+
+		return true
+	})
+
+	return n
+}
--- /dev/null
+++ b/internal/serving/gateway/service.go
@@ -0,0 +1,425 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/claim"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// calls counts the calls on each service target.
+type calls struct{ running sync.Map }
+
+func (c *calls) of(id instance.ID) *atomic.Int64 {
+	n, _ := c.running.LoadOrStore(id, &atomic.Int64{})
+
+	return n.(*atomic.Int64) //nolint:forcetypeassert // The map holds nothing else.
+}
+
+// choose returns the less busy of two random live targets.
+func (c *calls) choose(targets []instance.Instance) instance.Instance {
+	a := targets[rand.IntN(len(targets))] //nolint:gosec // No secret.
+	b := targets[rand.IntN(len(targets))] //nolint:gosec // No secret.
+
+	if c.of(b.ID).Load() < c.of(a.ID).Load() {
+		return b
+	}
+
+	return a
+}
+
+// serviceCall is one call of a plain service.
+type serviceCall struct {
+	*call
+
+	service string
+	path    string
+	body    []byte
+	trail   request.Trail
+}
+
+func (g *Gateway) serveService(w http.ResponseWriter, r *http.Request) {
+	c := g.begin(w, r)
+	if c == nil {
+		return
+	}
+
+	s := &serviceCall{call: c, service: r.PathValue("service"), path: "/" + r.PathValue("path")}
+	if r.URL.RawQuery != "" {
+		s.path += "?" + r.URL.RawQuery
+	}
+
+	if !g.cfg.Lists.Current().Allows(c.plan.Name, plan.Service, s.service) {
+		g.refuse(c, request.Refuse(request.UnknownModel, 0, "the plan may use no service named "+s.service))
+
+		return
+	}
+
+	key := r.Header.Get(keyHeader)
+	if key == "" && !repeatable(r.Method) {
+		g.refuse(c, request.Refuse(request.KeyMissing, 0, "a call that may not be repeated needs the header "+keyHeader))
+
+		return
+	}
+
+	var ok bool
+	if s.body, ok = g.readBody(c); !ok || !g.admit(c) {
+		return
+	}
+
+	defer g.cfg.Shares.Of(c.plan.Name).Done(0)
+
+	ctx, release := g.hold(c, uuid.NewString(), "")
+	defer release()
+
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+
+	if repeatable(r.Method) {
+		g.callRepeatable(ctx, s)
+	} else {
+		g.callOnce(ctx, s, key)
+	}
+}
+
+// repeatable reports whether a call with this method may be sent again. The
+// methods are those that HTTP calls safe.
+func repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+
+	return false
+}
+
+// maxServiceSends bounds how often a repeatable call is sent.
+const maxServiceSends = 3
+
+func (g *Gateway) callRepeatable(ctx context.Context, s *serviceCall) {
+	var last error
+
+	for range maxServiceSends {
+		a, err := g.send(ctx, s)
+		if err == nil {
+			g.writeAnswer(s, a)
+
+			return
+		}
+
+		last = err
+
+		if ctx.Err() != nil {
+			break
+		}
+	}
+
+	g.refuse(s.call, s.refusal(ctx, last))
+}
+
+// refusal says truthfully why there is no answer.
+func (s *serviceCall) refusal(ctx context.Context, err error) *request.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return s.trail.Refuse(request.DeadlinePast, time.Second, "the service did not answer in time")
+	}
+
+	return s.trail.Refuse(request.TargetFailed, time.Second, "service "+s.service+": "+err.Error())
+}
+
+// callOnce claims the call and sends it at most once.
+func (g *Gateway) callOnce(ctx context.Context, s *serviceCall, idempotencyKey string) {
+	key := claim.Key(s.plan.Customer, idempotencyKey)
+	digest := claim.Digest(s.r.Method, s.r.URL.Path, s.body)
+
+	outcome, err := g.cfg.Claims.Take(ctx, key, digest)
+
+	for try := 0; err == nil; try++ {
+		switch o := outcome.(type) {
+		case claim.Won:
+			g.sendOnce(ctx, s, o.Claim)
+
+			return
+		case claim.Answered:
+			g.writeAnswer(s, o.Answer)
+
+			return
+		case claim.Different:
+			g.refuse(s.call, request.Refuse(request.KeyConflict, 0, "the key was used with another request"))
+
+			return
+		case claim.Doubtful:
+			g.refuse(s.call, inDoubt(0))
+
+			return
+		case claim.Pending:
+			if g.cfg.Settled(o) {
+				g.refuse(s.call, inDoubt(0))
+
+				return
+			}
+
+			if !pause(ctx, try) {
+				g.refuse(s.call, inDoubt(time.Second))
+
+				return
+			}
+
+			outcome, err = g.cfg.Claims.Look(ctx, key, digest)
+			if claim.IsWithdrawn(err) {
+				outcome, err = g.cfg.Claims.Take(ctx, key, digest)
+			}
+		}
+	}
+
+	// Without a proved claim nothing was sent, by this entry under this call.
+	g.refuse(s.call, request.Refuse(request.StoreDown, time.Second, "the claim cannot be written: "+err.Error()))
+}
+
+// inDoubt refuses a repeat of a call that was sent and may have run.
+func inDoubt(retryAfter time.Duration) *request.Refusal {
+	return &request.Refusal{
+		Code: request.InDoubt, Run: request.MayHaveRun, RetryAfter: retryAfter,
+		Message: "a call with this key was sent before and its answer is not known",
+	}
+}
+
+// pause waits before a pending claim is looked at again, longer each time. It
+// reports false when the call's time is up.
+func pause(ctx context.Context, try int) bool {
+	const base, most = 25 * time.Millisecond, 5
+
+	t := time.NewTimer(base << min(try, most))
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// storeTimeout bounds how long an answer is tried to be stored after its
+// caller has got it.
+const storeTimeout = 2 * time.Minute
+
+// sendOnce sends a claimed call. Targets that were not reached are passed
+// over; after the first byte went out it is never sent again.
+func (g *Gateway) sendOnce(ctx context.Context, s *serviceCall, c *claim.Claim) {
+	g.cfg.Log.Add(timeline.Event{Kind: timeline.Claimed, Request: s.id, Customer: s.plan.Customer, Detail: s.service})
+
+	var (
+		a    claim.Answer
+		last error = &noTargetError{s.service}
+	)
+
+	for range maxServiceSends {
+		if ctx.Err() != nil {
+			break
+		}
+
+		a, last = g.send(ctx, s)
+		if last == nil || s.trail.Verdict() != request.NotRun {
+			break
+		}
+	}
+
+	// What became of the call must be stored even if its caller has left.
+	store, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+
+	switch {
+	case last == nil:
+		// The answer is stored before the caller sees it, if the store is
+		// there, so that a repeat finds it.
+		g.storeThenWrite(store, cancel, s, c, a)
+	case s.trail.Verdict() == request.NotRun:
+		defer cancel()
+
+		if err := g.withdraw(store, c); err != nil {
+			g.cfg.Metrics.Counter("claimsNotWithdrawn").Inc(1)
+		}
+
+		g.refuse(s.call, s.refusal(ctx, last))
+	default:
+		go func() {
+			defer cancel()
+
+			_ = g.cfg.Claims.Doubt(store, c)
+		}()
+
+		g.refuse(s.call, s.refusal(ctx, last))
+	}
+}
+
+// withdraw gives up a claim, in the background if the store is slow.
+func (g *Gateway) withdraw(ctx context.Context, c *claim.Claim) error {
+	done := make(chan error, 1)
+
+	go func() { done <- g.cfg.Claims.Withdraw(ctx, c) }()
+
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(storeGrace):
+		return nil
+	}
+}
+
+// storeGrace is how long a caller waits for its answer to be stored. If the
+// store is away for longer, the caller gets the answer and the storing goes
+// on; a repeat then waits or learns that the call may have run.
+const storeGrace = 500 * time.Millisecond
+
+func (g *Gateway) storeThenWrite(
+	ctx context.Context, cancel context.CancelFunc, s *serviceCall, c *claim.Claim, a claim.Answer,
+) {
+	done := make(chan struct{})
+
+	go func() {
+		defer cancel()
+		defer close(done)
+
+		if err := g.cfg.Claims.Finish(ctx, c, a); err != nil {
+			g.cfg.Metrics.Counter("answersNotStored").Inc(1)
+		}
+	}()
+
+	select {
+	case <-done:
+	case <-time.After(storeGrace):
+	}
+
+	g.writeAnswer(s, a)
+}
+
+func (g *Gateway) writeAnswer(s *serviceCall, a claim.Answer) {
+	if a.ContentType != "" {
+		s.w.Header().Set("Content-Type", a.ContentType)
+	}
+
+	s.w.WriteHeader(a.Status)
+	_, _ = s.w.Write(a.Body)
+
+	g.counts.answered(s.plan.Name, 0)
+}
+
+// noTargetError says that no live target of the service is known.
+type noTargetError struct{ service string }
+
+func (e *noTargetError) Error() string { return "no live target of service " + e.service }
+
+// maxAnswer bounds a service's answer.
+const maxAnswer = 8 << 20
+
+// send sends the call to one target, on a connection dialled for it alone.
+//
+// Two failures are guarded against. A kept-alive connection may be closed by
+// the other end just as the call goes out, and the HTTP library would then
+// send the call again on its own; and a connection may have gone silent for
+// good. Neither can happen on a connection that was established a moment ago
+// for this call, and the library retries only on reused ones.
+func (g *Gateway) send(ctx context.Context, s *serviceCall) (claim.Answer, error) {
+	targets := g.liveTargets(s.service)
+	if len(targets) == 0 {
+		return claim.Answer{}, &noTargetError{s.service}
+	}
+
+	t := g.calls.choose(targets)
+	n := g.calls.of(t.ID)
+
+	n.Add(1)
+	defer n.Add(-1)
+
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", t.Address.String())
+	if err != nil {
+		sending := s.trail.Send()
+		s.trail.Learn(sending, request.NotReached)
+
+		return claim.Answer{}, err
+	}
+	defer conn.Close()
+
+	return g.exchange(ctx, s, t, conn)
+}
+
+func (g *Gateway) liveTargets(service string) []instance.Instance {
+	var live []instance.Instance
+
+	for _, in := range g.cfg.Fleet.Listed(instance.Service) {
+		if in.Service == service && in.State == instance.Live {
+			live = append(live, in)
+		}
+	}
+
+	return live
+}
+
+// exchange writes the call on conn and reads its answer.
+func (g *Gateway) exchange(ctx context.Context, s *serviceCall, t instance.Instance, conn net.Conn) (claim.Answer, error) {
+	tr := &http.Transport{
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		DialContext:        func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+	}
+
+	req, err := http.NewRequestWithContext(ctx, s.r.Method, "http://"+t.Address.String()+s.path, bytes.NewReader(s.body))
+	if err != nil {
+		return claim.Answer{}, err
+	}
+
+	req.GetBody = nil
+	copyHeaders(req.Header, s.r.Header)
+	req.Header.Set(requestIDHeader, s.id)
+
+	g.cfg.Log.Add(timeline.Event{Kind: timeline.Sent, Request: s.id, Target: t.ID, Customer: s.plan.Customer, Detail: s.service})
+
+	sending := s.trail.Send()
+
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return claim.Answer{}, err
+	}
+	defer resp.Body.Close()
+
+	s.trail.Learn(sending, request.Begun)
+
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return claim.Answer{}, err
+	}
+
+	if len(body) > maxAnswer {
+		return claim.Answer{}, &answerTooLargeError{}
+	}
+
+	s.trail.Learn(sending, request.Completed)
+
+	return claim.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+type answerTooLargeError struct{}
+
+func (*answerTooLargeError) Error() string { return "the answer is too large" }
+
+// copyHeaders passes on what concerns the service.
+func copyHeaders(to, from http.Header) {
+	for _, name := range []string{"Content-Type", "Accept", keyHeader} {
+		if v := from.Get(name); v != "" {
+			to.Set(name, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/serving/router/choose.go
@@ -0,0 +1,271 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// Query is one choice of a target.
+type Query struct {
+	// Affinity keeps requests together that share an adapter or a prefix.
+	Affinity string
+	// Exclude are targets that must not be chosen again.
+	Exclude []instance.ID
+	// Suspect asks for a target on which no other suspect runs.
+	Suspect bool
+	// Entries is how many entries see the same reports.
+	Entries int
+	Now     time.Time
+}
+
+const (
+	// sample is how many targets are compared for one request. With more the
+	// decision would get slower and hardly better.
+	sample = 4
+	// defaultFirstToken stands in while a target's speed is unknown.
+	defaultFirstToken = 200 * time.Millisecond
+	// warmShare is the part of the first-token time that is left when the
+	// target has the prefix cached.
+	warmShare = 0.5
+	// maxEjected is the share of a model's targets that may be ejected at a
+	// time. Above it failures say more about the requests than the targets.
+	maxEjected = 0.5
+)
+
+// candidate is a target with its estimate.
+type candidate struct {
+	target   *Target
+	estimate float64
+}
+
+// Choose returns the target with the least estimated time to first token out
+// of a few candidates, or nil when none takes the request now. The first
+// candidate is the rendezvous choice of the affinity, the others are drawn at
+// random, so that entries which see the same report spread out.
+//
+// targets must come from a Table and is not changed. Choose does not
+// allocate.
+func Choose(targets []*Target, q *Query) *Target {
+	n := len(targets)
+	if n == 0 {
+		return nil
+	}
+
+	ignoreEjection := ejected(targets, q.Now) > maxEjected
+
+	var best candidate
+
+	home := homeOf(targets, q.Affinity)
+	best = better(best, home, q, ignoreEjection, true)
+
+	if n <= sample {
+		for _, t := range targets {
+			if t != home {
+				best = better(best, t, q, ignoreEjection, false)
+			}
+		}
+
+		return best.target
+	}
+
+	for range sample - 1 {
+		best = better(best, targets[rand.IntN(n)], q, ignoreEjection, false) //nolint:gosec // No secret.
+	}
+
+	if best.target == nil {
+		best = scan(targets, q, ignoreEjection)
+	}
+
+	return best.target
+}
+
+// scan looks at every target, from a random one on, until one takes the
+// request. It runs only when all drawn candidates are full.
+func scan(targets []*Target, q *Query, ignoreEjection bool) candidate {
+	n := len(targets)
+	start := rand.IntN(n) //nolint:gosec // No secret.
+
+	for i := range n {
+		c := better(candidate{}, targets[(start+i)%n], q, ignoreEjection, false)
+		if c.target != nil {
+			return c
+		}
+	}
+
+	return candidate{}
+}
+
+// homeOf returns the rendezvous choice over at most sample targets, which
+// start at a place that depends on the affinity alone.
+func homeOf(targets []*Target, affinity string) *Target {
+	n := len(targets)
+	start := int(instance.Score(affinity, "") % uint64(n)) //nolint:gosec // Below n.
+
+	var (
+		home *Target
+		most uint64
+	)
+
+	for i := range min(n, sample) {
+		t := targets[(start+i)%n]
+		if s := instance.Score(affinity, t.ID); home == nil || s > most {
+			home, most = t, s
+		}
+	}
+
+	return home
+}
+
+func better(best candidate, t *Target, q *Query, ignoreEjection, warm bool) candidate {
+	if !t.takes(q, ignoreEjection) {
+		return best
+	}
+
+	e := t.estimate(q)
+	if warm {
+		e *= warmShare
+	}
+
+	if best.target == nil || e < best.estimate {
+		return candidate{target: t, estimate: e}
+	}
+
+	return best
+}
+
+// takes reports whether the target may be given one more request.
+func (t *Target) takes(q *Query, ignoreEjection bool) bool {
+	if t.leaving.Load() || excluded(t.ID, q.Exclude) {
+		return false
+	}
+
+	info := t.info.Load()
+	if info == nil || info.Down {
+		return false
+	}
+
+	if q.Suspect && t.suspects.Load() > 0 {
+		return false
+	}
+
+	if !ignoreEjection && t.ejectedUntil.Load() > q.Now.UnixNano() {
+		return false
+	}
+
+	return t.own.Load() < t.window(info, q.Entries)
+}
+
+func excluded(id instance.ID, ids []instance.ID) bool {
+	return slices.Contains(ids, id)
+}
+
+// headroom is how far above its slots a target is filled, so that a slot that
+// becomes free has a successor at hand.
+const headroom = 1.25
+
+// window returns how many requests this entry may have on the target: its
+// even share of the slots in any case, and beyond that its share of what the
+// last report showed as free. The report lags, and every other entry sees the
+// same one, so each assumes that the others take their shares too; that keeps
+// them from filling the target together.
+func (t *Target) window(info *TargetInfo, entries int) int64 {
+	entries = max(1, entries)
+	slots := int(float64(max(1, info.Slots))*headroom + 0.5)
+	share := (slots + entries - 1) / entries
+	free := max(0, slots-info.Running-info.Waiting)
+
+	return max(int64(share), t.ownThen.Load()+int64(free/entries))
+}
+
+// estimate returns the expected time to first token in nanoseconds: the
+// learnt time when idle, stretched by the load that the report and this
+// entry's own requests since then amount to.
+func (t *Target) estimate(q *Query) float64 {
+	info := t.info.Load()
+
+	first := float64(t.firstToken.Load())
+	if first == 0 {
+		first = float64(defaultFirstToken) / max(0.1, info.Speed) //nolint:mnd // Guards a division.
+	}
+
+	grown := float64(t.own.Load()-t.ownThen.Load()) * float64(max(1, q.Entries))
+	load := max(float64(t.own.Load()), float64(info.Running+info.Waiting)+grown)
+
+	return first * (1 + load/float64(max(1, info.Slots)))
+}
+
+func ejected(targets []*Target, now time.Time) float64 {
+	// Counting a bounded number keeps the decision's time flat.
+	const most = 32
+
+	n := min(len(targets), most)
+	out := 0
+
+	for _, t := range targets[:n] {
+		if t.ejectedUntil.Load() > now.UnixNano() {
+			out++
+		}
+	}
+
+	return float64(out) / float64(n)
+}
+
+// Begin counts a request on the target.
+func (t *Target) Begin(suspect bool) {
+	t.own.Add(1)
+
+	if suspect {
+		t.suspects.Add(1)
+	}
+}
+
+// End takes the request off again.
+func (t *Target) End(suspect bool) {
+	t.own.Add(-1)
+
+	if suspect {
+		t.suspects.Add(-1)
+	}
+}
+
+// Outlier ejection: after failuresToEject failures in a row, for longer each
+// time.
+const (
+	failuresToEject = 3
+	ejection        = 2 * time.Second
+	maxEjection     = 30 * time.Second
+)
+
+// Failed records that a request failed on the target by the target's fault.
+// Without it, a target that fails at once would look like the fastest and
+// draw the traffic.
+func (t *Target) Failed(now time.Time) {
+	n := t.failures.Add(1)
+	if n < failuresToEject {
+		return
+	}
+
+	d := min(ejection<<min(n-failuresToEject, 4), maxEjection) //nolint:mnd // At most sixteenfold.
+	t.ejectedUntil.Store(now.Add(d).UnixNano())
+}
+
+// Succeeded records a whole answer and its time to first token. Only whole
+// answers teach the target's speed.
+func (t *Target) Succeeded(firstToken time.Duration, load int) {
+	t.failures.Store(0)
+
+	slots := max(1, t.Info().Slots)
+	idle := float64(firstToken) / (1 + float64(load)/float64(slots))
+
+	const gain = 0.2
+
+	old := float64(t.firstToken.Load())
+	if old == 0 {
+		old = idle
+	}
+
+	t.firstToken.Store(int64(old + gain*(idle-old)))
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,83 @@
+// Package service is a small stand-in of a plain service. It books every call
+// that it ran, so that a checker can find one that ran twice.
+package service
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// PathFaults is the path of the fault switches.
+const PathFaults = "/faults"
+
+// Service is the stand-in. The zero value works at once.
+type Service struct {
+	// Delay is how long each call takes.
+	Delay time.Duration
+
+	mu   sync.Mutex
+	runs map[string]int
+	drop int
+}
+
+// maxBody bounds what a call may send.
+const maxBody = 1 << 20
+
+// LoseAnswers makes the next n calls run and then cut the connection.
+func (s *Service) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.drop = n
+}
+
+// Runs returns how often each idempotency key ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return maps.Clone(s.runs)
+}
+
+// ServeHTTP runs a call: it books its key and echoes its body.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	lost := s.book(r.Header.Get("Idempotency-Key"))
+
+	time.Sleep(s.Delay)
+
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+
+	_, _ = fmt.Fprintf(w, "done %s %s %s", r.Method, r.URL.Path, body)
+}
+
+// book counts a run and reports whether its answer is to be lost.
+func (s *Service) book(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if key != "" {
+		if s.runs == nil {
+			s.runs = make(map[string]int)
+		}
+
+		s.runs[key]++
+	}
+
+	lost := s.drop > 0
+	s.drop = max(0, s.drop-1)
+
+	return lost
+}
--- /dev/null
+++ b/internal/standin/trial/faults.go
@@ -0,0 +1,166 @@
+package trial
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
+)
+
+// fault is one thing that goes wrong.
+type fault struct {
+	// at is the share of the load's time after which it happens.
+	at     float64
+	inject func(context.Context)
+}
+
+// inject brings the faults about one after the other. Some overlap.
+func (t *Trial) inject(ctx context.Context) {
+	started := time.Now()
+
+	for _, f := range []fault{
+		{0.08, t.killHolder},
+		{0.20, t.slowTable},
+		{0.28, t.stopTable},
+		{0.42, t.loseAnswers},
+		{0.46, t.pauseHolder},
+		{0.62, t.silenceStreams},
+		{0.66, t.confuseEngines},
+		{0.70, t.sendPoison},
+		{0.82, t.reclaimTarget},
+	} {
+		wait := time.Duration(f.at*float64(t.opt.For)) - time.Since(started)
+
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+
+		f.inject(ctx)
+	}
+}
+
+// killHolder ends the process that holds the cell while something loads, and
+// starts another on a new instance.
+func (t *Trial) killHolder(ctx context.Context) {
+	n := t.holder()
+	if n == nil {
+		return
+	}
+
+	t.awaitLoad(ctx)
+	n.dead.Store(true)
+	n.Kill()
+	n.gate.Close()
+	t.platform.Remove(n.ID())
+
+	_ = t.startEntry(ctx, entries)
+}
+
+// awaitLoad returns when an engine is loading something, or soon.
+func (t *Trial) awaitLoad(ctx context.Context) {
+	const patience = time.Second
+
+	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, e := range t.engines {
+			inv, err := e.Inventory(ctx)
+			if err != nil {
+				continue
+			}
+
+			for _, h := range inv.Held {
+				if h.Phase == "loading" {
+					return
+				}
+			}
+		}
+
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (t *Trial) slowTable(context.Context) {
+	t.platform.SetFaults(platform.Faults{TableDelay: 150 * time.Millisecond})
+	time.AfterFunc(t.opt.For/16, func() { t.platform.SetFaults(platform.Faults{}) }) //nolint:mnd // A while.
+}
+
+func (t *Trial) stopTable(context.Context) {
+	t.platform.SetFaults(platform.Faults{TableDown: true})
+	time.AfterFunc(t.opt.For/8, func() { t.platform.SetFaults(platform.Faults{}) }) //nolint:mnd // A while.
+}
+
+func (t *Trial) loseAnswers(context.Context) {
+	t.platform.SetFaults(platform.Faults{LoseAnswers: 6})
+}
+
+// pauseHolder stops all that the holder sends for longer than its lease, with
+// whatever orders it has in hand, and then lets them go.
+func (t *Trial) pauseHolder(context.Context) {
+	n := t.holder()
+	if n == nil {
+		return
+	}
+
+	n.gate.Close()
+	time.AfterFunc(2500*time.Millisecond, n.gate.Open) //nolint:mnd // Longer than a lease.
+}
+
+func (t *Trial) silenceStreams(context.Context) {
+	for _, e := range t.engines {
+		e.Silence()
+	}
+}
+
+// confuseEngines makes an engine swap two answers and another cut one short.
+func (t *Trial) confuseEngines(context.Context) {
+	for i, e := range t.engines {
+		e.SetFaults(engine.Faults{SwapAnswers: i%2 == 0, Truncate: i%2 == 1})
+	}
+}
+
+// sendPoison sends a request that crashes each target, again and again.
+func (t *Trial) sendPoison(ctx context.Context) {
+	const repeats = 5
+
+	go func() {
+		for range repeats {
+			a := ask{
+				number: -1, key: demoKey, model: modelName(0), prompt: "please " + engine.Poison, tokens: 4,
+				started: time.Now(),
+			}
+
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			_, _ = t.try(ctx, a)
+
+			cancel()
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+// reclaimTarget takes a target away: the list says so first, and soon after
+// the engine is gone.
+func (t *Trial) reclaimTarget(context.Context) {
+	e := t.engines[1]
+
+	in, err := t.platform.Instances(context.Background())
+	if err != nil {
+		return
+	}
+
+	for _, line := range in {
+		if line.ID == e.ID() {
+			line.State = instance.Leaving
+			t.platform.Announce(line)
+		}
+	}
+
+	e.Leave()
+	time.AfterFunc(2*time.Second, func() {
+		t.platform.Remove(e.ID())
+		e.Crash()
+	})
+}
--- /dev/null
+++ b/internal/standin/trial/trial.go
@@ -0,0 +1,422 @@
+// Package trial runs the whole path in one process on loopback: stand-ins of
+// the platform, engines and services, entries, demo lists, a bounded load and,
+// if asked, faults. What it reports is counted from the books of its clients
+// and stand-ins, not from the system's own counters.
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarcross/fulmarcross/internal/cli/settings"
+	"github.com/fulmarcross/fulmarcross/internal/customer/list"
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/entry"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
+	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
+	"github.com/fulmarcross/fulmarcross/internal/standin/service"
+)
+
+// Options choose what a trial does.
+type Options struct {
+	Seed   uint64
+	For    time.Duration
+	Faults bool
+	// Progress receives a line now and then; nil means nobody looks.
+	Progress io.Writer
+	Logger   zerolog.Logger
+}
+
+// The size of the demo.
+const (
+	entries     = 3
+	engines     = 5
+	services    = 2
+	modelCount  = 12
+	adapters    = 8
+	gib         = int64(1) << 30
+	modelBytes  = 4 * gib
+	loadSpeed   = 16 * gib
+	serviceName = "stamps"
+	demoKey     = "demo-key"
+	nightKey    = "demo-key-night"
+	// OperatorKey is the operators' key of the demo.
+	OperatorKey = "demo-operator"
+)
+
+// node is an entry and what keeps it running.
+type node struct {
+	*entry.Entry
+
+	gate   *Gate
+	cancel context.CancelFunc
+	done   chan struct{}
+	dead   atomic.Bool
+}
+
+// Trial is one run.
+type Trial struct {
+	opt      Options
+	rng      *rand.Rand
+	platform *platform.Platform
+	weights  *engine.Weights
+	engines  []*engine.Engine
+	services []*service.Service
+	address  netip.AddrPort
+	servers  []*http.Server
+	// addresses are those of the engines, in the order of engines.
+	addresses []netip.AddrPort
+
+	mu    sync.Mutex
+	nodes []*node
+
+	books books
+}
+
+// Run makes a trial, runs it to its end and returns its report.
+func Run(ctx context.Context, opt Options) (Report, error) {
+	t := &Trial{
+		opt:      opt,
+		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Seed)), //nolint:gosec // A reproducible load.
+		platform: &platform.Platform{},
+		weights:  &engine.Weights{BytesPerSecond: loadSpeed, Concurrent: 4}, //nolint:mnd // As the brief says.
+	}
+	defer t.stop()
+
+	if err := t.start(ctx); err != nil {
+		return Report{}, err
+	}
+
+	if err := t.awaitReady(ctx); err != nil {
+		return Report{}, err
+	}
+
+	t.load(ctx)
+
+	added := t.measureAdded(ctx)
+
+	return t.report(added), nil
+}
+
+func (t *Trial) start(ctx context.Context) error {
+	addr, err := t.listen(platform.Handler(t.platform))
+	if err != nil {
+		return err
+	}
+
+	t.address = addr
+
+	if err := t.startTargets(); err != nil {
+		return err
+	}
+
+	t.fillWeights()
+
+	if err := t.fillLists(ctx); err != nil {
+		return err
+	}
+
+	for i := range entries {
+		if err := t.startEntry(ctx, i); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// listen serves h on a free loopback port.
+func (t *Trial) listen(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	t.servers = append(t.servers, server)
+
+	go func() { _ = server.Serve(l) }()
+
+	addr, _ := l.Addr().(*net.TCPAddr)
+
+	return addr.AddrPort(), nil
+}
+
+func centre(i int) instance.DataCentre {
+	return instance.DataCentre([]string{"centro-a", "centro-b", "centro-c"}[i%3])
+}
+
+func (t *Trial) startTargets() error {
+	for i := range engines {
+		e := engine.New(engine.Options{
+			ID:          instance.ID(fmt.Sprintf("engine-%d", i)),
+			Memory:      modelBytes*3 + gib,
+			Speed:       []float64{4, 2, 1}[i%3],
+			Slots:       8,
+			ChecksToken: i != 0,
+			FirstToken:  60 * time.Millisecond,
+			PerToken:    4 * time.Millisecond,
+			ReportLag:   300 * time.Millisecond,
+			Restart:     500 * time.Millisecond,
+			Weights:     t.weights,
+		})
+		e.OnChange = t.books.check(t.platform)
+		t.engines = append(t.engines, e)
+
+		addr, err := t.listen(engine.Handler(e))
+		if err != nil {
+			return err
+		}
+
+		t.addresses = append(t.addresses, addr)
+		t.platform.Announce(instance.Instance{
+			ID: e.ID(), DataCentre: centre(i), Role: instance.Engine, Address: addr, State: instance.Live,
+		})
+	}
+
+	for i := range services {
+		s := &service.Service{Delay: 5 * time.Millisecond}
+		t.services = append(t.services, s)
+
+		addr, err := t.listen(s)
+		if err != nil {
+			return err
+		}
+
+		t.platform.Announce(instance.Instance{
+			ID: instance.ID(fmt.Sprintf("stamps-%d", i)), DataCentre: centre(i), Role: instance.Service,
+			Service: serviceName, Address: addr, State: instance.Live,
+		})
+	}
+
+	return nil
+}
+
+func modelName(i int) string { return fmt.Sprintf("draft-%02d", i) }
+
+func adapterName(i int) string { return fmt.Sprintf("mark-%02d", i) }
+
+func (t *Trial) fillWeights() {
+	for i := range modelCount {
+		t.platform.AddCheckpoints(weight.Checkpoint{Name: modelName(i), Bytes: modelBytes})
+	}
+
+	for i := range adapters {
+		t.platform.AddCheckpoints(weight.Checkpoint{
+			Name: adapterName(i), Base: modelName(i % modelCount), Bytes: modelBytes / 64, //nolint:mnd // Small.
+		})
+	}
+}
+
+// fillLists writes the demo's two lists as an operator would.
+func (t *Trial) fillLists(ctx context.Context) error {
+	changes := []plan.Change{
+		plan.SetPlan{Plan: plan.Plan{
+			Name: "day", Customer: "platero", Keys: []plan.KeyHash{plan.HashKey(demoKey)}, Concurrency: 200,
+			RequestsPerSecond: 2000, Priority: 5, RequestTimeout: 10 * time.Second, OnRemoval: plan.FinishRunning,
+		}},
+		plan.SetPlan{Plan: plan.Plan{
+			Name: "night", Customer: "vatuvola", Keys: []plan.KeyHash{plan.HashKey(nightKey)}, Concurrency: 100,
+			Priority: 2, RequestTimeout: 15 * time.Second, OnRemoval: plan.CancelRunning,
+		}},
+		plan.Allow{Allowance: plan.Allowance{Plan: "day", Kind: plan.Service, Name: serviceName}},
+	}
+
+	for _, name := range []string{"day", "night"} {
+		for i := range modelCount {
+			a := plan.Allowance{Plan: name, Kind: plan.Model, Name: modelName(i)}
+			changes = append(changes, plan.Allow{Allowance: a})
+		}
+
+		for i := range adapters {
+			a := plan.Allowance{Plan: name, Kind: plan.Model, Name: adapterName(i)}
+			changes = append(changes, plan.Allow{Allowance: a})
+		}
+	}
+
+	store := list.Store{Table: t.platform}
+	_, err := store.Put(ctx, list.Put{WriteID: "demo", Author: "trial", At: time.Now(), Changes: changes})
+
+	return err
+}
+
+func (t *Trial) startEntry(ctx context.Context, i int) error {
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	gate := &Gate{}
+
+	e, err := entry.New(&settings.Settings{
+		ID:              instance.ID(fmt.Sprintf("entry-%d", i)),
+		DataCentre:      centre(i),
+		Callers:         free,
+		Operators:       free,
+		Peers:           free,
+		MaxBody:         1 << 20,
+		MaxConns:        1024,
+		OperatorKey:     plan.HashKey(OperatorKey),
+		Platform:        t.address,
+		ListLag:         3 * time.Second,
+		Cells:           1,
+		CheckTokens:     true,
+		TokenExceptions: []instance.ID{"engine-0"},
+		Loads:           4,
+		AdapterLoads:    32,
+		BytesPerSecond:  float64(loadSpeed),
+		ColdStartWeight: 0.5,
+		Lease: lease.Terms{
+			Duration: 1500 * time.Millisecond, Renew: 400 * time.Millisecond,
+			Poll: 200 * time.Millisecond, Stagger: 150 * time.Millisecond,
+		},
+		Shutdown: 10 * time.Second,
+	}, t.opt.Logger, entry.WithGate(gate))
+	if err != nil {
+		return err
+	}
+
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	n := &node{Entry: e, gate: gate, cancel: cancel, done: make(chan struct{})}
+
+	t.platform.Announce(instance.Instance{
+		ID: e.ID(), DataCentre: centre(i), Role: instance.Entry, Address: e.Peers(), State: instance.Live,
+	})
+
+	go func() {
+		defer close(n.done)
+
+		_ = e.Run(ctx)
+	}()
+
+	t.mu.Lock()
+	t.nodes = append(t.nodes, n)
+	t.mu.Unlock()
+
+	return nil
+}
+
+// NotReadyError says that the entries did not become ready.
+type NotReadyError struct{}
+
+func (*NotReadyError) Error() string { return "trial: the entries did not become ready" }
+
+func (t *Trial) awaitReady(ctx context.Context) error {
+	const patience = 10 * time.Second
+
+	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; {
+		if len(t.ready()) == entries && t.holder() != nil {
+			return nil
+		}
+
+		time.Sleep(20 * time.Millisecond)
+	}
+
+	return &NotReadyError{}
+}
+
+// ready returns the entries to which a balancer sends requests.
+func (t *Trial) ready() []*node {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	var out []*node
+
+	for _, n := range t.nodes {
+		if !n.dead.Load() && n.Ready() {
+			out = append(out, n)
+		}
+	}
+
+	return out
+}
+
+// holder returns the entry that holds the cell's lease.
+func (t *Trial) holder() *node {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, n := range t.nodes {
+		if !n.dead.Load() && n.Holds(0) {
+			return n
+		}
+	}
+
+	return nil
+}
+
+func (t *Trial) stop() {
+	t.mu.Lock()
+	nodes := t.nodes
+	t.mu.Unlock()
+
+	for _, n := range nodes {
+		n.gate.Open()
+		n.cancel()
+	}
+
+	for _, n := range nodes {
+		select {
+		case <-n.done:
+		case <-time.After(12 * time.Second):
+		}
+	}
+
+	for _, s := range t.servers {
+		_ = s.Close()
+	}
+}
+
+// Gate pauses everything that an entry sends. The zero value is open.
+type Gate struct {
+	mu     sync.Mutex
+	closed chan struct{}
+}
+
+// Wait implements entry.Gate.
+func (g *Gate) Wait(ctx context.Context) error {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+
+	if closed == nil {
+		return nil
+	}
+
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-closed:
+		return nil
+	}
+}
+
+// Close makes all that comes wait.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+}
+
+// Open lets all pass again.
+func (g *Gate) Open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
--- /dev/null
+++ b/internal/wire/peer/messages.go
@@ -0,0 +1,577 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+// Messages are encoded as arrays, so fields may only be added at the end, and
+// only with a new Version.
+
+// Empty is a message without content.
+type Empty struct{}
+
+// Lease is a peer.Lease on the wire.
+type Lease struct {
+	_ struct{} `cbor:",toarray"`
+
+	Cell  int
+	Token uint64
+}
+
+// PlanCount is a peer.PlanCount on the wire.
+type PlanCount struct {
+	_ struct{} `cbor:",toarray"`
+
+	Plan     string
+	Running  int
+	Waiting  int
+	Answered int64
+	Tokens   int64
+	Refused  map[string]int64
+}
+
+// Status is a peer.Status on the wire.
+type Status struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID           string
+	DataCentre   string
+	Process      string
+	StartedMs    int64
+	Draining     bool
+	Ready        bool
+	ListVersion  uint64
+	Leases       []Lease
+	OrdersInHand []int
+	Leaving      []string
+	Poisoned     []uint64
+	Plans        []PlanCount
+	Clock        uint64
+}
+
+// FromStatus maps a status to the wire.
+func FromStatus(s peer.Status) Status {
+	out := Status{
+		ID:           string(s.ID),
+		DataCentre:   string(s.DataCentre),
+		Process:      s.Process,
+		StartedMs:    s.Started.UnixMilli(),
+		Draining:     s.Draining,
+		Ready:        s.Ready,
+		ListVersion:  s.ListVersion,
+		OrdersInHand: s.OrdersInHand,
+		Leaving:      fromIDs(s.Leaving),
+		Clock:        uint64(s.Clock),
+	}
+
+	for _, l := range s.Leases {
+		out.Leases = append(out.Leases, Lease{Cell: l.Cell, Token: l.Token})
+	}
+
+	for _, fp := range s.Poisoned {
+		out.Poisoned = append(out.Poisoned, uint64(fp))
+	}
+
+	for _, p := range s.Plans {
+		out.Plans = append(out.Plans, fromPlanCount(p))
+	}
+
+	return out
+}
+
+func fromPlanCount(p peer.PlanCount) PlanCount {
+	out := PlanCount{
+		Plan:     p.Plan,
+		Running:  p.Running,
+		Waiting:  p.Waiting,
+		Answered: p.Answered,
+		Tokens:   p.Tokens,
+		Refused:  make(map[string]int64, len(p.Refused)),
+	}
+
+	for code, n := range p.Refused {
+		out.Refused[string(code)] = n
+	}
+
+	return out
+}
+
+// ToStatus maps a status from the wire.
+func ToStatus(s Status) peer.Status {
+	out := peer.Status{
+		ID:           instance.ID(s.ID),
+		DataCentre:   instance.DataCentre(s.DataCentre),
+		Process:      s.Process,
+		Started:      time.UnixMilli(s.StartedMs),
+		Draining:     s.Draining,
+		Ready:        s.Ready,
+		ListVersion:  s.ListVersion,
+		OrdersInHand: s.OrdersInHand,
+		Leaving:      toIDs(s.Leaving),
+		Clock:        timeline.Stamp(s.Clock),
+	}
+
+	for _, l := range s.Leases {
+		out.Leases = append(out.Leases, peer.Lease{Cell: l.Cell, Token: l.Token})
+	}
+
+	for _, fp := range s.Poisoned {
+		out.Poisoned = append(out.Poisoned, request.Fingerprint(fp))
+	}
+
+	for _, p := range s.Plans {
+		out.Plans = append(out.Plans, toPlanCount(p))
+	}
+
+	return out
+}
+
+func toPlanCount(p PlanCount) peer.PlanCount {
+	out := peer.PlanCount{
+		Plan:     p.Plan,
+		Running:  p.Running,
+		Waiting:  p.Waiting,
+		Answered: p.Answered,
+		Tokens:   p.Tokens,
+		Refused:  make(map[request.Code]int64, len(p.Refused)),
+	}
+
+	for code, n := range p.Refused {
+		out.Refused[request.Code(code)] = n
+	}
+
+	return out
+}
+
+func fromIDs(ids []instance.ID) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = string(id)
+	}
+
+	return out
+}
+
+func toIDs(ids []string) []instance.ID {
+	out := make([]instance.ID, len(ids))
+	for i, id := range ids {
+		out[i] = instance.ID(id)
+	}
+
+	return out
+}
+
+// TargetInfo is a router.TargetInfo on the wire.
+type TargetInfo struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID          string
+	DataCentre  string
+	Address     string
+	Speed       float64
+	Memory      int64
+	Held        int64
+	Slots       int
+	Running     int
+	Waiting     int
+	ReportAgeMs int64
+	Leaving     bool
+	Down        bool
+	Incarnation string
+}
+
+// Replica is a router.Replica on the wire.
+type Replica struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target string
+	Model  string
+}
+
+// Wait is a router.Wait on the wire.
+type Wait struct {
+	_ struct{} `cbor:",toarray"`
+
+	Model        string
+	ReadyMs      int64
+	Reason       string
+	RetryAfterMs int64
+	Waiting      int
+}
+
+// Snapshot is a router.Snapshot on the wire.
+type Snapshot struct {
+	_ struct{} `cbor:",toarray"`
+
+	Cell    int
+	Holder  string
+	Token   uint64
+	Number  uint64
+	Base    uint64
+	Targets []TargetInfo
+	Gone    []string
+	Added   []Replica
+	Removed []Replica
+	Waits   []Wait
+}
+
+// FromSnapshot maps a snapshot to the wire.
+func FromSnapshot(s *router.Snapshot) Snapshot {
+	out := Snapshot{
+		Cell:    s.Cell,
+		Holder:  string(s.Holder),
+		Token:   s.Token,
+		Number:  s.Number,
+		Base:    s.Base,
+		Gone:    fromIDs(s.Gone),
+		Added:   fromReplicas(s.Added),
+		Removed: fromReplicas(s.Removed),
+	}
+
+	for _, t := range s.Targets {
+		out.Targets = append(out.Targets, TargetInfo{
+			ID:          string(t.ID),
+			DataCentre:  string(t.DataCentre),
+			Address:     t.Address.String(),
+			Speed:       t.Speed,
+			Memory:      t.Memory,
+			Held:        t.Held,
+			Slots:       t.Slots,
+			Running:     t.Running,
+			Waiting:     t.Waiting,
+			ReportAgeMs: t.ReportAge.Milliseconds(),
+			Leaving:     t.Leaving,
+			Down:        t.Down,
+			Incarnation: t.Incarnation,
+		})
+	}
+
+	for _, w := range s.Waits {
+		out.Waits = append(out.Waits, Wait{
+			Model:        w.Model,
+			ReadyMs:      w.Ready.Milliseconds(),
+			Reason:       w.Reason,
+			RetryAfterMs: w.RetryAfter.Milliseconds(),
+			Waiting:      w.Waiting,
+		})
+	}
+
+	return out
+}
+
+// ToSnapshot maps a snapshot from the wire.
+func ToSnapshot(s Snapshot) (*router.Snapshot, error) {
+	out := &router.Snapshot{
+		Cell:    s.Cell,
+		Holder:  instance.ID(s.Holder),
+		Token:   s.Token,
+		Number:  s.Number,
+		Base:    s.Base,
+		Gone:    toIDs(s.Gone),
+		Added:   toReplicas(s.Added),
+		Removed: toReplicas(s.Removed),
+	}
+
+	for _, t := range s.Targets {
+		addr, err := netip.ParseAddrPort(t.Address)
+		if err != nil {
+			return nil, err
+		}
+
+		out.Targets = append(out.Targets, router.TargetInfo{
+			ID:          instance.ID(t.ID),
+			DataCentre:  instance.DataCentre(t.DataCentre),
+			Address:     addr,
+			Speed:       t.Speed,
+			Memory:      t.Memory,
+			Held:        t.Held,
+			Slots:       t.Slots,
+			Running:     t.Running,
+			Waiting:     t.Waiting,
+			ReportAge:   milliseconds(t.ReportAgeMs),
+			Leaving:     t.Leaving,
+			Down:        t.Down,
+			Incarnation: t.Incarnation,
+		})
+	}
+
+	for _, w := range s.Waits {
+		out.Waits = append(out.Waits, router.Wait{
+			Model:      w.Model,
+			Ready:      milliseconds(w.ReadyMs),
+			Reason:     w.Reason,
+			RetryAfter: milliseconds(w.RetryAfterMs),
+			Waiting:    w.Waiting,
+		})
+	}
+
+	return out, nil
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func fromReplicas(all []router.Replica) []Replica {
+	out := make([]Replica, len(all))
+	for i, r := range all {
+		out[i] = Replica{Target: string(r.Target), Model: r.Model}
+	}
+
+	return out
+}
+
+func toReplicas(all []Replica) []router.Replica {
+	out := make([]router.Replica, len(all))
+	for i, r := range all {
+		out[i] = router.Replica{Target: instance.ID(r.Target), Model: r.Model}
+	}
+
+	return out
+}
+
+// Demand is a replica.Demand on the wire.
+type Demand struct {
+	_ struct{} `cbor:",toarray"`
+
+	Model      string
+	Plan       string
+	Waiting    int
+	DeadlineMs int64
+	Priority   int
+}
+
+// Use is a demand.Use on the wire.
+type Use struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target  string
+	Model   string
+	Running int
+	Served  int
+}
+
+// Report is a demand.Report on the wire.
+type Report struct {
+	_ struct{} `cbor:",toarray"`
+
+	Entry   string
+	Process string
+	Cell    int
+	Token   uint64
+	Number  uint64
+	Waiting []Demand
+	Uses    []Use
+	// SentMs is the sender's clock, so that deadlines survive clocks that
+	// differ.
+	SentMs int64
+}
+
+// FromReport maps a report to the wire.
+func FromReport(r demand.Report, now time.Time) Report {
+	out := Report{
+		Entry:   string(r.Entry),
+		Process: r.Process,
+		Cell:    r.Cell,
+		Token:   r.Token,
+		Number:  r.Number,
+		SentMs:  now.UnixMilli(),
+	}
+
+	for _, d := range r.Waiting {
+		out.Waiting = append(out.Waiting, Demand{
+			Model:      d.Model,
+			Plan:       d.Plan,
+			Waiting:    d.Waiting,
+			DeadlineMs: d.Deadline.UnixMilli(),
+			Priority:   d.Priority,
+		})
+	}
+
+	for _, u := range r.Uses {
+		out.Uses = append(out.Uses, Use{
+			Target: string(u.Target), Model: u.Model, Running: u.Running, Served: u.Served,
+		})
+	}
+
+	return out
+}
+
+// ToReport maps a report from the wire. Deadlines are moved to the receiver's
+// clock.
+func ToReport(r Report, now time.Time) demand.Report {
+	out := demand.Report{
+		Entry:   instance.ID(r.Entry),
+		Process: r.Process,
+		Cell:    r.Cell,
+		Token:   r.Token,
+		Number:  r.Number,
+	}
+
+	for _, d := range r.Waiting {
+		out.Waiting = append(out.Waiting, replica.Demand{
+			Model:    d.Model,
+			Plan:     d.Plan,
+			Waiting:  d.Waiting,
+			Deadline: now.Add(milliseconds(d.DeadlineMs - r.SentMs)),
+			Priority: d.Priority,
+		})
+	}
+
+	for _, u := range r.Uses {
+		out.Uses = append(out.Uses, demand.Use{
+			Key:     ledger.Key{Target: instance.ID(u.Target), Model: u.Model},
+			Running: u.Running,
+			Served:  u.Served,
+		})
+	}
+
+	return out
+}
+
+// Ask is a limit.Ask on the wire.
+type Ask struct {
+	_ struct{} `cbor:",toarray"`
+
+	Entry       string
+	Plan        string
+	Rate        float64
+	Concurrency int
+	Tokens      float64
+	Running     int
+}
+
+// Grant is a limit.Grant on the wire.
+type Grant struct {
+	_ struct{} `cbor:",toarray"`
+
+	Rate        float64
+	Concurrency int
+	Tokens      float64
+	ForMs       int64
+}
+
+// FromAsk maps an ask to the wire.
+func FromAsk(a limit.Ask) Ask {
+	return Ask{
+		Entry:       string(a.Entry),
+		Plan:        a.Plan,
+		Rate:        a.Want.Rate,
+		Concurrency: a.Want.Concurrency,
+		Tokens:      a.Want.Tokens,
+		Running:     a.Running,
+	}
+}
+
+// ToAsk maps an ask from the wire.
+func ToAsk(a Ask) limit.Ask {
+	return limit.Ask{
+		Entry:   instance.ID(a.Entry),
+		Plan:    a.Plan,
+		Want:    limit.Amount{Rate: a.Rate, Concurrency: a.Concurrency, Tokens: a.Tokens},
+		Running: a.Running,
+	}
+}
+
+// FromGrant maps a grant to the wire.
+func FromGrant(g limit.Grant) Grant {
+	return Grant{Rate: g.Rate, Concurrency: g.Concurrency, Tokens: g.Tokens, ForMs: g.For.Milliseconds()}
+}
+
+// ToGrant maps a grant from the wire.
+func ToGrant(g Grant) limit.Grant {
+	return limit.Grant{
+		Amount: limit.Amount{Rate: g.Rate, Concurrency: g.Concurrency, Tokens: g.Tokens},
+		For:    milliseconds(g.ForMs),
+	}
+}
+
+// Event is a timeline.Event on the wire.
+type Event struct {
+	_ struct{} `cbor:",toarray"`
+
+	At       uint64
+	Instance string
+	Process  string
+	Number   uint64
+	Kind     string
+	Request  string
+	Model    string
+	Target   string
+	Customer string
+	Detail   string
+}
+
+// FromEvents maps events to the wire.
+func FromEvents(events []timeline.Event) []Event {
+	out := make([]Event, len(events))
+	for i, e := range events {
+		out[i] = Event{
+			At:       uint64(e.At),
+			Instance: string(e.Instance),
+			Process:  e.Process,
+			Number:   e.Number,
+			Kind:     string(e.Kind),
+			Request:  e.Request,
+			Model:    e.Model,
+			Target:   string(e.Target),
+			Customer: e.Customer,
+			Detail:   e.Detail,
+		}
+	}
+
+	return out
+}
+
+// ToEvents maps events from the wire.
+func ToEvents(events []Event) []timeline.Event {
+	out := make([]timeline.Event, len(events))
+	for i, e := range events {
+		out[i] = timeline.Event{
+			At:       timeline.Stamp(e.At),
+			Instance: instance.ID(e.Instance),
+			Process:  e.Process,
+			Number:   e.Number,
+			Kind:     timeline.Kind(e.Kind),
+			Request:  e.Request,
+			Model:    e.Model,
+			Target:   instance.ID(e.Target),
+			Customer: e.Customer,
+			Detail:   e.Detail,
+		}
+	}
+
+	return out
+}
+
+// Filter is a timeline.Filter on the wire.
+type Filter struct {
+	_ struct{} `cbor:",toarray"`
+
+	Request string
+	Model   string
+	Since   uint64
+}
+
+// EncodeEvents maps a batch of events to bytes for the object store.
+func EncodeEvents(events []timeline.Event) ([]byte, error) { return cbor.Marshal(FromEvents(events)) }
+
+// DecodeEvents reads a batch from the object store.
+func DecodeEvents(data []byte) ([]timeline.Event, error) {
+	var events []Event
+
+	err := cbor.Unmarshal(data, &events)
+
+	return ToEvents(events), err
+}
