fix: name the router's position once

Cause: the rename of the routing position was committed half done and did not build. Ruled out: anything else; the build names one line. After: it builds, vets and lints clean.

--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -281,8 +281,10 @@
 		waits[w.Model] = w
 	}
 
-	next.cells[s.Cell] = position{
-		token: s.Token, number: s.Number, holder: s.Holder, at: now, waits: waits, seen: seen,
+	next.cells[s.Cell] = cellState{
+		Position: Position{Token: s.Token, Number: s.Number, Holder: s.Holder, At: now},
+		waits:    waits,
+		seen:     seen,
 	}
 	next.mergeWaits()
 
