fix: count what engines hold, and blame only requests that crash targets

Ruled out: lost write answers (the same figures without that fault).

After: an inventory counts only if no other order was in flight; doubt is kept per unanswered order; suspects run on reserved targets, a death counts once per incarnation and is told to all entries at once.

--- a/internal/cli/command/trycmd.go
+++ b/internal/cli/command/trycmd.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/standin/trial"
 )
 
@@ -22,6 +23,7 @@
 	JSON   bool          `help:"Print one JSON object last."           name:"json"`
 	Faults bool          `help:"Bring about failures during the load."`
 	For    time.Duration `help:"How long requests are sent."`
+	Story  bool          `help:"Tell the slowest request's story."`
 	Seed   uint64        `default:"1"                                  help:"Seed of the load."`
 }
 
@@ -58,6 +60,10 @@
 		_, _ = fmt.Fprint(opt.Progress, "\r\x1b[K")
 	}
 
+	if c.Story {
+		printEvents(s.out, r.Slowest)
+	}
+
 	if c.JSON {
 		err = json.NewEncoder(s.out).Encode(fromReport(&r))
 	} else {
@@ -170,3 +176,15 @@
 
 	return t.Flush()
 }
+
+// printEvents prints events, one a line, with the time since the first.
+func printEvents(w io.Writer, events []timeline.Event) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+
+	for _, e := range events {
+		since := e.At.Time().Sub(events[0].At.Time())
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", since, e.Instance, e.Kind, e.Model, e.Target, e.Detail)
+	}
+
+	_ = t.Flush()
+}
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -72,6 +72,7 @@
 	gateway  *gateway.Gateway
 	shares   limit.Shares
 	home     homes
+	kept     reservations
 	reports  reports
 	boards   boards
 
@@ -224,6 +225,7 @@
 		Engine:     e.targets.engine,
 		Probe:      e.targets.probe,
 		Refresh:    e.targets.refresh,
+		Reserve:    e.reserve,
 		Entries:    entries,
 		CellOf:     e.cellOf,
 		Demanded:   func(model string) { e.reports.wake(e.cellOf(model)) },
--- a/internal/fleet/entry/events.go
+++ b/internal/fleet/entry/events.go
@@ -110,9 +110,9 @@
 	Unreached []instance.ID
 }
 
-// timelineOf merges the selected events of all entries and of the object
+// Timeline merges the selected events of all entries and of the object
 // store.
-func (e *Entry) timelineOf(ctx context.Context, f timeline.Filter) Story {
+func (e *Entry) Timeline(ctx context.Context, f timeline.Filter) Story {
 	var (
 		mu    sync.Mutex
 		wg    sync.WaitGroup
--- a/internal/fleet/entry/handler.go
+++ b/internal/fleet/entry/handler.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/placement/cell"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
@@ -46,6 +49,14 @@
 // Ask implements wire.Handler.
 func (h handler) Ask(a limit.Ask) limit.Grant { return h.e.grant(a) }
 
+// Reserve implements wire.Handler.
+func (h handler) Reserve(id instance.ID, holder string, lasting time.Duration) bool {
+	return h.e.kept.reserve(id, holder, time.Now().Add(lasting), time.Now())
+}
+
+// Unreserve implements wire.Handler.
+func (h handler) Unreserve(id instance.ID, holder string) { h.e.kept.release(id, holder) }
+
 // Edits implements wire.Handler.
 func (h handler) Edits(edits []plan.Edit) uint64 {
 	h.e.spread(h.e.applyEdits(edits))
--- a/internal/fleet/entry/members.go
+++ b/internal/fleet/entry/members.go
@@ -11,7 +11,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/claim"
-	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	wire "github.com/fulmarcross/fulmarcross/internal/wire/peer"
 )
@@ -90,7 +90,7 @@
 		}
 
 		if t := e.table.Target(in.ID); t != nil && t.Leave() {
-			e.noticed(in.ID, 0)
+			e.noticed(dispatch.Notice{Leaving: in.ID})
 		}
 	}
 }
@@ -203,18 +203,26 @@
 	for _, fp := range n.Poisoned {
 		e.dispatch.Block(fp)
 	}
+
+	for _, d := range n.Dead {
+		if t := e.table.Target(d.Target); t != nil {
+			t.Died(d.Incarnation, time.Now())
+		}
+	}
 }
 
 // noticed tells all peers at once what must not wait for a heartbeat.
-func (e *Entry) noticed(leaving instance.ID, poisoned request.Fingerprint) {
+func (e *Entry) noticed(found dispatch.Notice) {
 	var n wire.Notice
-	if leaving != "" {
-		n.Leaving = append(n.Leaving, leaving)
-		e.log.Add(timeline.Event{Kind: timeline.TargetLeaving, Target: leaving})
-	}
 
-	if poisoned != 0 {
-		n.Poisoned = append(n.Poisoned, poisoned)
+	switch {
+	case found.Leaving != "":
+		n.Leaving = append(n.Leaving, found.Leaving)
+		e.log.Add(timeline.Event{Kind: timeline.TargetLeaving, Target: found.Leaving})
+	case found.Poisoned != 0:
+		n.Poisoned = append(n.Poisoned, found.Poisoned)
+	default:
+		n.Dead = append(n.Dead, found.Dead)
 	}
 
 	e.toPeers(func(ctx context.Context, c *wire.Client) { _ = c.Notify(ctx, n) })
--- a/internal/fleet/entry/operators.go
+++ b/internal/fleet/entry/operators.go
@@ -386,7 +386,7 @@
 		f.Since = timeline.StampOf(time.UnixMilli(ms))
 	}
 
-	s := e.timelineOf(r.Context(), f)
+	s := e.Timeline(r.Context(), f)
 	writeJSON(w, http.StatusOK, operator.FromStory(s.Events, s.Gaps, s.Unreached))
 }
 
--- a/internal/placement/cell/engines.go
+++ b/internal/placement/cell/engines.go
@@ -24,8 +24,10 @@
 	// that no order was answered after it.
 	inventory target.Inventory
 	fresh     bool
-	report    target.Report
-	reportAt  time.Time
+	// inventoryAt is when the inventory came.
+	inventoryAt time.Time
+	report      target.Report
+	reportAt    time.Time
 	// usable says that loads may be ordered.
 	usable bool
 	// heardAt is when the engine last answered.
@@ -218,7 +220,7 @@
 		t.cfg.Log.Add(timeline.Event{Kind: timeline.TargetDied, Target: id, Detail: "came back empty"})
 	}
 
-	e.inventory, e.fresh = inv, true
+	e.inventory, e.fresh, e.inventoryAt = inv, true, now
 	wasUsable := e.usable
 	e.usable = e.State != instance.Leaving && t.ready &&
 		(!t.cfg.ChecksTokens(id) || inv.Token >= t.held.Token)
@@ -259,6 +261,7 @@
 		// somebody else unloaded it. The row is removed once that is proved;
 		// a new load is decided like any other.
 		r.State.Phase = target.Unloading
+		r.State.Since = now
 		r.State.Retiring = true
 		t.urgent = true
 	}
@@ -314,7 +317,7 @@
 		WriteID: newID(),
 		State: ledger.State{
 			Phase: h.Phase, Acked: true, Incarnation: t.targets[id].inventory.Incarnation,
-			Retiring: true, Since: now, LastUsed: now, LastSent: now,
+			Retiring: true, Since: now, LastUsed: now,
 		},
 	})
 	t.cfg.Logger.Warn().Str("target", string(id)).Str("model", h.Model).Msg("replica without a ledger row adopted")
--- a/internal/placement/cell/feed.go
+++ b/internal/placement/cell/feed.go
@@ -74,7 +74,7 @@
 			Slots:       e.report.Slots,
 			Running:     e.report.Running,
 			Waiting:     e.report.Waiting,
-			ReportAge:   max(0, now.Sub(e.reportAt)),
+			ReportAge:   max(0, now.Sub(e.reportAt), now.Sub(e.inventoryAt)),
 			Leaving:     e.State == instance.Leaving,
 			Down:        now.Sub(e.heardAt) > downAfter,
 			Incarnation: e.inventory.Incarnation,
--- a/internal/placement/cell/orders.go
+++ b/internal/placement/cell/orders.go
@@ -76,9 +76,9 @@
 	t.event(timeline.LoadOrdered, k, "")
 
 	for {
-		inv, err := t.submit(k, a, id)
+		got, err := t.submit(k, a, id)
 		if err == nil {
-			t.answered(k, inv, true)
+			t.answered(k, got, true)
 
 			return
 		}
@@ -125,9 +125,18 @@
 	return !listed
 }
 
+// answer is an engine's answer to an order.
+type answer struct {
+	inventory target.Inventory
+	// newest says that no other order was in flight meanwhile. Otherwise the
+	// inventory may have been taken before another order took effect whose
+	// answer was handled first, and would show its replica as missing.
+	newest bool
+}
+
 // submit sends one order, if this holder may. It checks the lease right
 // before and right after.
-func (t *tenure) submit(k ledger.Key, a target.Action, id string) (target.Inventory, error) {
+func (t *tenure) submit(k ledger.Key, a target.Action, id string) (answer, error) {
 	t.mu.Lock()
 
 	now := time.Now()
@@ -137,14 +146,15 @@
 	if row == nil || e == nil || !t.mayOrder(row, now) {
 		t.mu.Unlock()
 
-		return target.Inventory{}, &lease.LapsedError{Cell: t.cfg.Cell, Token: token}
+		return answer{}, &lease.LapsedError{Cell: t.cfg.Cell, Token: token}
 	}
 
-	row.State.LastSent = now
+	doubt := row.State.Doubt
+	row.State.Doubt = now
+	e.orders++
+	epoch := e.epoch
 
 	t.inHand.Add(1)
-
-	e.orders++
 	t.mu.Unlock()
 
 	inv, err := e.engine.Submit(t.ctx, target.Order{ID: id, Token: token, Action: a})
@@ -155,15 +165,22 @@
 	t.inHand.Add(-1)
 
 	e.orders--
+	newest := e.orders == 0 && e.epoch == epoch
 	e.epoch++
 
+	if err == nil || isNoMemory(err) || isStale(err) {
+		// The engine has dealt with this order. An earlier one without an
+		// answer stays in doubt.
+		row.State.Doubt = doubt
+	}
+
 	if !t.mayOrder(row, time.Now()) {
 		// The order went out while the lease lapsed. The row stays counted
 		// until the order's effect is proved, by this holder or the next.
 		t.cfg.Log.Add(timeline.Event{Kind: timeline.LateOrder, Model: k.Model, Target: k.Target, Detail: id})
 	}
 
-	return inv, err
+	return answer{inventory: inv, newest: newest}, err
 }
 
 // mayOrder reports whether an order for the row may be sent. Without a valid
@@ -178,7 +195,7 @@
 }
 
 // answered takes in the inventory that came with the answer to an order.
-func (t *tenure) answered(k ledger.Key, inv target.Inventory, load bool) {
+func (t *tenure) answered(k ledger.Key, a answer, load bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -189,11 +206,17 @@
 
 	if load {
 		row.State.Acked = true
-		row.State.Incarnation = inv.Incarnation
+		row.State.Incarnation = a.inventory.Incarnation
 	}
 
-	if e := t.targets[k.Target]; e != nil {
-		t.reconcile(k.Target, e, inv, time.Now())
+	e := t.targets[k.Target]
+
+	switch {
+	case e == nil:
+	case a.newest:
+		t.reconcile(k.Target, e, a.inventory, time.Now())
+	default:
+		e.fresh = false
 	}
 
 	t.poke()
@@ -206,9 +229,9 @@
 	id := "unload/" + newID()
 
 	for {
-		inv, err := t.submit(k, target.Unload{Model: k.Model}, id)
+		got, err := t.submit(k, target.Unload{Model: k.Model}, id)
 		if err == nil {
-			t.answered(k, inv, false)
+			t.answered(k, got, false)
 
 			return
 		}
@@ -266,6 +289,7 @@
 		t.tryRemove(r, e, now)
 	case r.Unloadable() && t.quiet(r.Key, now):
 		r.State.Phase = target.Unloading
+		r.State.Since = now
 		t.background(r, func(context.Context) { t.unload(r.Key) })
 	case t.orphaned(r, e):
 		id := "load/" + r.WriteID + "/" + detail("%d", t.held.Token)
@@ -296,7 +320,10 @@
 		ev.Inventory = &e.inventory
 	}
 
-	if !r.Removable(ev) {
+	removable := r.Removable(ev)
+	r.State.Stuck = !removable && now.Sub(r.State.Since) > stuckAfter
+
+	if !removable {
 		return
 	}
 
@@ -304,6 +331,10 @@
 	t.background(r, func(context.Context) { t.remove(k, version, fence) })
 }
 
+// stuckAfter is how long a row that is to be removed may wait for its proof
+// before its memory is no longer planned with.
+const stuckAfter = time.Second
+
 // settled reports whether whoever wrote the row has no order for it in hand.
 // This process knows of its own; a former tenure of it has ended only when
 // its orders were answered.
--- a/internal/placement/cell/tenure.go
+++ b/internal/placement/cell/tenure.go
@@ -156,7 +156,7 @@
 
 		if !t.cfg.ChecksTokens(r.Target) {
 			// An order of the former holder may be under way for as long.
-			r.State.LastSent = now
+			r.State.Doubt = now
 		}
 
 		t.book.Adopt(r)
--- a/internal/placement/ledger/ledger.go
+++ b/internal/placement/ledger/ledger.go
@@ -51,8 +51,12 @@
 	Acked bool
 	// Incarnation is the engine's when it acknowledged.
 	Incarnation string
-	// LastSent is when an order for the row was last sent.
-	LastSent time.Time
+	// Doubt is when an order for the row was last sent that got no answer, so
+	// that it may still arrive. Zero means that all were answered.
+	Doubt time.Time
+	// Stuck says that the row waits for a proof that will take a while, so
+	// that its memory cannot be planned with.
+	Stuck bool
 	// Retiring says that no new work goes to the replica and that it is
 	// unloaded once it is idle.
 	Retiring bool
--- a/internal/placement/ledger/prove.go
+++ b/internal/placement/ledger/prove.go
@@ -44,9 +44,10 @@
 //   - an engine that checks tokens has seen this holder's token, so it refuses
 //     all orders of former holders;
 //   - on any other engine, whoever wrote the row has no order in hand;
-//   - this holder's own orders were answered by this incarnation of the
-//     engine, which carries out each order once, or were sent longer ago than
-//     an order lives.
+//   - each order that was sent was answered, so that none is on its way; or it
+//     was answered by this incarnation of the engine, which carries out an
+//     order once even if it comes again; or the last one without an answer was
+//     sent longer ago than an order lives.
 func (r *Row) Removable(e Evidence) bool {
 	if e.TargetGone {
 		return true
@@ -61,10 +62,9 @@
 		return false
 	}
 
-	answered := r.State.Acked && r.State.Incarnation == e.Inventory.Incarnation
-	expired := e.Now.Sub(r.State.LastSent) > OrderLifetime
+	known := r.State.Acked && r.State.Incarnation == e.Inventory.Incarnation
 
-	return answered || expired
+	return known || r.State.Doubt.IsZero() || e.Now.Sub(r.State.Doubt) > OrderLifetime
 }
 
 func (r *Row) heldBy(inv *target.Inventory) bool {
--- a/internal/placement/replica/best.go
+++ b/internal/placement/replica/best.go
@@ -142,6 +142,7 @@
 // are never evicted, nor are bases that a loaded adapter needs.
 func (d *decider) findVictims(c *choice, t *Target, cp weight.Checkpoint, need int64) bool {
 	need -= d.leavingBytes(t)
+	c.cost += unloadCost
 
 	var idle []*ledger.Row
 
@@ -178,12 +179,16 @@
 	return true
 }
 
+// unloadCost is how many seconds it takes until evicted memory is free: the
+// entries must stop sending and the engine must confirm.
+const unloadCost = 0.5
+
 // leavingBytes returns what replicas free that are being retired.
 func (d *decider) leavingBytes(t *Target) int64 {
 	var n int64
 
 	for _, r := range d.Book.Target(t.ID) {
-		if r.State.Retiring || d.retired[r.Key] {
+		if d.goingSoon(r) {
 			n += r.Bytes
 		}
 	}
@@ -191,11 +196,16 @@
 	return n
 }
 
+// goingSoon reports whether the row's memory is about to be free.
+func (d *decider) goingSoon(r *ledger.Row) bool {
+	return (r.State.Retiring || d.retired[r.Key]) && !r.State.Stuck
+}
+
 func (d *decider) leavingKeys(t *Target) []ledger.Key {
 	var keys []ledger.Key
 
 	for _, r := range d.Book.Target(t.ID) {
-		if r.State.Retiring || d.retired[r.Key] {
+		if d.goingSoon(r) {
 			keys = append(keys, r.Key)
 		}
 	}
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -33,19 +33,26 @@
 }
 
 type suspect struct {
-	targets map[instance.ID]bool
+	deaths  map[Death]bool
 	blocked bool
 	until   time.Time
 }
 
-// Died records that the target died while the request ran on it. It reports
-// whether the request became blocked by it.
-func (b *Book) Died(fp request.Fingerprint, t instance.ID, now time.Time) bool {
+// Death names one death of a target: that of one of its incarnations.
+type Death struct {
+	Target      instance.ID
+	Incarnation string
+}
+
+// Died records that a target died while the request ran on it. It reports
+// whether the request became blocked by it. A death counts once, however often
+// the request was sent to the target before its death was known.
+func (b *Book) Died(fp request.Fingerprint, d Death, now time.Time) bool {
 	s := b.get(fp, now)
-	s.targets[t] = true
+	s.deaths[d] = true
 	s.until = now.Add(memory)
 
-	if s.blocked || len(s.targets) < deathsToBlock {
+	if s.blocked || len(s.deaths) < deathsToBlock {
 		return false
 	}
 
@@ -107,7 +114,7 @@
 	if s == nil || !now.Before(s.until) {
 		b.shrink(now)
 
-		s = &suspect{targets: make(map[instance.ID]bool)}
+		s = &suspect{deaths: make(map[Death]bool)}
 		b.suspects[fp] = s
 	}
 
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -33,21 +33,30 @@
 	Probe func(ctx context.Context, t *router.Target) (target.Inventory, error)
 	// Refresh makes the next call to the target use a new connection.
 	Refresh func(t *router.Target)
+	// Reserve makes sure that no other suspect of any entry runs on a target
+	// until the release or the time given. Nil means that there is one entry.
+	Reserve func(ctx context.Context, id instance.ID, until time.Time) (release func(), ok bool)
 	// Entries returns how many entries there are.
 	Entries func() int
 	// CellOf returns the cell that decides about a model.
 	CellOf func(model string) int
 	// Demanded is called when a model is wanted that has no free replica.
 	Demanded func(model string)
-	// Noticed is called with a target that was found to be leaving or a
-	// request that was found to crash targets.
-	Noticed func(leaving instance.ID, poisoned request.Fingerprint)
+	// Noticed is called with what all entries should know at once.
+	Noticed func(Notice)
 	Log     *timeline.Log
 	Metrics tally.Scope
 	// MaxWaiting bounds the requests that wait for one model.
 	MaxWaiting int
 }
 
+// Notice is something found on a request's path. One field is set.
+type Notice struct {
+	Leaving  instance.ID
+	Poisoned request.Fingerprint
+	Dead     crash.Death
+}
+
 // Sink receives an answer's tokens in order.
 type Sink interface {
 	// Token hands over one token. An error means that the caller is gone or
@@ -274,16 +283,16 @@
 
 // died records that a target died under the request. It reports whether the
 // request is blocked by now.
-func (d *Dispatcher) died(fp request.Fingerprint, t *router.Target) bool {
+func (d *Dispatcher) died(fp request.Fingerprint, death crash.Death) bool {
 	d.crashMu.Lock()
 	now := time.Now()
-	news := d.crashes.Died(fp, t.ID, now)
+	news := d.crashes.Died(fp, death, now)
 	_, blocked := d.crashes.Blocked(fp, now)
 	d.blocked.Store(int64(len(d.crashes.BlockedNow(now))))
 	d.crashMu.Unlock()
 
 	if news {
-		d.cfg.Noticed("", fp)
+		d.cfg.Noticed(Notice{Poisoned: fp})
 	}
 
 	return blocked
--- a/internal/serving/dispatch/flight.go
+++ b/internal/serving/dispatch/flight.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/stream"
@@ -34,6 +35,12 @@
 	// last is the target of the last sending, and stay asks for it again.
 	last *router.Target
 	stay bool
+	// incarnation is that of the last target when the request was sent.
+	incarnation string
+	// sentToDead says that the last target was known to be dead by then.
+	sentToDead bool
+	// release gives back the last target's reservation for a suspect.
+	release func()
 	// exclude is the target that failed last. Others are tried before it.
 	exclude []instance.ID
 }
@@ -62,10 +69,17 @@
 		t.End(f.suspect)
 
 		if err == nil {
+			f.unreserve()
+
 			return f.landed(), nil
 		}
 
-		if err = f.judge(ctx, t, err); err != nil {
+		// The reservation ends only after a death was made known, so that no
+		// other suspect is sent to the dead target and blamed for its death.
+		err = f.judge(ctx, t, err)
+		f.unreserve()
+
+		if err != nil {
 			return Result{}, f.end(err)
 		}
 	}
@@ -87,12 +101,49 @@
 		return f.last, nil
 	}
 
-	q := router.Query{Affinity: affinity(f.req), Exclude: f.exclude, Suspect: f.suspect}
+	for {
+		q := router.Query{Affinity: affinity(f.req), Exclude: f.exclude, Suspect: f.suspect}
+
+		t, cold, err := f.acquire(ctx, f.req, q)
+		f.cold = f.cold || cold
+
+		if err != nil || f.reserve(ctx, t) {
+			return t, err
+		}
+
+		t.End(f.suspect)
+
+		if err := pause(ctx, reserveAgain); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// reserveAgain is how soon a suspect asks again for a target of its own.
+const reserveAgain = 50 * time.Millisecond
+
+// reserve makes sure that no other suspect, of whichever entry, runs on the
+// target.
+//
+// It guards against blaming a bystander: if two suspects share a target that
+// dies, both have had two targets die under them, and nobody can tell which
+// of them did it. Apart from each other, the innocent one's target survives.
+func (f *flight) reserve(ctx context.Context, t *router.Target) bool {
+	if !f.suspect || f.cfg.Reserve == nil {
+		return true
+	}
+
+	release, ok := f.cfg.Reserve(ctx, t.ID, f.req.Deadline)
+	f.release = release
 
-	t, cold, err := f.acquire(ctx, f.req, q)
-	f.cold = f.cold || cold
+	return ok
+}
 
-	return t, err
+func (f *flight) unreserve() {
+	if f.release != nil {
+		f.release()
+		f.release = nil
+	}
 }
 
 // prefixLen is how much of a prompt keeps requests together.
@@ -124,6 +175,7 @@
 	}
 
 	f.event(kind, t, "")
+	f.incarnation, f.sentToDead = t.Info().Incarnation, t.Dead()
 
 	n := f.trail.Send()
 	sent := time.Now()
@@ -291,7 +343,11 @@
 
 	const base = 20 * time.Millisecond
 
-	t := time.NewTimer(base << min(f.trail.Sends(), 4)) //nolint:mnd // At most sixteenfold.
+	return pause(ctx, base<<min(f.trail.Sends(), 4)) //nolint:mnd // At most sixteenfold.
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 
 	select {
@@ -313,7 +369,7 @@
 	switch {
 	case errors.As(err, &leaving):
 		if t.Leave() {
-			f.cfg.Noticed(t.ID, 0)
+			f.cfg.Noticed(Notice{Leaving: t.ID})
 		}
 
 		return nil
@@ -350,20 +406,33 @@
 const probeTimeout = 500 * time.Millisecond
 
 // probe asks the target on a new connection whether it is the same process as
-// before.
+// when the request was sent. What was known then counts: by now routing may
+// know the target's next process.
 func (f *flight) probe(ctx context.Context, t *router.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 
 	inv, err := f.cfg.Probe(ctx, t)
 
-	return err == nil && (t.Info().Incarnation == "" || inv.Incarnation == t.Info().Incarnation)
+	return err == nil && (f.incarnation == "" || inv.Incarnation == f.incarnation)
 }
 
 func (f *flight) targetDied(t *router.Target) *request.Refusal {
 	f.event(timeline.TargetDied, t, "")
 
-	blocked := f.died(f.req.Fingerprint(), t)
+	death := crash.Death{Target: t.ID, Incarnation: f.incarnation}
+
+	if f.sentToDead {
+		// It was dead when the request was sent, so the request is no
+		// suspect.
+		return nil
+	}
+
+	if t.Died(f.incarnation, time.Now()) {
+		f.cfg.Noticed(Notice{Dead: death})
+	}
+
+	blocked := f.died(f.req.Fingerprint(), death)
 	f.suspect = true
 
 	if !blocked {
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -143,7 +143,7 @@
 	}
 
 	info := t.info.Load()
-	if info == nil || info.Down {
+	if info == nil || info.Down || t.isDead(info) {
 		return false
 	}
 
@@ -252,6 +252,46 @@
 	t.ejectedUntil.Store(now.Add(d).UnixNano())
 }
 
+// death is what was found of a target's incarnation.
+type death struct {
+	incarnation string
+	at          time.Time
+}
+
+// Died records that an incarnation of the target was found dead at now, so
+// that nothing is sent to it until it is back. It reports whether that is
+// news.
+func (t *Target) Died(incarnation string, now time.Time) bool {
+	old := t.dead.Load()
+	if old != nil && old.incarnation == incarnation && t.Dead() {
+		return false
+	}
+
+	return t.dead.CompareAndSwap(old, &death{incarnation: incarnation, at: now})
+}
+
+// Dead reports whether the target's present incarnation is known to be dead.
+func (t *Target) Dead() bool {
+	info := t.info.Load()
+
+	return info != nil && t.isDead(info)
+}
+
+// aliveAfter is how long after a death was found a report must have been made
+// to prove it wrong.
+const aliveAfter = 500 * time.Millisecond
+
+// isDead reports whether the target's present incarnation was found dead, and
+// not heard of since by the cell's holder.
+func (t *Target) isDead(info *TargetInfo) bool {
+	d := t.dead.Load()
+	if d == nil || d.incarnation != info.Incarnation {
+		return false
+	}
+
+	return t.reportedAt.Load() < d.at.Add(aliveAfter).UnixNano()
+}
+
 // Succeeded records a whole answer and its time to first token. Only whole
 // answers teach the target's speed.
 func (t *Target) Succeeded(firstToken time.Duration, load int) {
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -98,6 +98,7 @@
 	// ejectedUntil is the end of an ejection, in nanoseconds since 1970.
 	ejectedUntil atomic.Int64
 	failures     atomic.Int64
+	dead         atomic.Pointer[death]
 	// firstToken is the learnt time to first token without queueing, in
 	// nanoseconds; zero means unknown.
 	firstToken atomic.Int64
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -68,6 +68,7 @@
 	mu          sync.Mutex
 	incarnation string
 	down        bool
+	stopped     bool
 	leaving     bool
 	token       uint64
 	role        string
@@ -172,10 +173,21 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 
-		e.start()
+		if !e.stopped {
+			e.start()
+		}
 	})
 }
 
+// Stop ends the engine for good, as when its instance is reclaimed.
+func (e *Engine) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.stopped = true
+	e.crashLocked()
+}
+
 // Silence makes all open streams go quiet for good. New ones work.
 func (e *Engine) Silence() {
 	e.mu.Lock()
--- a/internal/standin/trial/added.go
+++ b/internal/standin/trial/added.go
@@ -85,6 +85,7 @@
 
 	for _, other := range t.engines {
 		t.platform.Remove(other.ID())
+		other.Stop()
 	}
 
 	t.platform.AddCheckpoints(weight.Checkpoint{Name: fastModel, Bytes: 1})
--- a/internal/standin/trial/books.go
+++ b/internal/standin/trial/books.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
 	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
@@ -26,6 +27,9 @@
 	firsts   *hdrhistogram.Histogram
 	colds    *hdrhistogram.Histogram
 	refusals map[request.Code]int
+	// slowest is the request with the longest time to its first token.
+	slowest     int
+	slowestTime time.Duration
 }
 
 // histogram returns a histogram of microseconds up to a minute.
@@ -35,10 +39,14 @@
 	return hdrhistogram.New(1, time.Minute.Microseconds(), digits)
 }
 
-func (b *books) first(d time.Duration, cold bool) {
+func (b *books) first(number int, d time.Duration, cold bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
+	if d > b.slowestTime {
+		b.slowest, b.slowestTime = number, d
+	}
+
 	if b.firsts == nil {
 		b.firsts, b.colds = histogram(), histogram()
 	}
@@ -120,6 +128,8 @@
 	TableReads, TableWrites int64
 	// PoisonCrashes is how many engines the poisonous request crashed.
 	PoisonCrashes int
+	// Slowest is the story of the request whose first token took longest.
+	Slowest []timeline.Event
 }
 
 // Broken reports whether a promise was broken.
--- a/internal/standin/trial/client.go
+++ b/internal/standin/trial/client.go
@@ -194,7 +194,7 @@
 
 	req.Header.Set("Authorization", "Bearer "+a.key)
 	req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, (timeout-time.Since(a.started)).Milliseconds()), 10))
-	req.Header.Set("X-Request-Id", fmt.Sprintf("trial-%d", a.number))
+	req.Header.Set("X-Request-Id", requestID(a.number))
 
 	if a.service {
 		req.Header.Set("Idempotency-Key", a.prompt)
@@ -325,7 +325,7 @@
 
 	switch {
 	case r.text == want:
-		b.first(r.first, a.cold)
+		b.first(a.number, r.first, a.cold)
 	case strings.HasPrefix(want, r.text):
 		b.truncated.Add(1)
 	default:
--- a/internal/standin/trial/faults.go
+++ b/internal/standin/trial/faults.go
@@ -161,6 +161,6 @@
 	e.Leave()
 	time.AfterFunc(2*time.Second, func() {
 		t.platform.Remove(e.ID())
-		e.Crash()
+		e.Stop()
 	})
 }
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
 	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
 	"github.com/fulmarcross/fulmarcross/internal/standin/service"
@@ -106,11 +108,40 @@
 
 	t.load(ctx)
 
+	story := t.story(ctx)
 	added := t.measureAdded(ctx)
+	r := t.report(added)
+	r.Slowest = story
 
-	return t.report(added), nil
+	return r, nil
 }
 
+// story returns what the entries' time line tells of the slowest request, and
+// what else happened meanwhile that was not about another request.
+func (t *Trial) story(ctx context.Context) []timeline.Event {
+	nodes := t.ready()
+	if len(nodes) == 0 {
+		return nil
+	}
+
+	t.books.mu.Lock()
+	id := requestID(t.books.slowest)
+	t.books.mu.Unlock()
+
+	own := nodes[0].Timeline(ctx, timeline.Filter{Request: id}).Events
+	if len(own) == 0 {
+		return nil
+	}
+
+	all := nodes[0].Timeline(ctx, timeline.Filter{Since: own[0].At}).Events
+	last := own[len(own)-1].At
+	others := slices.DeleteFunc(all, func(e timeline.Event) bool { return e.Request != "" || e.At > last })
+
+	return timeline.Merge(own, others)
+}
+
+func requestID(number int) string { return fmt.Sprintf("trial-%d", number) }
+
 func (t *Trial) start(ctx context.Context) error {
 	addr, err := t.listen(platform.Handler(t.platform))
 	if err != nil {
--- a/internal/wire/peer/rpc.go
+++ b/internal/wire/peer/rpc.go
@@ -16,6 +16,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/wire/record"
@@ -25,6 +26,7 @@
 type Notice struct {
 	Leaving  []instance.ID
 	Poisoned []request.Fingerprint
+	Dead     []crash.Death
 }
 
 // Handler is what a process does for its peers.
@@ -41,6 +43,11 @@
 	Nudge(cell int)
 	// Ask grants part of a plan's limits.
 	Ask(a limit.Ask) limit.Grant
+	// Reserve keeps a target for one suspect for a time. It reports false
+	// when another has it.
+	Reserve(id instance.ID, holder string, lasting time.Duration) bool
+	// Unreserve ends a reservation.
+	Unreserve(id instance.ID, holder string)
 	// Edits takes in edits of the lists and returns the version then in
 	// force here.
 	Edits(edits []plan.Edit) uint64
@@ -90,6 +97,8 @@
 
 	Leaving  []string
 	Poisoned []uint64
+	// Dead holds pairs of a target and its incarnation.
+	Dead [][2]string
 }
 
 // Notify is the remote call.
@@ -99,6 +108,10 @@
 		n.Poisoned = append(n.Poisoned, request.Fingerprint(fp))
 	}
 
+	for _, d := range in.Dead {
+		n.Dead = append(n.Dead, crash.Death{Target: instance.ID(d[0]), Incarnation: d[1]})
+	}
+
 	s.h.Notify(n)
 
 	return nil
@@ -118,6 +131,29 @@
 	return nil
 }
 
+// Reservation asks for a target for one suspect.
+type Reservation struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target string
+	Holder string
+	ForMs  int64
+}
+
+// Reserve is the remote call.
+func (s service) Reserve(in Reservation, ok *bool) error {
+	*ok = s.h.Reserve(instance.ID(in.Target), in.Holder, milliseconds(in.ForMs))
+
+	return nil
+}
+
+// Unreserve is the remote call.
+func (s service) Unreserve(in Reservation, _ *Empty) error {
+	s.h.Unreserve(instance.ID(in.Target), in.Holder)
+
+	return nil
+}
+
 // Edits is the remote call.
 func (s service) Edits(in []record.Edit, version *uint64) error {
 	edits, err := toEdits(in)
@@ -374,6 +410,10 @@
 		in.Poisoned = append(in.Poisoned, uint64(fp))
 	}
 
+	for _, d := range n.Dead {
+		in.Dead = append(in.Dead, [2]string{string(d.Target), d.Incarnation})
+	}
+
 	return c.call(ctx, "Notify", in, &Empty{})
 }
 
@@ -391,6 +431,21 @@
 	return ToGrant(out), err
 }
 
+// Reserve asks for a target for one suspect.
+func (c *Client) Reserve(ctx context.Context, id instance.ID, holder string, lasting time.Duration) (bool, error) {
+	var ok bool
+
+	in := Reservation{Target: string(id), Holder: holder, ForMs: lasting.Milliseconds()}
+	err := c.call(ctx, "Reserve", in, &ok)
+
+	return ok, err
+}
+
+// Unreserve ends a reservation.
+func (c *Client) Unreserve(ctx context.Context, id instance.ID, holder string) error {
+	return c.call(ctx, "Unreserve", Reservation{Target: string(id), Holder: holder}, &Empty{})
+}
+
 // Edits sends edits of the lists and returns the version in force there.
 func (c *Client) Edits(ctx context.Context, edits []plan.Edit) (uint64, error) {
 	in := make([]record.Edit, len(edits))
