--- a/internal/fleet/entry/events.go
+++ b/internal/fleet/entry/events.go
@@ -110,9 +110,30 @@
 	Unreached []instance.ID
 }
 
-// Timeline merges the selected events of all entries and of the object
-// store.
+// Timeline merges the selected events of all entries and of the object store.
+// A request's story includes what happened to its model meanwhile.
 func (e *Entry) Timeline(ctx context.Context, f timeline.Filter) Story {
+	s := e.collect(ctx, f)
+	if f.Request == "" || len(s.Events) == 0 {
+		return s
+	}
+
+	first, last := s.Events[0], s.Events[len(s.Events)-1]
+	if first.Model == "" {
+		return s
+	}
+
+	loads := e.collect(ctx, timeline.Filter{Model: first.Model, Since: first.At})
+	loads.Events = slices.DeleteFunc(loads.Events, func(ev timeline.Event) bool {
+		return ev.Request != "" || ev.At > last.At
+	})
+	s.Events = timeline.Merge(s.Events, loads.Events)
+
+	return s
+}
+
+// collect merges the selected events.
+func (e *Entry) collect(ctx context.Context, f timeline.Filter) Story {
 	var (
 		mu    sync.Mutex
 		wg    sync.WaitGroup
--- a/internal/placement/cell/engines.go
+++ b/internal/placement/cell/engines.go
@@ -38,12 +38,21 @@
 	epoch  uint64
 	loads  []time.Time
 	stop   chan struct{}
+	// kick makes the next look at the engine come at once.
+	kick chan struct{}
+}
+
+func (e *engineState) poke() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
 }
 
 // The times between two looks at an engine.
 const (
 	pollEvery       = 500 * time.Millisecond
-	pollWhenLoading = 25 * time.Millisecond
+	pollWhenLoading = 10 * time.Millisecond
 	downAfter       = 1500 * time.Millisecond
 )
 
@@ -68,7 +77,7 @@
 
 		e := t.targets[in.ID]
 		if e == nil {
-			e = &engineState{Instance: in, engine: t.cfg.Dial(in), heardAt: now, stop: make(chan struct{})}
+			e = &engineState{Instance: in, engine: t.cfg.Dial(in), heardAt: now, stop: make(chan struct{}), kick: make(chan struct{}, 1)}
 			t.targets[in.ID] = e
 			t.wg.Go(func() { t.poll(e) })
 		}
@@ -122,6 +131,7 @@
 		select {
 		case <-t.ctx.Done():
 		case <-e.stop:
+		case <-e.kick:
 		case <-timer.C:
 		}
 
--- a/internal/placement/cell/orders.go
+++ b/internal/placement/cell/orders.go
@@ -219,6 +219,10 @@
 		e.fresh = false
 	}
 
+	if e != nil {
+		e.poke()
+	}
+
 	t.poke()
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -14,6 +15,9 @@
 // PathFaults is the path of the fault switches.
 const PathFaults = "/faults"
 
+// PathRuns is the path of the books: how often each key ran.
+const PathRuns = "/runs"
+
 // Service is the stand-in. The zero value works at once.
 type Service struct {
 	// Delay is how long each call takes.
@@ -81,3 +85,27 @@
 
 	return lost
 }
+
+// Handler serves s with its books and fault switches beside it.
+func Handler(s *Service) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", s)
+	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s.Runs())
+	})
+	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var m struct {
+			LoseAnswers int `json:"loseAnswers"`
+		}
+
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&m); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+
+			return
+		}
+
+		s.LoseAnswers(m.LoseAnswers)
+	})
+
+	return mux
+}
