--- a/internal/placement/cell/engines.go
+++ b/internal/placement/cell/engines.go
@@ -263,8 +263,6 @@
 
 	switch {
 	case at >= 0:
-		r.State.Acked = true
-		r.State.Incarnation = inv.Incarnation
 		t.follow(r, inv.Held[at].Phase, now)
 	case r.State.Acked && r.State.Phase != target.Unloading:
 		// The replica was there and is gone: the engine was restarted, or
@@ -285,7 +283,7 @@
 
 	switch p {
 	case target.Ready:
-		if r.State.Phase == target.Loading && !r.State.Adopted && r.Base == "" {
+		if r.State.Phase == target.Loading && r.State.Own && r.Base == "" {
 			t.loadTime.learn(r.Bytes, now.Sub(r.State.Since))
 		}
 
@@ -326,7 +324,7 @@
 		Process: t.cfg.Process,
 		WriteID: newID(),
 		State: ledger.State{
-			Phase: h.Phase, Acked: true, Incarnation: t.targets[id].inventory.Incarnation,
+			Phase: h.Phase, Own: true, Acked: true, Incarnation: t.targets[id].inventory.Incarnation,
 			Retiring: true, Since: now, LastUsed: now,
 		},
 	})
--- /dev/null
+++ b/internal/placement/cell/failure_test.go
@@ -0,0 +1,471 @@
+package cell
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+// takeOverBound is how long a take-over after a death may take: the lease's
+// duration with its margin, a look, the second candidate's wait and the write.
+const takeOverBound = 4500 * time.Millisecond
+
+// failures are the single failures of a holder, an engine or the platform.
+// Each case runs with engines that check fencing tokens and with engines that
+// ignore them.
+var failures = []struct {
+	name string
+	run  func(t *testing.T, w *world)
+}{
+	{"holder killed between ledger write and order", func(t *testing.T, w *world) {
+		// A caller waits for a cold model. The holder writes the ledger row
+		// and dies before it sends the order. The row counts a replica that
+		// no engine has heard of; the successor must order it.
+		var once sync.Once
+
+		w.afterCommit = func(p *proc, tx table.Transaction) {
+			if strings.HasPrefix(tx.Writes[0].Key, record.LedgerPrefix(0)) {
+				once.Do(func() { w.kill(p) })
+			}
+		}
+
+		took, ok := w.askUntil(modelName(0), 20*time.Second)
+		assert.Assert(t, ok, w.state())
+		assert.Assert(t, took < takeOverBound+5*time.Second, "took %s", took)
+		assert.Equal(t, w.loaded(modelName(0)), 1)
+	}},
+	{"holder killed between order and confirmation", func(t *testing.T, w *world) {
+		// The engine loads, but whoever ordered it has died. The successor
+		// must find the replica, and not load another.
+		w.weights.Slow(10)
+		w.ask(modelName(0))
+		time.Sleep(100 * time.Millisecond)
+		w.kill(w.holder())
+
+		_, ok := w.askUntil(modelName(0), 30*time.Second)
+		assert.Assert(t, ok, w.state())
+		assert.Equal(t, w.loaded(modelName(0)), 1)
+	}},
+	{"holder paused past its lease with an order in hand", func(t *testing.T, w *world) {
+		// The holder has checked its lease and is about to send a load order
+		// when its process is paused for ten seconds. A successor loads what
+		// is asked for. Then the former holder wakes and its order arrives.
+		var once sync.Once
+
+		w.beforeOrder = func(p *proc, o target.Order) {
+			if _, ok := o.Action.(target.Load); ok {
+				once.Do(func() {
+					p.gate.close()
+					time.AfterFunc(10*time.Second, p.gate.open)
+				})
+			}
+		}
+
+		before := w.token()
+		w.ask(modelName(0))
+		time.Sleep(50 * time.Millisecond)
+
+		took, ok := w.awaitHolder(before, 20*time.Second)
+		assert.Assert(t, ok && took < takeOverBound, "take-over took %s", took)
+
+		for i := range 4 {
+			w.askUntil(modelName(i), 15*time.Second)
+		}
+
+		time.Sleep(40 * time.Second)
+	}},
+	{"table answer lost after the write took effect", func(t *testing.T, w *world) {
+		// The ledger row is written, but the holder does not hear so. It must
+		// neither order without knowing nor take the row for somebody else's.
+		w.platform.SetFaults(platform.Faults{LoseAnswers: 3})
+
+		took, ok := w.askUntil(modelName(0), 10*time.Second)
+		assert.Assert(t, ok, w.state())
+		assert.Assert(t, took < 3*time.Second, "took %s", took)
+		assert.Equal(t, w.holder().Takeovers.Load(), int64(1), "the holder must not lose its lease over it")
+	}},
+	{"table down during take-over", func(t *testing.T, w *world) {
+		// The holder dies while the table is down for a minute. Nobody can
+		// take over before it is back; then somebody must, soon.
+		w.kill(w.holder())
+		w.platform.SetFaults(platform.Faults{TableDown: true})
+		time.Sleep(time.Minute)
+		w.platform.SetFaults(platform.Faults{})
+
+		took, ok := w.awaitHolder(1, 20*time.Second)
+		assert.Assert(t, ok && took < takeOverBound, "take-over took %s", took)
+
+		_, ok = w.askUntil(modelName(0), 10*time.Second)
+		assert.Assert(t, ok, w.state())
+	}},
+	{"two successors race", func(t *testing.T, w *world) {
+		// The holder dies and each other process believes to be the first
+		// candidate, because it has not heard of the other. Both see the lease
+		// expire. One must win, and the other must not order anything.
+		first := w.holder()
+		w.kill(first)
+		w.deafen(10 * time.Second)
+
+		_, ok := w.awaitHolder(1, 10*time.Second)
+		assert.Assert(t, ok)
+		w.ask(modelName(0))
+		time.Sleep(5 * time.Second)
+
+		holders := 0
+
+		for _, p := range w.procs {
+			if l, held := p.Lease(); held && l.Token > 1 {
+				holders++
+			}
+		}
+
+		assert.Equal(t, holders, 1)
+	}},
+	{"engine restarted mid-load", func(t *testing.T, w *world) {
+		// An engine's process dies while it loads and comes back empty. The
+		// waiting caller must get the model, and the row of the lost load
+		// must not hold memory for ever.
+		w.weights.Slow(10)
+		w.ask(modelName(0))
+		time.Sleep(200 * time.Millisecond)
+
+		for _, e := range w.engines {
+			e.Crash()
+		}
+
+		w.weights.Slow(1)
+
+		_, ok := w.askUntil(modelName(0), 40*time.Second)
+		assert.Assert(t, ok, w.state())
+	}},
+	{"order answered twice and late", func(t *testing.T, w *world) {
+		// Orders reach the engines three seconds late, after their sender has
+		// given up and sent them again. Each must be carried out once.
+		for _, e := range w.engines {
+			e.SetFaults(engine.Faults{LateOrders: 3 * time.Second})
+		}
+
+		_, ok := w.askUntil(modelName(0), 30*time.Second)
+		assert.Assert(t, ok, w.state())
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, w.loaded(modelName(0)) <= 1)
+	}},
+	{"orders answered in the wrong order", func(t *testing.T, w *world) {
+		// Two loads go to one engine at once. The answer to the second is
+		// handled first; the answer to the first shows an inventory from
+		// before the second. The second's row must stay counted.
+		w.jitter = 400 * time.Millisecond
+
+		for round := range 6 {
+			w.ask(modelName(round%modelsAsked), modelName((round+1)%modelsAsked))
+			time.Sleep(2 * time.Second)
+		}
+	}},
+	{"target reclaimed mid-load", func(t *testing.T, w *world) {
+		// The list says that the loading target is leaving, and two seconds
+		// later it is gone. The model must be loaded on another target at
+		// once, while the row of the lost load is still counted.
+		w.weights.Slow(10)
+		w.ask(modelName(0))
+		time.Sleep(200 * time.Millisecond)
+
+		loading := w.loadingOn(modelName(0))
+		assert.Assert(t, loading != nil)
+		w.weights.Slow(1)
+		w.platform.Announce(instance.Instance{ID: loading.ID(), Role: instance.Engine, State: instance.Leaving})
+		loading.Leave()
+		time.AfterFunc(2*time.Second, func() {
+			w.platform.Remove(loading.ID())
+			loading.Stop()
+		})
+
+		time.Sleep(time.Second)
+
+		_, ok := w.askUntil(modelName(0), 10*time.Second)
+		assert.Assert(t, ok, w.state())
+	}},
+	{"weight store slowed tenfold", func(t *testing.T, w *world) {
+		// Loads take ten times as long. No more than four may run at once, or
+		// all become slower still.
+		w.weights.Slow(10)
+
+		for range 20 {
+			w.ask(modelName(0), modelName(1), modelName(2), modelName(3), modelName(4), modelName(5))
+			time.Sleep(500 * time.Millisecond)
+		}
+
+		assert.Assert(t, w.weights.MostInFlight() <= 4, "%d loads at once", w.weights.MostInFlight())
+	}},
+}
+
+func TestFailures(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		for _, f := range failures {
+			t.Run(fmt.Sprintf("tokens checked %v/%s", checks, f.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, 3, modelsAsked, checks)
+					for i := range 3 {
+						w.start(instance.ID(fmt.Sprintf("entry-%d", i)))
+					}
+
+					defer w.stopAll()
+
+					_, ok := w.awaitHolder(0, 10*time.Second)
+					assert.Assert(t, ok)
+					time.Sleep(2 * time.Second)
+
+					f.run(t, w)
+					w.assertKept(f.name)
+				})
+			})
+		}
+	}
+}
+
+// loaded returns on how many engines the model is ready.
+func (w *world) loaded(model string) int {
+	n := 0
+
+	for _, e := range w.engines {
+		if e.Holds(model) {
+			n++
+		}
+	}
+
+	return n
+}
+
+func (w *world) loadingOn(model string) *engine.Engine {
+	for _, e := range w.engines {
+		inv, err := e.Inventory(w.t.Context())
+		if err != nil {
+			continue
+		}
+
+		for _, h := range inv.Held {
+			if h.Model == model {
+				return e
+			}
+		}
+	}
+
+	return nil
+}
+
+// deafen makes the processes hear nothing of each other for a while.
+func (w *world) deafen(d time.Duration) {
+	for _, p := range w.procs {
+		p.set.Terms.Silence = 0
+	}
+
+	time.AfterFunc(d, func() {
+		for _, p := range w.procs {
+			p.set.Terms.Silence = peerSilence
+		}
+	})
+}
+
+const peerSilence = 2 * time.Second
+
+// TestLapsedHolder is the story of a holder that the table service has left
+// alone: its lease lapses, and it cannot know whether there is a successor.
+// Callers wait for a cold model. It must not order the load, and the callers
+// must learn why, rather than wait until their time is up.
+func TestLapsedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, modelsAsked, false)
+		p := w.start("entry-0")
+
+		defer w.stopAll()
+
+		_, ok := w.askUntil(modelName(0), 10*time.Second)
+		assert.Assert(t, ok)
+
+		w.platform.SetFaults(platform.Faults{TableDown: true})
+		time.Sleep(4 * time.Second)
+
+		lapsed := time.Now()
+
+		w.ask(modelName(1))
+		time.Sleep(500 * time.Millisecond)
+
+		wait, ok := p.table.Wait(modelName(1))
+		assert.Assert(t, ok)
+		assert.Equal(t, wait.Reason, reasonNoLease)
+		assert.Assert(t, len(p.table.Targets(modelName(0))) > 0, "what is loaded is still served")
+
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, len(w.ordersBy(p.id, lapsed)), 0)
+
+		// An hour later the table is back, and so is the cell.
+		time.Sleep(time.Hour)
+		w.platform.SetFaults(platform.Faults{})
+
+		_, ok = w.askUntil(modelName(1), 10*time.Second)
+		assert.Assert(t, ok, w.state())
+		w.assertKept("after an hour without the table")
+	})
+}
+
+// TestPlannedHandOver is the story of an upgrade: the holder is told to drain.
+// Another process must hold the cell within a second, not only after the lease
+// has run out.
+func TestPlannedHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, modelsAsked, true)
+		for i := range 3 {
+			w.start(instance.ID(fmt.Sprintf("entry-%d", i)))
+		}
+
+		defer w.stopAll()
+
+		time.Sleep(5 * time.Second)
+
+		former, token := w.holder(), w.token()
+		began := time.Now()
+
+		former.Drain(t.Context())
+
+		_, ok := w.awaitHolder(token, 5*time.Second)
+		assert.Assert(t, ok)
+		assert.Assert(t, time.Since(began) < time.Second, "took %s", time.Since(began))
+		assert.Assert(t, w.holder() != former)
+	})
+}
+
+// TestBurst is the story of a morning: eight entries each have callers waiting
+// for the same cold model. One load must serve them all.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, modelsAsked, true)
+		p := w.start("entry-0")
+
+		defer w.stopAll()
+
+		time.Sleep(3 * time.Second)
+
+		began := time.Now()
+
+		for i := range 8 {
+			assert.NilError(t, p.Report(demand.Report{
+				Entry: instance.ID(fmt.Sprintf("burst-%d", i)),
+				Waiting: []replica.Demand{
+					{Model: modelName(0), Waiting: 4, Deadline: time.Now().Add(20 * time.Second)},
+				},
+			}))
+		}
+
+		time.Sleep(400 * time.Millisecond)
+
+		loads := w.ordersBy(p.id, began)
+		assert.Equal(t, len(loads), 1, "one load for all: %v", loads)
+		assert.Assert(t, loads[0].at.Sub(began) < 5*time.Millisecond, "ordered after %s", loads[0].at.Sub(began))
+	})
+}
+
+// TestQuietBeforeUnload is the story of a request that is sent to a replica
+// just as the holder retires it. The replica must stay until every entry has
+// taken it out of its routing and none has a request running there.
+func TestQuietBeforeUnload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, modelsAsked, true)
+		p := w.start("entry-0")
+
+		defer w.stopAll()
+
+		time.Sleep(3 * time.Second)
+
+		_, ok := w.askUntil(modelName(0), 10*time.Second)
+		assert.Assert(t, ok)
+
+		use := demand.Use{Key: ledger.Key{Target: "engine-0", Model: modelName(0)}, Running: 1}
+
+		// The entry goes on with its request for a minute, far beyond the
+		// time for which an idle replica is kept.
+		for range 60 {
+			at := p.table.Position(0)
+			_ = p.Report(demand.Report{Entry: "entry-x", Token: at.Token, Number: at.Number, Uses: []demand.Use{use}})
+
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, w.loaded(modelName(0)), 1, "unloaded under a running request")
+
+		for range 60 {
+			at := p.table.Position(0)
+			_ = p.Report(demand.Report{Entry: "entry-x", Token: at.Token, Number: at.Number})
+
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, w.loaded(modelName(0)), 0, "an idle replica must go")
+		w.assertKept("quiet before unload")
+	})
+}
+
+// TestRebalance is the story of an instance that comes back after a failure:
+// the cell it ranks first for returns to it, but only after it has been there
+// for a while.
+func TestRebalance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 1, true)
+		for i := range 3 {
+			w.start(instance.ID(fmt.Sprintf("entry-%d", i)))
+		}
+
+		defer w.stopAll()
+
+		time.Sleep(5 * time.Second)
+
+		first := w.holder()
+		w.kill(first)
+
+		_, ok := w.awaitHolder(1, takeOverBound)
+		assert.Assert(t, ok)
+
+		w.start(first.id)
+		time.Sleep(rebalanceAfter / 2)
+		assert.Assert(t, w.holder().id != first.id, "too early")
+
+		time.Sleep(rebalanceAfter)
+		assert.Equal(t, w.holder().id, first.id)
+	})
+}
+
+func TestOfSpreadsAndMovesLittle(t *testing.T) {
+	const names, cells = 10000, 10
+
+	count := make([]int, cells)
+	moved := 0
+
+	for i := range names {
+		name := fmt.Sprintf("model-%d", i)
+		c := Of(name, cells)
+		count[c]++
+
+		if Of(name, cells+1) != c {
+			moved++
+		}
+	}
+
+	for c, n := range count {
+		assert.Assert(t, n > names/cells*3/4 && n < names/cells*5/4, "cell %d has %d", c, n)
+	}
+
+	assert.Assert(t, moved < names/cells*5/4, "%d moved for one more cell", moved)
+}
--- a/internal/placement/cell/orders.go
+++ b/internal/placement/cell/orders.go
@@ -52,9 +52,12 @@
 	t.mu.Unlock()
 
 	t.event(timeline.LedgerWritten, k, "")
-	t.orderLoad(k, target.Load{Model: k.Model, Base: base, Bytes: bytes}, "load/"+writeID)
+	t.orderLoad(k, target.Load{Model: k.Model, Base: base, Bytes: bytes}, loadID(writeID))
 }
 
+// loadID returns the id of all orders to load a row, whoever sends them.
+func loadID(writeID string) string { return "load/" + writeID }
+
 // notWritten handles a row that could not be written. On a conflict it had no
 // effect, and the reservation is dropped. In any other case the tenure has
 // ended while the write was in doubt; the successor reads what is there.
@@ -286,6 +289,7 @@
 
 func (t *tenure) advanceRow(r *ledger.Row, now time.Time) {
 	e := t.targets[r.Target]
+	t.noteSettled(r, now)
 
 	switch {
 	case r.Version == 0 || r.State.Busy:
@@ -296,16 +300,18 @@
 		r.State.Since = now
 		t.background(r, func(context.Context) { t.unload(r.Key) })
 	case t.orphaned(r, e):
-		id := "load/" + r.WriteID + "/" + detail("%d", t.held.Token)
+		id := loadID(r.WriteID)
 		load := target.Load{Model: r.Model, Base: r.Base, Bytes: r.Bytes}
 		t.background(r, func(context.Context) { t.orderLoad(r.Key, load, id) })
 	}
 }
 
-// orphaned reports whether the row was adopted and no order of its former
-// holder has shown an effect: the load is then ordered again.
+// orphaned reports whether the row was adopted and this holder has not ordered
+// its load yet. It orders it again, under the same id: that brings about what
+// the former holder may not have come to, and makes the engine ignore what the
+// former holder may still send.
 func (t *tenure) orphaned(r *ledger.Row, e *engineState) bool {
-	return r.State.Adopted && !r.State.Acked && r.State.Phase == target.Loading && e.usable
+	return !r.State.Own && !r.State.Acked && !r.State.Retiring && e.usable
 }
 
 func (t *tenure) quiet(k ledger.Key, now time.Time) bool {
@@ -314,12 +320,16 @@
 
 func (t *tenure) tryRemove(r *ledger.Row, e *engineState, now time.Time) {
 	ev := ledger.Evidence{
-		Now:           now,
-		ChecksTokens:  t.cfg.ChecksTokens(r.Target),
-		Token:         t.held.Token,
-		WriterSettled: t.settled(r, now),
-		TargetGone:    t.cfg.Fleet.Gone(r.Target, now),
+		Now:          now,
+		ChecksTokens: t.cfg.ChecksTokens(r.Target),
+		Token:        t.held.Token,
+		TargetGone:   t.cfg.Fleet.Gone(r.Target, now),
+	}
+
+	if !r.State.SettledSince.IsZero() {
+		ev.Settled = now.Sub(r.State.SettledSince)
 	}
+
 	if e != nil && e.fresh && e.orders == 0 {
 		ev.Inventory = &e.inventory
 	}
@@ -335,15 +345,28 @@
 	t.background(r, func(context.Context) { t.remove(k, version, fence) })
 }
 
+// noteSettled notes since when the writer of an adopted row has nothing in
+// hand.
+func (t *tenure) noteSettled(r *ledger.Row, now time.Time) {
+	switch {
+	case r.State.Own:
+	case !t.settled(r, now):
+		r.State.SettledSince = time.Time{}
+	case r.State.SettledSince.IsZero():
+		r.State.SettledSince = now
+	}
+}
+
 // stuckAfter is how long a row that is to be removed may wait for its proof
 // before its memory is no longer planned with.
 const stuckAfter = time.Second
 
 // settled reports whether whoever wrote the row has no order for it in hand.
-// This process knows of its own; a former tenure of it has ended only when
-// its orders were answered.
+// This process knows of its own: a former tenure of it has ended only when its
+// orders were answered. An earlier process on this instance has ended, or this
+// one could not listen on its address.
 func (t *tenure) settled(r *ledger.Row, now time.Time) bool {
-	if r.Process == t.cfg.Process {
+	if r.Holder == t.cfg.Self {
 		return true
 	}
 
--- /dev/null
+++ b/internal/placement/cell/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package cell
+
+const raceDetector = true
--- a/internal/placement/cell/tenure.go
+++ b/internal/placement/cell/tenure.go
@@ -152,13 +152,7 @@
 			continue
 		}
 
-		r.State = ledger.State{Phase: target.Loading, Since: now, LastUsed: now, Adopted: true}
-
-		if !t.cfg.ChecksTokens(r.Target) {
-			// An order of the former holder may be under way for as long.
-			r.State.Doubt = now
-		}
-
+		r.State = ledger.State{Phase: target.Loading, Since: now, LastUsed: now}
 		t.book.Adopt(r)
 	}
 
@@ -298,14 +292,22 @@
 // they wait for the table and the engines.
 func (t *tenure) act(decisions []replica.Decision, now time.Time) {
 	t.waits = t.waits[:0]
+	valid := t.held.Valid(now, t.cfg.Terms)
 
 	for _, d := range decisions {
 		switch d := d.(type) {
 		case replica.Load:
-			t.beginLoad(d, now)
+			if valid {
+				t.beginLoad(d, now)
+			}
+
 			t.waits = append(t.waits, router.Wait{Model: d.Model, Ready: d.Ready})
 		case replica.Retire:
-			t.retire(ledger.Key{Target: d.Target, Model: d.Model})
+			// Without the lease nothing could be loaded in its place, so what
+			// is loaded stays.
+			if valid {
+				t.retire(ledger.Key{Target: d.Target, Model: d.Model})
+			}
 		case replica.Revive:
 			t.revive(ledger.Key{Target: d.Target, Model: d.Model})
 		case replica.Expect:
@@ -315,7 +317,7 @@
 		}
 	}
 
-	if !t.held.Valid(now, t.cfg.Terms) {
+	if !valid {
 		t.denyLoads()
 	}
 }
@@ -351,10 +353,6 @@
 }
 
 func (t *tenure) beginLoad(d replica.Load, now time.Time) {
-	if !t.held.Valid(now, t.cfg.Terms) {
-		return
-	}
-
 	e := t.targets[d.Target]
 
 	row, err := t.book.Reserve(ledger.Row{
@@ -367,7 +365,7 @@
 		Process: t.cfg.Process,
 		WriteID: newID(),
 		State: ledger.State{
-			Phase: target.Loading, Since: now, LastUsed: now, Failures: t.failures[d.Model],
+			Phase: target.Loading, Own: true, Since: now, LastUsed: now, Failures: t.failures[d.Model],
 		},
 	}, e.inventory.Memory)
 	if err != nil {
--- /dev/null
+++ b/internal/placement/cell/world_test.go
@@ -0,0 +1,562 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+// world is a platform, a few engines and processes that control one cell,
+// inside a synctest bubble.
+type world struct {
+	t        *testing.T
+	platform *platform.Platform
+	weights  *engine.Weights
+	engines  []*engine.Engine
+	checks   bool
+
+	// beforeOrder runs when a process has checked its lease and is about to
+	// send an order; afterCommit runs when a transaction took effect and its
+	// answer is on its way.
+	beforeOrder func(p *proc, o target.Order)
+	afterCommit func(p *proc, tx table.Transaction)
+	// jitter bounds the time that an order and its answer take on the way.
+	jitter time.Duration
+
+	mu     sync.Mutex
+	procs  []*proc
+	faults []string
+	orders []sentOrder
+}
+
+// sentOrder is an order that went out.
+type sentOrder struct {
+	target.Order
+
+	by instance.ID
+	at time.Time
+}
+
+// proc is one process that may hold the cell.
+type proc struct {
+	*Cell
+
+	id     instance.ID
+	set    *peer.Set
+	gate   *gate
+	cancel context.CancelFunc
+	table  router.Table
+}
+
+// gate pauses what a process sends.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{}
+}
+
+func (g *gate) wait(ctx context.Context) error {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+
+	if closed == nil {
+		return nil
+	}
+
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-closed:
+		return nil
+	}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
+
+// gatedTable delays a paused process's calls until it wakes.
+type gatedTable struct {
+	table.Service
+
+	w *world
+	p *proc
+	g *gate
+}
+
+func (t gatedTable) Read(ctx context.Context, keys ...string) ([]table.Row, error) {
+	if err := t.g.wait(ctx); err != nil {
+		return nil, &table.UnavailableError{Op: "read", Err: err}
+	}
+
+	return t.Service.Read(ctx, keys...)
+}
+
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, n int) ([]table.Row, error) {
+	if err := t.g.wait(ctx); err != nil {
+		return nil, &table.UnavailableError{Op: "scan", Err: err}
+	}
+
+	return t.Service.Scan(ctx, prefix, after, n)
+}
+
+func (t gatedTable) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
+	if err := t.g.wait(ctx); err != nil {
+		return 0, &table.UnavailableError{Op: "commit", Err: err}
+	}
+
+	version, err := t.Service.Commit(ctx, tx)
+	if err == nil && t.w.afterCommit != nil {
+		t.w.afterCommit(t.p, tx)
+
+		if err := t.g.wait(ctx); err != nil {
+			return 0, &table.UnavailableError{Op: "commit", Err: err}
+		}
+	}
+
+	return version, err
+}
+
+// gatedEngine delays a paused process's orders until it wakes, and bounds
+// calls as the client over TCP does.
+type gatedEngine struct {
+	target.Engine
+
+	w *world
+	p *proc
+	g *gate
+}
+
+const engineTimeout = 2 * time.Second
+
+func (e gatedEngine) Submit(ctx context.Context, o target.Order) (target.Inventory, error) {
+	if e.w.beforeOrder != nil {
+		e.w.beforeOrder(e.p, o)
+	}
+
+	if err := e.g.wait(ctx); err != nil {
+		return target.Inventory{}, err
+	}
+
+	e.w.mu.Lock()
+	e.w.orders = append(e.w.orders, sentOrder{Order: o, by: e.p.id, at: time.Now()})
+	e.w.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+
+	e.w.travel(o.ID + "there")
+
+	inv, err := e.Engine.Submit(ctx, o)
+
+	e.w.travel(o.ID + "back")
+
+	return inv, err
+}
+
+// travel takes the time of a message on its way, which its name determines.
+func (w *world) travel(name string) {
+	if w.jitter > 0 {
+		time.Sleep(time.Duration(xxhash.Sum64String(name) % uint64(w.jitter)))
+	}
+}
+
+// ordersBy returns the orders that the process sent from the time on.
+func (w *world) ordersBy(id instance.ID, after time.Time) []sentOrder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	var out []sentOrder
+
+	for _, o := range w.orders {
+		if o.by == id && !o.at.Before(after) {
+			out = append(out, o)
+		}
+	}
+
+	return out
+}
+
+func (e gatedEngine) Inventory(ctx context.Context) (target.Inventory, error) {
+	if err := e.g.wait(ctx); err != nil {
+		return target.Inventory{}, err
+	}
+
+	inv, err := e.Engine.Inventory(ctx)
+
+	e.w.travel(time.Now().String() + string(e.p.id))
+
+	return inv, err
+}
+
+const (
+	gib        = int64(1) << 30
+	modelBytes = 4 * gib
+	listLag    = 3 * time.Second
+)
+
+func modelName(i int) string { return fmt.Sprintf("model-%d", i) }
+
+// newWorld makes engines with room for two models each.
+func newWorld(t *testing.T, engines, models int, checksTokens bool) *world {
+	t.Helper()
+
+	w := &world{
+		t:        t,
+		platform: &platform.Platform{},
+		weights:  &engine.Weights{BytesPerSecond: 8 * gib, Concurrent: 4},
+		checks:   checksTokens,
+	}
+
+	for i := range engines {
+		e := engine.New(engine.Options{
+			ID: instance.ID(fmt.Sprintf("engine-%d", i)), Memory: 2*modelBytes + gib, Slots: 4,
+			ChecksToken: checksTokens, Restart: time.Second, Weights: w.weights,
+		})
+		e.OnChange = w.check
+		w.engines = append(w.engines, e)
+		w.platform.Announce(instance.Instance{ID: e.ID(), Role: instance.Engine, State: instance.Live})
+	}
+
+	for i := range models {
+		w.platform.AddCheckpoints(weight.Checkpoint{Name: modelName(i), Bytes: modelBytes})
+	}
+
+	return w
+}
+
+// check runs after every change of what an engine holds: the bytes must fit
+// its memory, and each replica must be counted by the ledger.
+func (w *world) check(id instance.ID, held []target.Held, memory int64) {
+	var sum int64
+
+	for _, h := range held {
+		sum += h.Bytes
+
+		if _, ok := w.platform.Row(record.LedgerKey(0, ledger.Key{Target: id, Model: h.Model})); !ok {
+			w.faultf("%s holds %s, which the ledger does not count", id, h.Model)
+		}
+	}
+
+	if sum > memory {
+		w.faultf("%s holds %d bytes of %d", id, sum, memory)
+	}
+}
+
+func (w *world) faultf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *world) assertKept(context string) {
+	w.t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	assert.Equal(w.t, len(w.faults), 0, "%s: %v", context, w.faults)
+}
+
+// start runs a process on the instance. Its peers hear of it by heartbeats.
+func (w *world) start(id instance.ID) *proc {
+	w.mu.Lock()
+	number := len(w.procs)
+	w.mu.Unlock()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proc{id: id, gate: &gate{}, cancel: cancel}
+	p.set = &peer.Set{Self: id, Terms: peer.DefaultTerms()}
+	p.set.Terms.ListLag = listLag
+
+	policy := replica.Weigh(0.5)
+	policy.KeepAlive = 5 * time.Second
+
+	p.Cell = New(Config{
+		Cells:   1,
+		Self:    id,
+		Process: fmt.Sprintf("%s/%d", id, number),
+		Table:   gatedTable{w.platform, w, p, p.gate},
+		Weights: w.platform,
+		Fleet:   p.set,
+		Dial: func(in instance.Instance) target.Engine {
+			return gatedEngine{w.engineOf(in.ID), w, p, p.gate}
+		},
+		ChecksTokens:   func(instance.ID) bool { return w.checks },
+		Leaving:        func(instance.ID) bool { return false },
+		Send:           w.send,
+		Nudge:          func(to instance.ID, _ int) { w.nudge(to) },
+		Lists:          func() plan.State { return plan.State{} },
+		Log:            &timeline.Log{Instance: id, Process: strconv.Itoa(number)},
+		Logger:         zerolog.Nop(),
+		Policy:         policy,
+		Loads:          4,
+		AdapterLoads:   32,
+		BytesPerSecond: float64(8 * gib),
+	})
+
+	w.platform.Announce(instance.Instance{ID: id, Role: instance.Entry, State: instance.Live})
+
+	w.mu.Lock()
+	w.procs = append(w.procs, p)
+	w.mu.Unlock()
+
+	go w.beat(ctx, p)
+	go p.Run(ctx)
+
+	return p
+}
+
+func (w *world) engineOf(id instance.ID) *engine.Engine {
+	for _, e := range w.engines {
+		if e.ID() == id {
+			return e
+		}
+	}
+
+	return nil
+}
+
+func (w *world) alive(id instance.ID) *proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	for _, p := range w.procs {
+		if p.id == id {
+			return p
+		}
+	}
+
+	return nil
+}
+
+func (w *world) nudge(id instance.ID) {
+	if p := w.alive(id); p != nil {
+		p.Wake()
+	}
+}
+
+func (w *world) send(ctx context.Context, to instance.ID, s *router.Snapshot) (bool, error) {
+	p := w.alive(to)
+	if p == nil {
+		return false, errors.New("no such entry")
+	}
+
+	return p.table.Apply(s, time.Now()), ctx.Err()
+}
+
+// beat reads the list and tells all others how the process is, as long as it
+// lives and is not paused.
+func (w *world) beat(ctx context.Context, p *proc) {
+	for ctx.Err() == nil {
+		if p.gate.wait(ctx) != nil {
+			return
+		}
+
+		all, _ := w.platform.Instances(ctx)
+		p.set.List(all, time.Now())
+
+		st := peer.Status{ID: p.id, Process: p.cfg.Process}
+		if l, ok := p.Lease(); ok {
+			st.Leases = append(st.Leases, l)
+		}
+
+		if p.OrdersInHand() {
+			st.OrdersInHand = append(st.OrdersInHand, 0)
+		}
+
+		w.mu.Lock()
+		others := append([]*proc(nil), w.procs...)
+		w.mu.Unlock()
+
+		for _, o := range others {
+			if o != p {
+				o.set.Hear(st, time.Now())
+			}
+		}
+
+		p.set.Refresh(time.Now())
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// kill ends the process at once. What it was about to send is never sent.
+func (w *world) kill(p *proc) {
+	w.mu.Lock()
+	for i, o := range w.procs {
+		if o == p {
+			w.procs = append(w.procs[:i:i], w.procs[i+1:]...)
+		}
+	}
+	w.mu.Unlock()
+
+	p.gate.close()
+	p.cancel()
+}
+
+func (w *world) stopAll() {
+	w.mu.Lock()
+	procs := append([]*proc(nil), w.procs...)
+	w.mu.Unlock()
+
+	w.platform.SetFaults(platform.Faults{})
+
+	for _, p := range procs {
+		p.gate.open()
+		p.cancel()
+	}
+
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+// holder returns the process with the highest token.
+func (w *world) holder() *proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	var (
+		best  *proc
+		token uint64
+	)
+
+	for _, p := range w.procs {
+		if l, ok := p.Lease(); ok && l.Token > token {
+			best, token = p, l.Token
+		}
+	}
+
+	return best
+}
+
+// ask reports to the holder that an entry waits for the models.
+func (w *world) ask(models ...string) {
+	p := w.holder()
+	if p == nil {
+		return
+	}
+
+	r := demand.Report{Entry: "entry-x", Token: 1 << 40}
+	for _, m := range models {
+		r.Waiting = append(r.Waiting, replica.Demand{
+			Model: m, Plan: "p", Waiting: 1, Deadline: time.Now().Add(time.Minute),
+		})
+	}
+
+	_ = p.Report(r)
+}
+
+// askUntil asks again and again until the model is ready somewhere, and
+// returns how long that took.
+func (w *world) askUntil(model string, patience time.Duration) (time.Duration, bool) {
+	began := time.Now()
+
+	for time.Since(began) < patience {
+		w.ask(model)
+
+		for _, e := range w.engines {
+			if e.Holds(model) {
+				return time.Since(began), true
+			}
+		}
+
+		time.Sleep(5 * time.Millisecond)
+	}
+
+	return patience, false
+}
+
+// awaitHolder waits for a process that holds the cell with a token above the
+// given one.
+func (w *world) awaitHolder(above uint64, patience time.Duration) (time.Duration, bool) {
+	began := time.Now()
+
+	for time.Since(began) < patience {
+		if p := w.holder(); p != nil {
+			if l, _ := p.Lease(); l.Token > above {
+				return time.Since(began), true
+			}
+		}
+
+		time.Sleep(5 * time.Millisecond)
+	}
+
+	return patience, false
+}
+
+func (w *world) token() uint64 {
+	if p := w.holder(); p != nil {
+		l, _ := p.Lease()
+
+		return l.Token
+	}
+
+	return 0
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+// state describes the holder's view, for failures.
+func (w *world) state() string {
+	p := w.holder()
+	if p == nil {
+		return "nobody holds the cell"
+	}
+
+	p.mu.Lock()
+	t := p.tenure
+	p.mu.Unlock()
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	text := fmt.Sprintf("%s holds token %d;", p.id, t.held.Token)
+	var textSb553 strings.Builder
+	for id, e := range t.targets {
+		textSb553.WriteString(fmt.Sprintf(" %s usable=%v fresh=%v %s orders=%d;", id, e.usable, e.fresh, e.State, e.orders))
+	}
+	text += textSb553.String()
+
+	t.book.All(func(r *ledger.Row) { text += fmt.Sprintf(" %s@%s by %s: %+v;", r.Model, r.Target, r.Process, r.State) })
+
+	return text + fmt.Sprint(t.waits)
+}
--- /dev/null
+++ b/internal/placement/lease/lease_test.go
@@ -0,0 +1,81 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestOneHolder is the story of a holder whose clock runs slow and a rival
+// whose clock runs fast, each within the allowed rate: an operator would see
+// two entries order loads in one cell. Whenever the rival may take the lease,
+// the holder must already have stopped counting on it.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := DefaultTerms()
+		start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		slow := rapid.Float64Range(1-clockRate, 1).Draw(t, "slow")
+		fast := rapid.Float64Range(1, 1+clockRate).Draw(t, "fast")
+
+		on := func(rate float64, passed time.Duration) time.Time {
+			return start.Add(time.Duration(rate * float64(passed)))
+		}
+
+		// The renewal is sent at zero and takes effect later; the rival sees
+		// the new version later still.
+		effect := time.Duration(rapid.IntRange(0, 2000).Draw(t, "effect")) * time.Millisecond
+		seen := effect + time.Duration(rapid.IntRange(0, 2000).Draw(t, "seen"))*time.Millisecond
+
+		h := Held{Record: Record{Token: 1}, Sent: on(slow, 0)}
+
+		var w Watch
+
+		w.Observe(7, h.Record, on(fast, seen))
+
+		for passed := seen; passed < 10*time.Second; passed += 10 * time.Millisecond {
+			if w.Free(on(fast, passed), terms, "rival", 0) && h.Valid(on(slow, passed), terms) {
+				t.Fatalf("both hold it after %s", passed)
+			}
+		}
+	})
+}
+
+func TestFree(t *testing.T) {
+	terms := DefaultTerms()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ms := func(n int) time.Time { return now.Add(time.Duration(n) * time.Millisecond) }
+
+	for name, tc := range map[string]struct {
+		version uint64
+		record  Record
+		rank    int
+		from    time.Time
+	}{
+		"nobody has held it":               {0, Record{}, 0, ms(0)},
+		"the second candidate waits":       {0, Record{}, 1, ms(300)},
+		"held":                             {3, Record{Holder: "a"}, 0, ms(3060)},
+		"held, third candidate":            {3, Record{Holder: "a"}, 2, ms(3660)},
+		"released to me":                   {3, Record{Released: true, Successor: "me"}, 2, ms(0)},
+		"released to another":              {3, Record{Released: true, Successor: "you"}, 0, ms(300)},
+		"released to another, rank one":    {3, Record{Released: true, Successor: "you"}, 1, ms(600)},
+		"released to nobody in particular": {3, Record{Released: true}, 0, ms(300)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var w Watch
+
+			assert.Assert(t, !w.Free(now, terms, "me", tc.rank), "nothing was seen yet")
+			w.Observe(tc.version, tc.record, now)
+			assert.Assert(t, w.Free(tc.from, terms, "me", tc.rank))
+
+			if tc.from.After(now) {
+				assert.Assert(t, !w.Free(tc.from.Add(-2*time.Millisecond), terms, "me", tc.rank))
+			}
+
+			// A renewal starts the wait anew.
+			w.Observe(tc.version+1, Record{Holder: "a"}, tc.from)
+			assert.Assert(t, !w.Free(tc.from, terms, "me", tc.rank))
+		})
+	}
+}
--- a/internal/placement/ledger/ledger.go
+++ b/internal/placement/ledger/ledger.go
@@ -60,9 +60,13 @@
 	// Retiring says that no new work goes to the replica and that it is
 	// unloaded once it is idle.
 	Retiring bool
-	// Adopted says that the row was found in the table at a take-over. Its
-	// writer may still have an order for it in hand.
-	Adopted bool
+	// Own says that the row was written in this tenure, so that nobody else
+	// has ever sent an order for it. The others were found in the table at the
+	// take-over, and their writers may still have orders in hand.
+	Own bool
+	// SettledSince is since when the row's writer is proved to have no order
+	// in hand. Zero means that it is not proved.
+	SettledSince time.Time
 	// Since is when the phase last changed.
 	Since time.Time
 	// LastUsed is when a request last ran or waited on the replica.
--- /dev/null
+++ b/internal/placement/ledger/ledger_test.go
@@ -0,0 +1,155 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+)
+
+// TestBookAgainstNaive runs random reservations, adoptions and removals
+// against a plain list, and checks both sums after each.
+func TestBookAgainstNaive(t *testing.T) {
+	const memory = 100
+
+	rapid.Check(t, func(t *rapid.T) {
+		var b Book
+
+		naive := make(map[Key]Row)
+
+		held := func(id instance.ID) int64 {
+			var n int64
+
+			for k, r := range naive {
+				if k.Target == id {
+					n += r.Bytes
+				}
+			}
+
+			return n
+		}
+
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			k := Key{
+				Target: instance.ID(fmt.Sprint("t", rapid.IntRange(0, 2).Draw(t, "target"))),
+				Model:  fmt.Sprint("m", rapid.IntRange(0, 4).Draw(t, "model")),
+			}
+			row := Row{Key: k, Bytes: rapid.Int64Range(0, 60).Draw(t, "bytes")}
+			_, exists := naive[k]
+
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				_, err := b.Reserve(row, memory)
+				fits := !exists && held(k.Target)+row.Bytes <= memory
+
+				if fits != (err == nil) {
+					t.Fatalf("fits %v, but reserved with %v", fits, err)
+				}
+
+				if fits {
+					naive[k] = row
+				}
+			case 2:
+				b.Adopt(row)
+
+				if !exists {
+					naive[k] = row
+				}
+			case 3:
+				b.Remove(k)
+				delete(naive, k)
+			}
+
+			if b.Len() != len(naive) || b.Held(k.Target) != held(k.Target) {
+				t.Fatalf("book %d rows, %d bytes; naive %d, %d", b.Len(), b.Held(k.Target), len(naive), held(k.Target))
+			}
+
+			replicas := 0
+
+			for other := range naive {
+				if other.Model == k.Model {
+					replicas++
+				}
+			}
+
+			if len(b.Model(k.Model)) != replicas {
+				t.Fatalf("%d replicas, naive %d", len(b.Model(k.Model)), replicas)
+			}
+		}
+	})
+}
+
+func TestReserveErrors(t *testing.T) {
+	var b Book
+
+	_, err := b.Reserve(Row{Key: Key{"t", "a"}, Bytes: 60}, 100)
+	assert.NilError(t, err)
+
+	_, err = b.Reserve(Row{Key: Key{"t", "b"}, Bytes: 41}, 100)
+
+	var over *OvercommitError
+
+	assert.Assert(t, errors.As(err, &over))
+	assert.Equal(t, over.Held, int64(60))
+
+	_, err = b.Reserve(Row{Key: Key{"t", "a"}}, 100)
+
+	var duplicate *DuplicateError
+
+	assert.Assert(t, errors.As(err, &duplicate))
+}
+
+// TestRemovable is the story of an order that comes late. Each case is a row
+// whose engine shows nothing loaded; it may be removed only when no order for
+// it can take effect any more.
+func TestRemovable(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	empty := &target.Inventory{Incarnation: "i2", Token: 5}
+	holding := &target.Inventory{Incarnation: "i2", Token: 5, Held: []target.Held{{Model: "m"}}}
+	long := OrderLifetime + time.Second
+
+	for name, tc := range map[string]struct {
+		state State
+		e     Evidence
+		want  bool
+	}{
+		"own, answered":                  {State{Own: true, Acked: true, Incarnation: "i2"}, Evidence{Inventory: empty}, true},
+		"own, never sent":                {State{Own: true}, Evidence{Inventory: empty}, true},
+		"own, still loaded":              {State{Own: true, Acked: true, Incarnation: "i2"}, Evidence{Inventory: holding}, false},
+		"own, engine silent":             {State{Own: true, Acked: true, Incarnation: "i2"}, Evidence{}, false},
+		"own, sent without an answer":    {State{Own: true, Doubt: now.Add(-time.Second)}, Evidence{Inventory: empty}, false},
+		"own, sent long ago":             {State{Own: true, Doubt: now.Add(-long)}, Evidence{Inventory: empty}, true},
+		"own, doubt, but answered since": {State{Own: true, Acked: true, Incarnation: "i2", Doubt: now}, Evidence{Inventory: empty}, true},
+		"own, doubt, answered by an earlier incarnation": {
+			State{Own: true, Acked: true, Incarnation: "i1", Doubt: now}, Evidence{Inventory: empty}, false,
+		},
+		"adopted, writer unsettled, fenced": {
+			State{Acked: true, Incarnation: "i2"}, Evidence{Inventory: empty, ChecksTokens: true, Token: 5}, false,
+		},
+		"adopted, writer settled, fenced": {
+			State{}, Evidence{Inventory: empty, ChecksTokens: true, Token: 5, Settled: 1}, true,
+		},
+		"adopted, writer settled, token not raised yet": {
+			State{}, Evidence{Inventory: empty, ChecksTokens: true, Token: 6, Settled: time.Second}, false,
+		},
+		"adopted, writer settled just now, tokens ignored": {
+			State{}, Evidence{Inventory: empty, Token: 5, Settled: time.Second}, false,
+		},
+		"adopted, writer settled long ago, tokens ignored": {
+			State{}, Evidence{Inventory: empty, Token: 5, Settled: long}, true,
+		},
+		"target gone": {State{Doubt: now}, Evidence{TargetGone: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Row{Key: Key{"t", "m"}, State: tc.state}
+			tc.e.Now = now
+			assert.Equal(t, r.Removable(tc.e), tc.want)
+		})
+	}
+}
--- a/internal/placement/ledger/prove.go
+++ b/internal/placement/ledger/prove.go
@@ -22,10 +22,10 @@
 	ChecksTokens bool
 	// Token is the current holder's fencing token.
 	Token uint64
-	// WriterSettled says that the process that wrote the row is proved to
+	// Settled is since how long the process that wrote the row is proved to
 	// have no order in hand: it is this process, it said so itself, or it is
-	// gone.
-	WriterSettled bool
+	// gone. Zero means that it is not proved.
+	Settled time.Duration
 	// TargetGone says that the target has left the instance list for longer
 	// than the list lags.
 	TargetGone bool
@@ -38,16 +38,18 @@
 // that was paused past its lease, or stuck in the network. If the row were
 // removed first, the order would load a replica that nobody counts, and the
 // target's memory would be overcommitted by the next load. A row is removed
-// only if the engine shows that it holds nothing and no order can come any
-// more:
+// only if the engine shows that it holds nothing and no order for the row can
+// take effect any more:
 //
-//   - an engine that checks tokens has seen this holder's token, so it refuses
-//     all orders of former holders;
-//   - on any other engine, whoever wrote the row has no order in hand;
-//   - each order that was sent was answered, so that none is on its way; or it
-//     was answered by this incarnation of the engine, which carries out an
-//     order once even if it comes again; or the last one without an answer was
-//     sent longer ago than an order lives.
+//   - orders of former holders: whoever wrote the row has no order in hand, and
+//     either the engine checks tokens and has seen this holder's, or the time
+//     that an order lives has passed since. The token alone is not enough: an
+//     engine that is restarted forgets it, and would carry out an order that a
+//     paused holder has kept in hand, until this holder raises the token again;
+//   - this holder's own orders: each was answered, or the last one without an
+//     answer was sent longer ago than an order lives, or this incarnation of
+//     the engine has answered one of them. All orders to load a row have the
+//     same id, whoever sends them, so the engine carries out only the first.
 func (r *Row) Removable(e Evidence) bool {
 	if e.TargetGone {
 		return true
@@ -57,8 +59,7 @@
 		return false
 	}
 
-	fenced := e.ChecksTokens && e.Inventory.Token >= e.Token
-	if !fenced && !e.WriterSettled {
+	if !r.State.Own && !e.formerDone() {
 		return false
 	}
 
@@ -67,6 +68,15 @@
 	return known || r.State.Doubt.IsZero() || e.Now.Sub(r.State.Doubt) > OrderLifetime
 }
 
+// formerDone reports whether no order of a former holder can take effect.
+func (e *Evidence) formerDone() bool {
+	if e.ChecksTokens && e.Inventory.Token >= e.Token {
+		return e.Settled > 0
+	}
+
+	return e.Settled > OrderLifetime
+}
+
 func (r *Row) heldBy(inv *target.Inventory) bool {
 	return slices.ContainsFunc(inv.Held, func(h target.Held) bool { return h.Model == r.Model })
 }
--- /dev/null
+++ b/internal/placement/replica/decide_test.go
@@ -0,0 +1,341 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
+)
+
+var now = time.Date(2026, 1, 1, 8, 0, 0, 0, time.UTC)
+
+// scene builds a view with targets t0, t1, … of 100 bytes each.
+func scene(targets int, rows ...ledger.Row) *View {
+	v := &View{
+		Now: now, Book: &ledger.Book{}, Models: make(map[string]weight.Checkpoint),
+		FreeLoads: 4, FreeAdapterLoads: 32, BytesPerSecond: 10, Terms: Weigh(0.5),
+	}
+
+	for i := range targets {
+		v.Targets = append(v.Targets, Target{
+			ID: instance.ID(fmt.Sprint("t", i)), Memory: 100, Speed: 1, Slots: 4, Usable: true,
+		})
+	}
+
+	for _, name := range []string{"a", "b", "c", "d"} {
+		v.Models[name] = weight.Checkpoint{Name: name, Bytes: 60}
+	}
+
+	v.Models["a+"] = weight.Checkpoint{Name: "a+", Base: "a", Bytes: 5}
+	v.Models["huge"] = weight.Checkpoint{Name: "huge", Bytes: 101}
+
+	for _, r := range rows {
+		v.Book.Adopt(r)
+	}
+
+	return v
+}
+
+func row(t, model string, phase target.Phase, change ...func(*ledger.Row)) ledger.Row {
+	r := ledger.Row{
+		Key: ledger.Key{Target: instance.ID(t), Model: model}, Bytes: 60, Version: 1,
+		State: ledger.State{Phase: phase, Since: now.Add(-time.Minute), LastUsed: now.Add(-time.Minute)},
+	}
+	for _, c := range change {
+		c(&r)
+	}
+
+	return r
+}
+
+func waiting(model string) Demand {
+	return Demand{Model: model, Plan: "p", Waiting: 1, Deadline: now.Add(time.Minute)}
+}
+
+// TestDecide lists situations and what must be done in them.
+func TestDecide(t *testing.T) {
+	load := func(t, m string, ready time.Duration) Load {
+		return Load{Target: instance.ID(t), Model: m, Bytes: 60, Plan: "p", Ready: ready}
+	}
+
+	for name, tc := range map[string]struct {
+		view   *View
+		demand []Demand
+		change func(*View)
+		want   []Decision
+	}{
+		"nothing asked":           {view: scene(2)},
+		"load on an empty target": {view: scene(1), demand: []Demand{waiting("a")}, want: []Decision{load("t0", "a", 6*time.Second)}},
+		"already ready":           {view: scene(1, row("t0", "a", target.Ready)), demand: []Demand{waiting("a")}},
+		"already loading": {
+			view: scene(1, row("t0", "a", target.Loading)), demand: []Demand{waiting("a")},
+			want: []Decision{Expect{Model: "a", Ready: minReady}},
+		},
+		"cached target first": {
+			view: scene(3), demand: []Demand{waiting("a")},
+			change: func(v *View) { v.Targets[1].Cached = map[string]target.Tier{"a": target.TierDisk} },
+			want:   []Decision{load("t1", "a", 2*time.Second)},
+		},
+		"faster target first": {
+			view: scene(3), demand: []Demand{waiting("a")},
+			change: func(v *View) { v.Targets[2].Speed = 4 },
+			want:   []Decision{load("t2", "a", 6*time.Second)},
+		},
+		"evict the idle": {
+			view: scene(1, row("t0", "b", target.Ready)), demand: []Demand{waiting("a")},
+			want: []Decision{Retire{Target: "t0", Model: "b", For: "a"}, Expect{Model: "a", Ready: 6 * time.Second}},
+		},
+		"never evict the running": {
+			view:   scene(1, row("t0", "b", target.Ready, func(r *ledger.Row) { r.State.Running = 1 })),
+			demand: []Demand{waiting("a")},
+			want:   []Decision{Deny{Model: "a", Reason: ReasonBusy, RetryAfter: busyRetry}},
+		},
+		"never evict the waited for": {
+			view: scene(1, row("t0", "b", target.Ready)), demand: []Demand{waiting("a"), waiting("b")},
+			want: []Decision{Deny{Model: "a", Reason: ReasonBusy, RetryAfter: busyRetry}},
+		},
+		"stuck memory is not planned with": {
+			view: scene(1, row("t0", "b", target.Unloading, func(r *ledger.Row) {
+				r.State.Retiring, r.State.Stuck = true, true
+			})),
+			demand: []Demand{waiting("a")},
+			want:   []Decision{Deny{Model: "a", Reason: ReasonBusy, RetryAfter: busyRetry}},
+		},
+		"too large": {
+			view: scene(2), demand: []Demand{waiting("huge")},
+			want: []Decision{Deny{Model: "huge", Reason: ReasonTooLarge}},
+		},
+		"unknown": {
+			view: scene(2), demand: []Demand{waiting("nope")},
+			want: []Decision{Deny{Model: "nope", Reason: ReasonUnknown}},
+		},
+		"no target": {
+			view: scene(0), demand: []Demand{waiting("a")},
+			want: []Decision{Deny{Model: "a", Reason: ReasonNoTarget, RetryAfter: busyRetry}},
+		},
+		"a lost target's replica does not serve": {
+			view: scene(2, row("t0", "a", target.Ready)), demand: []Demand{waiting("a")},
+			change: func(v *View) { v.Targets[0].Lost, v.Targets[0].Usable = true, false },
+			want:   []Decision{load("t1", "a", 6*time.Second)},
+		},
+		"call off a retirement": {
+			view:   scene(1, row("t0", "a", target.Ready, func(r *ledger.Row) { r.State.Retiring = true })),
+			demand: []Demand{waiting("a")},
+			want:   []Decision{Revive{Target: "t0", Model: "a"}},
+		},
+		"base before adapter": {
+			view: scene(1), demand: []Demand{waiting("a+")},
+			want: []Decision{load("t0", "a", 6*time.Second), Expect{Model: "a+", Ready: 6 * time.Second}},
+		},
+		"adapter beside its base": {
+			view: scene(2, row("t1", "a", target.Ready)), demand: []Demand{waiting("a+")},
+			want: []Decision{Load{
+				Target: "t1", Model: "a+", Base: "a", Bytes: 5, Plan: "p", Ready: 500 * time.Millisecond,
+			}},
+		},
+		"second replica when crowded": {
+			view:   scene(2, row("t0", "a", target.Ready, func(r *ledger.Row) { r.State.Running = 4 })),
+			demand: []Demand{{Model: "a", Plan: "p", Waiting: 3, Running: 4, Deadline: now.Add(time.Minute)}},
+			want:   []Decision{load("t1", "a", 6*time.Second)},
+		},
+		"no share of the weight store left": {
+			view: scene(1), demand: []Demand{waiting("a")},
+			change: func(v *View) { v.FreeLoads = 0 },
+			want:   []Decision{Expect{Model: "a", Ready: 12 * time.Second}},
+		},
+		"thrashing is bounded": {
+			view: scene(1), demand: []Demand{waiting("a")},
+			change: func(v *View) { v.Targets[0].LoadsLastHour = v.Terms.LoadsPerHour },
+			want:   []Decision{Deny{Model: "a", Reason: ReasonThrash, RetryAfter: busyRetry}},
+		},
+		"idle for too long": {
+			view: scene(1, row("t0", "a", target.Ready, func(r *ledger.Row) { r.State.LastUsed = now.Add(-time.Hour) })),
+			want: []Decision{Retire{Target: "t0", Model: "a"}},
+		},
+		"idle, but expected soon": {
+			view:   scene(1, row("t0", "a", target.Ready, func(r *ledger.Row) { r.State.LastUsed = now.Add(-time.Hour) })),
+			change: func(v *View) { v.Expected = map[string]time.Time{"a": now.Add(time.Minute)} },
+		},
+		"pre-load what is expected": {
+			view:   scene(1),
+			change: func(v *View) { v.Expected = map[string]time.Time{"a": now.Add(time.Minute)} },
+			want:   []Decision{Load{Target: "t0", Model: "a", Bytes: 60, Ready: 6 * time.Second}},
+		},
+		"an expectation evicts nothing": {
+			view:   scene(1, row("t0", "b", target.Ready)),
+			change: func(v *View) { v.Expected = map[string]time.Time{"a": now.Add(time.Minute)} },
+		},
+		"failed load waits": {
+			view: scene(2, row("t0", "a", target.Failed, func(r *ledger.Row) {
+				r.State.Since, r.State.Failures = now, 9
+			})),
+			demand: []Demand{waiting("a")},
+			want: []Decision{Deny{
+				Model: "a", Reason: ReasonFailing, RetryAfter: backoff(Weigh(0.5), 9, "a"),
+			}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc.view.Demand = tc.demand
+			if tc.change != nil {
+				tc.change(tc.view)
+			}
+
+			assert.DeepEqual(t, Decide(tc.view), tc.want)
+		})
+	}
+}
+
+// TestUrgentFirst: one load may start; it must be that of the model whose
+// waiting request has the higher priority, and of equals the earlier deadline.
+func TestUrgentFirst(t *testing.T) {
+	v := scene(3)
+	v.FreeLoads = 1
+	late, early, high := waiting("a"), waiting("b"), waiting("c")
+	early.Deadline = now.Add(30 * time.Second)
+	high.Priority = 9
+	v.Demand = []Demand{late, early, high}
+
+	loads := slices.DeleteFunc(Decide(v), func(d Decision) bool {
+		_, ok := d.(Load)
+		return !ok
+	})
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].(Load).Model, "c")
+}
+
+// TestSums checks what must hold of every decision, over random situations:
+// no target's memory is overcommitted by the loads of a round, no more loads
+// start than there are shares, no model is loaded twice for one wait, and
+// nothing that runs or is waited for is retired.
+func TestSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := scene(rapid.IntRange(0, 4).Draw(t, "targets"))
+		v.FreeLoads = rapid.IntRange(0, 4).Draw(t, "loads")
+		v.FreeAdapterLoads = rapid.IntRange(0, 2).Draw(t, "adapterLoads")
+
+		names := []string{"a", "b", "c", "d", "a+", "huge", "nope"}
+		phases := []target.Phase{target.Loading, target.Ready, target.Unloading, target.Failed}
+
+		for i := range v.Targets {
+			v.Targets[i].Usable = rapid.Bool().Draw(t, "usable")
+			v.Targets[i].Lost = rapid.Bool().Draw(t, "lost")
+
+			for _, m := range names[:5] {
+				if !rapid.Bool().Draw(t, "has") {
+					continue
+				}
+
+				r := row(string(v.Targets[i].ID), m, rapid.SampledFrom(phases).Draw(t, "phase"))
+				r.Bytes, r.Base = v.Models[m].Bytes, v.Models[m].Base
+				r.State.Running = rapid.IntRange(0, 1).Draw(t, "running")
+				r.State.Retiring = rapid.Bool().Draw(t, "retiring")
+				r.State.LastUsed = now.Add(-time.Duration(rapid.IntRange(0, 7200).Draw(t, "unused")) * time.Second)
+				_, _ = v.Book.Reserve(r, v.Targets[i].Memory)
+			}
+		}
+
+		for _, m := range names {
+			if rapid.Bool().Draw(t, "demand") {
+				v.Demand = append(v.Demand, Demand{
+					Model: m, Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"), Deadline: now.Add(time.Minute),
+				})
+			}
+		}
+
+		checkRound(t, v, Decide(v))
+	})
+}
+
+func checkRound(t *rapid.T, v *View, decisions []Decision) {
+	held := make(map[instance.ID]int64)
+	loaded := make(map[string]int)
+	loads, adapters := 0, 0
+
+	for _, d := range decisions {
+		switch d := d.(type) {
+		case Load:
+			at := slices.IndexFunc(v.Targets, func(t Target) bool { return t.ID == d.Target })
+			held[d.Target] += d.Bytes
+			loaded[d.Model]++
+
+			if v.Book.Held(d.Target)+held[d.Target] > v.Targets[at].Memory {
+				t.Fatalf("%v overcommits %s", d, d.Target)
+			}
+
+			if !v.Targets[at].Usable || v.Book.Row(ledger.Key{Target: d.Target, Model: d.Model}) != nil {
+				t.Fatalf("%v cannot be ordered", d)
+			}
+
+			if d.Base == "" {
+				loads++
+			} else {
+				adapters++
+			}
+		case Retire:
+			r := v.Book.Row(ledger.Key{Target: d.Target, Model: d.Model})
+			asked := slices.ContainsFunc(v.Demand, func(dem Demand) bool { return dem.Model == d.Model })
+
+			if r.State.Running > 0 || d.For != "" && asked {
+				t.Fatalf("%v is in use", d)
+			}
+		}
+	}
+
+	for m, n := range loaded {
+		if n > 1 {
+			t.Fatalf("%d loads of %s in one round", n, m)
+		}
+	}
+
+	if loads > v.FreeLoads || adapters > v.FreeAdapterLoads {
+		t.Fatalf("%d loads and %d adapter loads, %d and %d are free", loads, adapters, v.FreeLoads, v.FreeAdapterLoads)
+	}
+}
+
+// BenchmarkDecide measures a round at 128 targets with 4,000 models and
+// adapters, a share of them in demand.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ targets, models int }{{13, 400}, {128, 4000}, {1280, 40000}} {
+		b.Run(fmt.Sprintf("targets=%d/models=%d", size.targets, size.models), func(b *testing.B) {
+			v := &View{
+				Now: now, Book: &ledger.Book{}, Models: make(map[string]weight.Checkpoint),
+				FreeLoads: 4, FreeAdapterLoads: 32, BytesPerSecond: 1e9, Terms: Weigh(0.5),
+			}
+
+			for i := range size.targets {
+				v.Targets = append(v.Targets, Target{
+					ID: instance.ID(fmt.Sprintf("t%05d", i)), Memory: 80e9, Speed: 1, Slots: 8, Usable: true,
+				})
+			}
+
+			for i := range size.models {
+				name := fmt.Sprintf("m%05d", i)
+				v.Models[name] = weight.Checkpoint{Name: name, Bytes: 10e9}
+
+				if i%5 == 0 {
+					at := string(v.Targets[i%size.targets].ID)
+					_, _ = v.Book.Reserve(row(at, name, target.Ready), 80e9)
+				}
+
+				if i%50 == 0 {
+					v.Demand = append(v.Demand, waiting(name))
+				}
+			}
+
+			b.ReportAllocs()
+
+			for b.Loop() {
+				Decide(v)
+			}
+		})
+	}
+}
