--- /dev/null
+++ b/internal/placement/cell/gate_test.go
@@ -0,0 +1,169 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+)
+
+// gate pauses what a process sends.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{}
+}
+
+func (g *gate) wait(ctx context.Context) error {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+
+	if closed == nil {
+		return nil
+	}
+
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-closed:
+		return nil
+	}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
+
+// gatedTable delays a paused process's calls until it wakes.
+type gatedTable struct {
+	table.Service
+
+	w *world
+	p *proc
+	g *gate
+}
+
+func (t gatedTable) Read(ctx context.Context, keys ...string) ([]table.Row, error) {
+	if err := t.g.wait(ctx); err != nil {
+		return nil, &table.UnavailableError{Op: "read", Err: err}
+	}
+
+	return t.Service.Read(ctx, keys...)
+}
+
+func (t gatedTable) Scan(ctx context.Context, prefix, after string, n int) ([]table.Row, error) {
+	if err := t.g.wait(ctx); err != nil {
+		return nil, &table.UnavailableError{Op: "scan", Err: err}
+	}
+
+	return t.Service.Scan(ctx, prefix, after, n)
+}
+
+func (t gatedTable) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
+	if err := t.g.wait(ctx); err != nil {
+		return 0, &table.UnavailableError{Op: "commit", Err: err}
+	}
+
+	version, err := t.Service.Commit(ctx, tx)
+	if err == nil && t.w.afterCommit != nil {
+		t.w.afterCommit(t.p, tx)
+
+		if err := t.g.wait(ctx); err != nil {
+			return 0, &table.UnavailableError{Op: "commit", Err: err}
+		}
+	}
+
+	return version, err
+}
+
+// gatedEngine delays a paused process's orders until it wakes, and bounds
+// calls as the client over TCP does.
+type gatedEngine struct {
+	target.Engine
+
+	w *world
+	p *proc
+	g *gate
+}
+
+const engineTimeout = 2 * time.Second
+
+func (e gatedEngine) Submit(ctx context.Context, o target.Order) (target.Inventory, error) {
+	if e.w.beforeOrder != nil {
+		e.w.beforeOrder(e.p, o)
+	}
+
+	if err := e.g.wait(ctx); err != nil {
+		return target.Inventory{}, err
+	}
+
+	e.w.mu.Lock()
+	e.w.orders = append(e.w.orders, sentOrder{Order: o, by: e.p.id, at: time.Now()})
+	e.w.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+
+	e.w.travel(o.ID + "there")
+
+	inv, err := e.Engine.Submit(ctx, o)
+
+	e.w.travel(o.ID + "back")
+
+	return inv, err
+}
+
+// travel takes the time of a message on its way, which its name determines.
+func (w *world) travel(name string) {
+	if w.jitter > 0 {
+		time.Sleep(time.Duration(xxhash.Sum64String(name) % uint64(w.jitter)))
+	}
+}
+
+// ordersBy returns the orders that the process sent from the time on.
+func (w *world) ordersBy(id instance.ID, after time.Time) []sentOrder {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	var out []sentOrder
+
+	for _, o := range w.orders {
+		if o.by == id && !o.at.Before(after) {
+			out = append(out, o)
+		}
+	}
+
+	return out
+}
+
+func (e gatedEngine) Inventory(ctx context.Context) (target.Inventory, error) {
+	if err := e.g.wait(ctx); err != nil {
+		return target.Inventory{}, err
+	}
+
+	inv, err := e.Engine.Inventory(ctx)
+
+	e.w.travel(time.Now().String() + string(e.p.id))
+
+	return inv, err
+}
