--- a/internal/customer/limit/home.go
+++ b/internal/customer/limit/home.go
@@ -41,10 +41,11 @@
 }
 
 // Static returns the share that each of n entries may use without a grant.
-// All static shares together are half of the limits, so that the sum holds
-// even while the entries' views of n differ by a factor of two.
+// All static shares together are a quarter of the limits, so that the sum
+// holds even while the entries' views of n differ by a factor of four. They
+// are never lent: an entry falls back on its own whenever its grant runs out.
 func Static(p plan.Plan, n int) Amount {
-	all, parts := Of(p), 2*max(1, n)
+	all, parts := Of(p), 4*max(1, n) //nolint:mnd // A quarter.
 
 	return Amount{
 		Rate:        all.Rate / float64(parts),
@@ -143,9 +144,9 @@
 	wants := a.Want
 
 	for _, o := range others {
-		free.Rate -= o.Rate
-		free.Concurrency -= o.Concurrency
-		free.Tokens -= o.Tokens
+		free.Rate -= max(o.Rate, static.Rate)
+		free.Concurrency -= max(o.Concurrency, static.Concurrency)
+		free.Tokens -= max(o.Tokens, static.Tokens)
 		wants.Rate += o.want.Rate
 		wants.Concurrency += o.want.Concurrency
 		wants.Tokens += o.want.Tokens
--- /dev/null
+++ b/internal/customer/limit/limit_test.go
@@ -0,0 +1,225 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestSumOfGrants is the story of a plan whose requests come through many
+// entries: whatever they ask for, in whichever order, all grants that have not
+// run out and the static shares of entries without one stay within the plan's
+// limits.
+func TestSumOfGrants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const entries = 8
+
+		p := plan.Plan{
+			Name: "p", Concurrency: rapid.IntRange(1, 64).Draw(t, "concurrency"),
+			RequestsPerSecond: rapid.IntRange(1, 500).Draw(t, "rate"), TokensPerMinute: 60000,
+		}
+		all, static := Of(p), Static(p, entries)
+
+		var home Home
+
+		clock := now.Add(time.Hour)
+		held := make(map[instance.ID]Amount)
+		until := make(map[instance.ID]time.Time)
+
+		for range rapid.IntRange(1, 60).Draw(t, "asks") {
+			clock = clock.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			id := instance.ID(fmt.Sprint("e", rapid.IntRange(0, entries-1).Draw(t, "entry")))
+
+			running := 0
+			if clock.Before(until[id]) {
+				running = rapid.IntRange(0, held[id].Concurrency).Draw(t, "running")
+			}
+
+			g := home.Grant(p, Ask{Entry: id, Plan: "p", Running: running, Want: Amount{
+				Rate:        rapid.Float64Range(0, 600).Draw(t, "wantRate"),
+				Concurrency: rapid.IntRange(0, 100).Draw(t, "wantConcurrency"),
+				Tokens:      rapid.Float64Range(0, 2000).Draw(t, "wantTokens"),
+			}}, entries, clock)
+			held[id], until[id] = g.Amount, clock.Add(g.For)
+
+			var sum Amount
+
+			for i := range entries {
+				e := instance.ID(fmt.Sprint("e", i))
+
+				share := static
+				if clock.Before(until[e]) {
+					share = held[e]
+				}
+
+				sum.Rate += share.Rate
+				sum.Concurrency += share.Concurrency
+				sum.Tokens += share.Tokens
+			}
+
+			const rounding = 1e-6
+
+			if sum.Concurrency > all.Concurrency || sum.Rate > all.Rate+rounding || sum.Tokens > all.Tokens+rounding {
+				t.Fatalf("lent %+v of %+v", sum, all)
+			}
+		}
+	})
+}
+
+// TestNewHome: after the membership changed, a home waits until the grants of
+// the former home have run out.
+func TestNewHome(t *testing.T) {
+	var home Home
+
+	p := plan.Plan{Name: "p", Concurrency: 10}
+	a := Ask{Entry: "e", Plan: "p", Want: Amount{Concurrency: 5}}
+
+	home.MembershipChanged(now)
+	assert.Equal(t, home.Grant(p, a, 2, now.Add(GrantFor)).For, time.Duration(0))
+	assert.Equal(t, home.Grant(p, a, 2, now.Add(GrantFor+margin)).Concurrency, 5)
+}
+
+// TestLentAndTakenBack: an idle entry's part is lent to a busy one, and is
+// back within the time of a grant.
+func TestLentAndTakenBack(t *testing.T) {
+	var home Home
+
+	p := plan.Plan{Name: "p", Concurrency: 8}
+	ask := func(id string, want, running int, at time.Duration) int {
+		a := Ask{Entry: instance.ID(id), Plan: "p", Want: Amount{Concurrency: want}, Running: running}
+
+		return home.Grant(p, a, 2, now.Add(time.Hour+at)).Concurrency
+	}
+
+	assert.Equal(t, ask("a", 8, 0, 0), 7, "all but the other's static share")
+	assert.Equal(t, ask("b", 8, 0, 500*time.Millisecond), 1, "what is left")
+	assert.Equal(t, ask("a", 8, 2, time.Second), 4, "half, since the other wants as much")
+	assert.Equal(t, ask("b", 8, 2, 1100*time.Millisecond), 4)
+}
+
+// bench is an entry's shares before a home that may be away.
+type bench struct {
+	Shares
+
+	home Home
+	plan plan.Plan
+	away bool
+}
+
+func newBench(p plan.Plan) *bench {
+	b := &bench{plan: p}
+	b.Entries = func() int { return 4 }
+	b.Ask = func(_ context.Context, a Ask) (Grant, error) {
+		if b.away {
+			return Grant{}, context.DeadlineExceeded
+		}
+
+		a.Entry = "e"
+
+		return b.home.Grant(b.plan, a, 4, time.Now()), nil
+	}
+
+	return b
+}
+
+func TestConcurrency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(plan.Plan{Name: "p", Concurrency: 16})
+
+		admitted := 0
+
+		for range 30 {
+			if _, ok := b.Admit(t.Context(), b.plan); ok {
+				admitted++
+			}
+		}
+
+		assert.Equal(t, admitted, 13, "all but the static shares of three others")
+
+		retry, ok := b.Admit(t.Context(), b.plan)
+		assert.Assert(t, !ok && retry > 0)
+
+		b.Of("p").Done(0)
+
+		_, ok = b.Admit(t.Context(), b.plan)
+		assert.Assert(t, ok)
+	})
+}
+
+// TestHomeAway is the story of a plan whose home entry has died: its requests
+// go on within the static share, and a small plan that has none waits for the
+// next home rather than being refused at once.
+func TestHomeAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(plan.Plan{Name: "p", Concurrency: 16})
+		b.away = true
+
+		_, ok := b.Admit(t.Context(), b.plan)
+		assert.Assert(t, ok)
+
+		_, ok = b.Admit(t.Context(), b.plan)
+		assert.Assert(t, !ok)
+
+		small := newBench(plan.Plan{Name: "q", Concurrency: 2})
+		small.home.MembershipChanged(time.Now())
+
+		began := time.Now()
+		_, ok = small.Admit(t.Context(), small.plan)
+		assert.Assert(t, ok)
+		assert.Assert(t, time.Since(began) <= GrantFor+200*time.Millisecond, "waited %s", time.Since(began))
+	})
+}
+
+// TestRate holds a rate against a naive count: over any ten seconds no more
+// requests are admitted than the rate and one burst allow.
+func TestRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(plan.Plan{Name: "p", RequestsPerSecond: 40})
+
+		admitted := 0
+
+		for range 2000 {
+			share := b.Of("p")
+			if v, _ := share.Admit(b.plan, 4, time.Now()); v == Allowed {
+				admitted++
+
+				share.Done(0)
+			}
+
+			b.Renew(t.Context(), plan.Restore(1, []plan.Plan{b.plan}, nil))
+			time.Sleep(5 * time.Millisecond)
+		}
+
+		assert.Assert(t, admitted <= 40*11, "%d in ten seconds", admitted)
+		assert.Assert(t, admitted >= 40*5, "%d in ten seconds", admitted)
+	})
+}
+
+func TestTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(plan.Plan{Name: "p", TokensPerMinute: 6000})
+		share := b.Of("p")
+
+		v, _ := share.Admit(b.plan, 1, time.Now())
+		assert.Equal(t, v, Allowed)
+		share.Done(5000)
+
+		v, retry := share.Admit(b.plan, 1, time.Now())
+		assert.Assert(t, v != Allowed)
+		assert.Assert(t, retry > 10*time.Second, "retry after %s", retry)
+		time.Sleep(retry + time.Second)
+
+		v, _ = share.Admit(b.plan, 1, time.Now())
+		assert.Equal(t, v, Allowed)
+	})
+}
--- /dev/null
+++ b/internal/customer/list/list_test.go
@@ -0,0 +1,221 @@
+package list
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
+)
+
+func allow(name string) plan.Change {
+	return plan.Allow{Allowance: plan.Allowance{Plan: "p", Kind: plan.Model, Name: name}}
+}
+
+// TestRace is the story of eight operators in one room who edit the same list
+// at once, each trying again after a conflict, while answers of the table are
+// lost: every edit that was accepted is there at the end, in the order of the
+// versions, and none is there twice.
+func TestRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const operators, edits = 8, 5
+
+		var (
+			p  platform.Platform
+			wg sync.WaitGroup
+		)
+
+		s := Store{Table: &p}
+
+		for o := range operators {
+			wg.Go(func() {
+				for e := range edits {
+					name := fmt.Sprintf("m-%d-%d", o, e)
+					if o%2 == 0 {
+						p.SetFaults(platform.Faults{LoseAnswers: 1, TableDelay: time.Millisecond})
+					}
+
+					for {
+						base, err := s.Version(t.Context())
+						if err != nil {
+							continue
+						}
+
+						_, err = s.Put(t.Context(), Put{
+							Base: base, WriteID: name, Author: fmt.Sprint(o), Changes: []plan.Change{allow(name)},
+						})
+						if err == nil {
+							break
+						}
+					}
+				}
+			})
+		}
+
+		wg.Wait()
+		p.SetFaults(platform.Faults{})
+
+		history, err := s.History(t.Context(), 0, 1000)
+		assert.NilError(t, err)
+		assert.Equal(t, len(history), operators*edits)
+
+		state, err := s.Load(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, state.Version(), uint64(operators*edits))
+
+		seen := make(map[string]bool)
+
+		for i, e := range history {
+			assert.Equal(t, e.Version, uint64(i+1))
+			assert.Assert(t, !seen[e.WriteID], "%s was accepted twice", e.WriteID)
+
+			seen[e.WriteID] = true
+
+			assert.Assert(t, state.Allows("p", plan.Model, e.WriteID))
+		}
+	})
+}
+
+// TestPutOutcomes lists what a put may say, with an answer lost at each step:
+// accepted, in conflict, or unknown only while the store cannot be asked.
+func TestPutOutcomes(t *testing.T) {
+	put := Put{WriteID: "w", Author: "o", Changes: []plan.Change{allow("m")}}
+
+	t.Run("conflict shows the other's edit", func(t *testing.T) {
+		s := Store{Table: &platform.Platform{}}
+		_, err := s.Put(t.Context(), Put{WriteID: "other", Author: "rival", Changes: []plan.Change{allow("n")}})
+		assert.NilError(t, err)
+
+		_, err = s.Put(t.Context(), put)
+
+		var conflict *ConflictError
+
+		assert.Assert(t, errors.As(err, &conflict))
+		assert.Equal(t, conflict.Since[0].Author, "rival")
+	})
+
+	t.Run("a repeat is harmless", func(t *testing.T) {
+		s := Store{Table: &platform.Platform{}}
+		first, err := s.Put(t.Context(), put)
+		assert.NilError(t, err)
+
+		again, err := s.Put(t.Context(), put)
+		assert.NilError(t, err)
+		assert.Equal(t, first.Version, again.Version)
+
+		resolved, err := s.Resolve(t.Context(), put)
+		assert.NilError(t, err)
+		assert.Equal(t, resolved.Version, uint64(1))
+	})
+
+	t.Run("unknown while the store is away", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := &platform.Platform{}
+			s := Store{Table: &downAfterWrite{Platform: p}}
+
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+
+			_, err := s.Put(ctx, put)
+
+			var unknown *UnknownError
+
+			assert.Assert(t, errors.As(err, &unknown))
+			p.SetFaults(platform.Faults{})
+
+			s.Table = p
+			e, err := s.Put(t.Context(), put)
+			assert.NilError(t, err)
+			assert.Equal(t, e.Version, uint64(1))
+		})
+	})
+}
+
+// downAfterWrite goes away as its first write takes effect.
+type downAfterWrite struct{ *platform.Platform }
+
+func (d *downAfterWrite) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
+	v, err := d.Platform.Commit(ctx, tx)
+	d.SetFaults(platform.Faults{TableDown: true})
+
+	if err == nil {
+		err = &table.UnavailableError{Op: "commit", Err: context.DeadlineExceeded}
+	}
+
+	return v, err
+}
+
+// TestRegisterNeverGoesBack: whatever edits and whole copies come, in whatever
+// order, the version only grows and the state is always that of its version.
+func TestRegisterNeverGoesBack(t *testing.T) {
+	const edits = 20
+
+	states := []plan.State{{}}
+	history := make([]plan.Edit, edits)
+
+	for i := range history {
+		history[i] = plan.Edit{Version: uint64(i + 1), Changes: []plan.Change{allow(fmt.Sprint(i))}}
+		states = append(states, states[i].Apply(history[i]))
+	}
+
+	rapid.Check(t, func(t *rapid.T) {
+		var r Register
+
+		last := uint64(0)
+
+		for range rapid.IntRange(1, 40).Draw(t, "messages") {
+			from := rapid.IntRange(0, edits-1).Draw(t, "from")
+			to := rapid.IntRange(from, edits).Draw(t, "to")
+
+			if rapid.Bool().Draw(t, "whole") {
+				r.Restore(states[to])
+			} else {
+				r.Apply(history[from:to])
+			}
+
+			s := r.Current()
+			if s.Version() < last {
+				t.Fatalf("version went back from %d to %d", last, s.Version())
+			}
+
+			last = s.Version()
+
+			if !slices.Equal(s.Allowances(""), states[last].Allowances("")) {
+				t.Fatalf("state is not that of version %d", last)
+			}
+
+			if after, ok := r.After(uint64(from)); ok && uint64(from) < last {
+				if after[0].Version != uint64(from+1) || after[len(after)-1].Version != last {
+					t.Fatalf("edits after %d: %d to %d", from, after[0].Version, after[len(after)-1].Version)
+				}
+			}
+		}
+	})
+}
+
+func TestChanged(t *testing.T) {
+	var r Register
+
+	changed := r.Changed()
+	r.Apply([]plan.Edit{{Version: 2}})
+
+	select {
+	case <-changed:
+		t.Fatal("a gap changes nothing")
+	default:
+	}
+
+	r.Apply([]plan.Edit{{Version: 1}, {Version: 2}})
+	<-changed
+	assert.Equal(t, r.Current().Version(), uint64(2))
+}
--- a/internal/fleet/entry/events.go
+++ b/internal/fleet/entry/events.go
@@ -21,9 +21,11 @@
 	// soon the object store has them.
 	shipEvery = 250 * time.Millisecond
 	keepEvery = 10 * time.Second
-	// shipLimit bounds the events of one copy. Under pressure the rest is
-	// shed, which shows as a gap.
+	// shipLimit and keepLimit bound the events of one copy and of one batch.
+	// Under pressure events leave the ring before they are copied, which shows
+	// as a gap.
 	shipLimit = 500
+	keepLimit = 5000
 	// eventsPrefix is where batches of events lie in the object store.
 	eventsPrefix = "events/"
 	// eventsFor is how long they are kept there.
@@ -35,34 +37,43 @@
 // shipEvents copies new events to a peer and, in larger batches, to the
 // object store, so that the last events of a killed process can be read.
 func (e *Entry) shipEvents(ctx context.Context) {
-	var (
-		shipped uint64
-		batch   []timeline.Event
-		kept    = time.Now()
-	)
+	// copied and kept are the numbers of the last events that a peer and the
+	// object store have.
+	var copied, kept uint64
 
-	every(ctx, shipEvery, func() {
-		events := e.log.After(shipped, shipLimit)
-		if len(events) > 0 {
-			shipped = events[len(events)-1].Number
-			e.copyToPeer(ctx, events)
+	keepAt := time.Now().Add(keepEvery)
 
-			batch = append(batch, events...)
+	every(ctx, shipEvery, func() {
+		if events := e.log.After(copied, shipLimit); e.copyToPeer(ctx, events) {
+			copied = last(events, copied)
 		}
 
-		if len(batch) > 0 && time.Since(kept) >= keepEvery {
-			e.keepBatch(ctx, batch)
-
-			batch, kept = nil, time.Now()
+		if time.Now().Before(keepAt) {
+			return
 		}
+
+		keepAt = time.Now().Add(keepEvery)
+		events := e.log.After(kept, keepLimit)
+		kept = last(events, kept)
+		e.keepBatch(ctx, events)
 	})
 }
 
+// last returns the highest number of the events, or fallback without events.
+func last(events []timeline.Event, fallback uint64) uint64 {
+	for _, ev := range events {
+		fallback = max(fallback, ev.Number)
+	}
+
+	return fallback
+}
+
 // copyToPeer sends copies to the next entry in this one's own order, so that
-// each entry's copies lie in one place as long as nobody comes or goes.
-func (e *Entry) copyToPeer(ctx context.Context, events []timeline.Event) {
-	if e.gate.Wait(ctx) != nil {
-		return
+// each entry's copies lie in one place as long as nobody comes or goes. It
+// reports whether a peer has them.
+func (e *Entry) copyToPeer(ctx context.Context, events []timeline.Event) bool {
+	if len(events) == 0 || e.gate.Wait(ctx) != nil {
+		return false
 	}
 
 	for _, id := range instance.Rank("events/"+string(e.cfg.ID), e.fleet.Entries()) {
@@ -71,12 +82,18 @@
 		}
 
 		if c, err := e.peer(id); err == nil && c.KeepEvents(ctx, events) == nil {
-			return
+			return true
 		}
 	}
+
+	return false
 }
 
 func (e *Entry) keepBatch(ctx context.Context, events []timeline.Event) {
+	if len(events) == 0 {
+		return
+	}
+
 	data, err := wire.EncodeEvents(events)
 	if err != nil {
 		return
@@ -90,11 +107,9 @@
 
 // flushEvents sends what is left at a graceful shutdown.
 func (e *Entry) flushEvents(ctx context.Context) {
-	last := e.log.After(0, ringTail)
-	if len(last) > 0 {
-		e.copyToPeer(ctx, last)
-		e.keepBatch(ctx, last)
-	}
+	events := e.log.After(0, ringTail)
+	e.copyToPeer(ctx, events)
+	e.keepBatch(ctx, events)
 }
 
 // ringTail is how many events are sent once more at shutdown. Copies that
--- a/internal/fleet/entry/members.go
+++ b/internal/fleet/entry/members.go
@@ -71,9 +71,17 @@
 			return
 		}
 
+		first := e.fleet.ListedAt().IsZero()
+
 		all, err := e.platform.Instances(ctx)
 		if err == nil {
 			e.fleet.List(all, time.Now())
+
+			if first {
+				// Now that the peers are known, they hear of this entry at once.
+				e.beatOnce(ctx)
+			}
+
 			e.noteLeaving(all)
 		}
 
--- /dev/null
+++ b/internal/serving/claim/claim_test.go
@@ -0,0 +1,256 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+func bookOf(p *platform.Platform, id string) *Book {
+	return &Book{Table: p, Objects: p, Entry: instance.ID(id), Process: id}
+}
+
+// TestOneWinner is the story of a courier's app that sends a stamp booking to
+// eight entries at once, while answers of the table are lost: one entry may
+// send it, and the others must find out what became of it.
+func TestOneWinner(t *testing.T) {
+	for _, lost := range []int{0, 1, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			var (
+				p    platform.Platform
+				wg   sync.WaitGroup
+				mu   sync.Mutex
+				won  []*Claim
+				seen []Outcome
+			)
+
+			books := make([]*Book, 8)
+			for i := range books {
+				books[i] = bookOf(&p, fmt.Sprint(i))
+			}
+
+			p.SetFaults(platform.Faults{LoseAnswers: lost})
+
+			for _, b := range books {
+				wg.Go(func() {
+					o, err := b.Take(t.Context(), "claim/c/k", "digest")
+					assert.Check(t, err)
+
+					mu.Lock()
+					defer mu.Unlock()
+
+					if w, ok := o.(Won); ok {
+						won = append(won, w.Claim)
+					} else {
+						seen = append(seen, o)
+					}
+				})
+			}
+
+			wg.Wait()
+			assert.Equal(t, len(won), 1)
+			assert.Equal(t, len(seen), 7)
+
+			for _, o := range seen {
+				_, ok := o.(Pending)
+				assert.Assert(t, ok, "%T", o)
+			}
+
+			answer := Answer{Status: 201, ContentType: "text/plain", Body: []byte("stamped")}
+			assert.NilError(t, books[0].Finish(t.Context(), won[0], answer))
+
+			o, err := books[3].Take(t.Context(), "claim/c/k", "digest")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, o, Answered{answer})
+
+			o, err = books[3].Take(t.Context(), "claim/c/k", "another request")
+			assert.NilError(t, err)
+			assert.DeepEqual(t, o, Different{})
+			time.Sleep(5 * time.Minute)
+		})
+	}
+}
+
+// TestTableDown is the story of a booking during an outage of the table: the
+// claim cannot be proved, so the call must not be sent. The claim's write may
+// still have taken effect; it must not block the caller's next try for ever.
+func TestTableDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p platform.Platform
+
+		b := bookOf(&p, "a")
+		slow := &late{Platform: &p, after: 10 * time.Second}
+		b.Table = slow
+
+		_, err := b.Take(t.Context(), "claim/c/k", "d")
+		assert.Assert(t, err != nil)
+
+		// The write takes effect ten seconds later.
+		time.Sleep(11 * time.Second)
+
+		_, ok := p.Row("claim/c/k")
+		assert.Assert(t, ok, "the write took effect late")
+		time.Sleep(30 * time.Second)
+
+		slow.after = 0
+
+		o, err := b.Take(t.Context(), "claim/c/k", "d")
+		assert.NilError(t, err)
+
+		_, ok = o.(Won)
+		assert.Assert(t, ok, "%T", o)
+		time.Sleep(5 * time.Minute)
+	})
+}
+
+// late lets commits take effect long after their caller gave up.
+type late struct {
+	*platform.Platform
+
+	after time.Duration
+}
+
+func (l *late) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
+	if l.after == 0 {
+		return l.Platform.Commit(ctx, tx)
+	}
+
+	time.AfterFunc(l.after, func() { _, _ = l.Platform.Commit(context.WithoutCancel(ctx), tx) })
+
+	return 0, &table.UnavailableError{Op: "commit", Err: context.DeadlineExceeded}
+}
+
+func TestStates(t *testing.T) {
+	var p platform.Platform
+
+	b := bookOf(&p, "a")
+	take := func(key string) Outcome {
+		o, err := b.Take(t.Context(), key, "d")
+		assert.NilError(t, err)
+
+		return o
+	}
+
+	// Sent, and no answer came.
+	c := take("claim/c/doubt").(Won).Claim
+	assert.NilError(t, b.Doubt(t.Context(), c))
+	assert.DeepEqual(t, take("claim/c/doubt"), Doubtful{})
+
+	// Nothing was sent: a repeat may run.
+	c = take("claim/c/none").(Won).Claim
+	assert.NilError(t, b.Withdraw(t.Context(), c))
+
+	_, ok := take("claim/c/none").(Won)
+	assert.Assert(t, ok)
+
+	_, err := b.Look(t.Context(), "claim/c/never", "d")
+	assert.Assert(t, IsWithdrawn(err))
+
+	// A large answer goes to the object store.
+	c = take("claim/c/large").(Won).Claim
+	large := Answer{Status: 200, Body: make([]byte, inlineBody+1)}
+	assert.NilError(t, b.Finish(t.Context(), c, large))
+	assert.DeepEqual(t, take("claim/c/large"), Answered{large})
+
+	row, _ := p.Row("claim/c/large")
+	assert.Assert(t, len(row.Value) < 1000)
+}
+
+// TestBatch: claims of one entry that come together share transactions, and
+// each still has its own outcome.
+func TestBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p platform.Platform
+
+		b := bookOf(&p, "a")
+		_, err := b.Take(t.Context(), "claim/c/7", "d")
+		assert.NilError(t, err)
+
+		counted := &counting{Platform: &p}
+		b.Table = counted
+
+		p.SetFaults(platform.Faults{TableDelay: 10 * time.Millisecond})
+
+		var (
+			wg  sync.WaitGroup
+			mu  sync.Mutex
+			won int
+		)
+
+		for i := range 60 {
+			wg.Go(func() {
+				o, err := b.Take(t.Context(), fmt.Sprint("claim/c/", i%30), "d")
+				assert.Check(t, err)
+
+				mu.Lock()
+				defer mu.Unlock()
+
+				if _, ok := o.(Won); ok {
+					won++
+				}
+			})
+		}
+
+		wg.Wait()
+		assert.Equal(t, won, 29)
+
+		counted.commits = 0
+
+		for i := range 64 {
+			wg.Go(func() {
+				_, err := b.Take(t.Context(), fmt.Sprint("claim/c/new-", i), "d")
+				assert.Check(t, err)
+			})
+		}
+
+		wg.Wait()
+		assert.Assert(t, counted.commits <= 4, "%d transactions for 64 claims", counted.commits)
+	})
+}
+
+type counting struct {
+	*platform.Platform
+
+	commits int
+}
+
+func (c *counting) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
+	c.commits++
+
+	return c.Platform.Commit(ctx, tx)
+}
+
+func TestSweep(t *testing.T) {
+	var p platform.Platform
+
+	b := bookOf(&p, "a")
+
+	for i := range 25 {
+		_, err := b.Take(t.Context(), fmt.Sprintf("claim/c/%02d", i), "d")
+		assert.NilError(t, err)
+	}
+
+	after, sweeps := "", 0
+	for after != "" || sweeps == 0 {
+		var err error
+		after, err = b.Sweep(t.Context(), after, 10, time.Now().Add(Retention+time.Minute))
+		assert.NilError(t, err)
+
+		sweeps++
+	}
+
+	rows, err := table.ScanAll(t.Context(), &p, record.ClaimsPrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+	assert.Equal(t, sweeps, 3)
+}
--- /dev/null
+++ b/internal/serving/dispatch/dispatch_test.go
@@ -0,0 +1,544 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+)
+
+// bench is a dispatcher before a few engines in memory, in a synctest bubble.
+type bench struct {
+	*Dispatcher
+
+	table   router.Table
+	engines []*engine.Engine
+	log     timeline.Log
+
+	mu       sync.Mutex
+	number   uint64
+	demanded int
+	noticed  []Notice
+	refresh  int
+}
+
+const model = "m"
+
+// newBench makes engines on which the model is ready.
+func newBench(t *testing.T, engines int) *bench {
+	t.Helper()
+
+	b := &bench{}
+
+	// Goroutines that end by themselves get the time for it.
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+
+	for i := range engines {
+		e := engine.New(engine.Options{
+			ID: instance.ID(fmt.Sprint("t", i)), Memory: 100, Slots: 4, Restart: time.Second,
+			FirstToken: 50 * time.Millisecond, PerToken: 10 * time.Millisecond,
+		})
+		b.engines = append(b.engines, e)
+		b.load(t, e)
+	}
+
+	b.Dispatcher = New(Config{
+		Table:  &b.table,
+		Engine: func(rt *router.Target) target.Engine { return b.engineOf(rt.ID) },
+		Probe: func(ctx context.Context, rt *router.Target) (target.Inventory, error) {
+			return b.engineOf(rt.ID).Inventory(ctx)
+		},
+		Refresh: func(*router.Target) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+
+			b.refresh++
+		},
+		Entries: func() int { return 1 },
+		CellOf:  func(string) int { return 0 },
+		Demanded: func(string) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+
+			b.demanded++
+		},
+		Noticed: func(n Notice) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+
+			b.noticed = append(b.noticed, n)
+		},
+		Log:        &b.log,
+		MaxWaiting: 64,
+	})
+	b.publish()
+
+	return b
+}
+
+func (b *bench) engineOf(id instance.ID) *engine.Engine {
+	for _, e := range b.engines {
+		if e.ID() == id {
+			return e
+		}
+	}
+
+	return nil
+}
+
+func (b *bench) load(t *testing.T, e *engine.Engine) {
+	t.Helper()
+
+	inv, _ := e.Inventory(t.Context())
+	_, err := e.Submit(t.Context(), target.Order{ID: "load/" + inv.Incarnation, Action: target.Load{Model: model}})
+	assert.NilError(t, err)
+	synctest.Wait()
+}
+
+// publish tells the router how the engines are.
+func (b *bench) publish(waits ...router.Wait) {
+	b.number++
+	s := &router.Snapshot{Token: 1, Number: b.number, Waits: waits}
+
+	for i, e := range b.engines {
+		inv, err := e.Inventory(context.Background())
+		s.Targets = append(s.Targets, router.TargetInfo{
+			ID: e.ID(), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i)), Slots: 4, Speed: 1,
+			Incarnation: inv.Incarnation, Down: err != nil,
+		})
+
+		if e.Holds(model) {
+			s.Added = append(s.Added, router.Replica{Target: e.ID(), Model: model})
+		}
+	}
+
+	b.table.Apply(s, time.Now())
+
+	if b.Dispatcher != nil {
+		b.Kick()
+	}
+}
+
+// text gathers an answer.
+type text struct{ strings.Builder }
+
+// Token implements Sink.
+func (s *text) Token(token string) error {
+	_, err := s.WriteString(token)
+
+	return err
+}
+
+var requests int
+
+func newRequest(prompt string, timeout time.Duration) *request.Request {
+	requests++
+
+	return &request.Request{
+		ID: fmt.Sprint("r", requests), EngineID: fmt.Sprint("e", requests), Customer: "c", Plan: "p", Model: model,
+		Prompt: prompt, MaxTokens: 20, Arrived: time.Now(), Deadline: time.Now().Add(timeout),
+	}
+}
+
+// do runs a request and returns its text and refusal.
+func (b *bench) do(ctx context.Context, req *request.Request) (string, *request.Refusal, error) {
+	var out text
+
+	_, err := b.Do(ctx, req, &out)
+	refusal, _ := asRefusal(err)
+
+	return out.String(), refusal, err
+}
+
+// faults are failures in the middle of an answer. In each the caller must get
+// the whole answer to its own request, each token once.
+var faults = map[string]struct {
+	engines int
+	before  func(b *bench)
+	during  func(b *bench)
+	within  time.Duration
+}{
+	"none": {engines: 2, within: time.Second},
+	// An open stream goes quiet for good, because something between the two
+	// ends has lost track of it. The caller would see an answer that stops.
+	// On a new connection the target answers, so the stream goes on there.
+	"stream goes silent": {
+		engines: 1, during: func(b *bench) { b.engines[0].Silence() }, within: 2 * time.Second,
+	},
+	// The stream ends cleanly in the middle, which looks like a short answer.
+	"stream is cut short": {
+		engines: 1, before: func(b *bench) { b.engines[0].SetFaults(engine.Faults{Truncate: true}) }, within: time.Second,
+	},
+	// The target's process dies and another target has the model.
+	"target dies": {engines: 2, during: func(b *bench) {
+		for _, e := range b.engines {
+			if _, running := e.Use(); running > 0 {
+				e.Crash()
+
+				return
+			}
+		}
+	}, within: time.Second},
+	// The only target dies and comes back, and its model is loaded again.
+	"only target dies and comes back": {engines: 1, during: func(b *bench) {
+		b.engines[0].Crash()
+		time.AfterFunc(1200*time.Millisecond, func() {
+			inv, _ := b.engines[0].Inventory(context.Background())
+			_, _ = b.engines[0].Submit(context.Background(), target.Order{
+				ID: "again/" + inv.Incarnation, Action: target.Load{Model: model},
+			})
+
+			time.AfterFunc(50*time.Millisecond, func() { b.publish() })
+		})
+	}, within: 3 * time.Second},
+	// The router's view is old: the model was unloaded a moment ago.
+	"model was unloaded": {engines: 2, before: func(b *bench) {
+		_, _ = b.engines[0].Submit(context.Background(), target.Order{ID: "u", Action: target.Unload{Model: model}})
+	}, within: time.Second},
+	// The target says that it takes no new work.
+	"target is leaving": {engines: 2, before: func(b *bench) { b.engines[0].Leave() }, within: time.Second},
+}
+
+func TestFaults(t *testing.T) {
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, f.engines)
+
+				// Teach the bounds of silence on calm streams first.
+				for range 3 {
+					_, _, err := b.do(t.Context(), newRequest("calm", time.Minute))
+					assert.NilError(t, err)
+				}
+
+				if f.before != nil {
+					f.before(b)
+				}
+
+				if f.during != nil {
+					time.AfterFunc(120*time.Millisecond, func() { f.during(b) })
+				}
+
+				began := time.Now()
+				got, _, err := b.do(t.Context(), newRequest(name, time.Minute))
+				assert.NilError(t, err)
+				assert.Equal(t, got, engine.Answer(model, name, 20))
+				assert.Assert(t, time.Since(began) < f.within, "took %s", time.Since(began))
+			})
+		})
+	}
+}
+
+// TestSwappedAnswers is the story of an engine that sends two answers to the
+// wrong requests: each caller must get its own answer, whole.
+func TestSwappedAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+
+		var wg sync.WaitGroup
+
+		for i := range 2 {
+			prompt := fmt.Sprint("prompt ", i)
+
+			wg.Go(func() {
+				got, _, err := b.do(t.Context(), newRequest(prompt, time.Minute))
+				assert.Check(t, err)
+				assert.Check(t, got == engine.Answer(model, prompt, 20), "%s got %q", prompt, got)
+			})
+			time.Sleep(70 * time.Millisecond)
+			b.engines[0].SetFaults(engine.Faults{SwapAnswers: i == 0})
+		}
+
+		wg.Wait()
+	})
+}
+
+// TestPoisonAndBystanders is the story of one request that crashes each target
+// that runs it, among others that run beside it: it is stopped after the
+// second target and refused at once when its caller sends it again. The
+// others are answered.
+func TestPoisonAndBystanders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 4)
+
+		var wg sync.WaitGroup
+
+		for i := range 8 {
+			prompt := fmt.Sprint("innocent ", i)
+
+			wg.Go(func() {
+				got, _, err := b.do(t.Context(), newRequest(prompt, time.Minute))
+				assert.Check(t, err)
+				assert.Check(t, got == engine.Answer(model, prompt, 20))
+			})
+		}
+
+		time.Sleep(80 * time.Millisecond)
+
+		_, refusal, _ := b.do(t.Context(), newRequest(engine.Poison, time.Minute))
+		assert.Assert(t, refusal != nil)
+		assert.Equal(t, refusal.Code, request.Poisoned)
+		assert.Equal(t, refusal.Run, request.MayHaveRun)
+
+		crashes := 0
+		for _, e := range b.engines {
+			crashes += e.PoisonCrashes()
+		}
+
+		assert.Equal(t, crashes, 2)
+
+		_, refusal, _ = b.do(t.Context(), newRequest(engine.Poison, time.Minute))
+		assert.Equal(t, refusal.Code, request.Poisoned)
+		assert.Equal(t, refusal.Run, request.NotRun)
+		assert.Assert(t, refusal.RetryAfter > 0)
+		wg.Wait()
+
+		poisoned := 0
+
+		for _, n := range b.noticed {
+			if n.Poisoned != 0 {
+				poisoned++
+			}
+		}
+
+		assert.Equal(t, poisoned, 1, "the peers are told once")
+	})
+}
+
+// TestRefusals lists how a request is refused that gets no target, as soon as
+// that is certain, and truthfully.
+func TestRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		wait    *router.Wait
+		timeout time.Duration
+		code    request.Code
+		within  time.Duration
+		retry   time.Duration
+	}{
+		"no replica can be had": {
+			&router.Wait{Model: model, Reason: replica.ReasonBusy, RetryAfter: 7 * time.Second},
+			time.Minute, request.Overloaded, time.Second, 7 * time.Second,
+		},
+		"no such checkpoint": {
+			&router.Wait{Model: model, Reason: replica.ReasonUnknown}, time.Minute, request.UnknownModel, time.Second, 0,
+		},
+		"the load takes longer than there is time": {
+			&router.Wait{Model: model, Ready: 30 * time.Second}, 10 * time.Second, request.TooCold, time.Second, 20 * time.Second,
+		},
+		"nobody says anything": {nil, 5 * time.Second, request.DeadlineAhead, 5100 * time.Millisecond, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 0)
+
+				if tc.wait != nil {
+					time.AfterFunc(100*time.Millisecond, func() { b.publish(*tc.wait) })
+				}
+
+				began := time.Now()
+				_, refusal, err := b.do(t.Context(), newRequest("p", tc.timeout))
+				assert.Assert(t, refusal != nil, err)
+				assert.Equal(t, refusal.Code, tc.code)
+				assert.Equal(t, refusal.Run, request.NotRun)
+				assert.Assert(t, refusal.RetryAfter >= tc.retry, "retry after %s", refusal.RetryAfter)
+				assert.Assert(t, time.Since(began) <= tc.within, "took %s", time.Since(began))
+				assert.Assert(t, b.demanded > 0)
+			})
+		})
+	}
+}
+
+// TestOldDenial is the story of a request that comes just after the holder
+// has denied the model to others: the old word must not refuse it.
+func TestOldDenial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0)
+		b.publish(router.Wait{Model: model, Reason: replica.ReasonBusy})
+		time.Sleep(100 * time.Millisecond)
+
+		began := time.Now()
+		_, refusal, _ := b.do(t.Context(), newRequest("p", 3*time.Second))
+		assert.Equal(t, refusal.Code, request.TooCold)
+		assert.Assert(t, time.Since(began) > 2*time.Second, "refused after %s", time.Since(began))
+	})
+}
+
+// TestColdStart: requests that wait for a cold model are all served once it is
+// ready, and the holder hears of the earliest deadline and their number.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		e := b.engines[0]
+		b.engines = nil
+		b.publish()
+
+		var wg sync.WaitGroup
+		for i := range 3 {
+			wg.Go(func() {
+				_, _, err := b.do(t.Context(), newRequest(fmt.Sprint(i), time.Duration(20+i)*time.Second))
+				assert.Check(t, err)
+			})
+		}
+
+		synctest.Wait()
+
+		waiting, _ := b.Report(0)
+		assert.Equal(t, len(waiting), 1)
+		assert.Equal(t, waiting[0].Waiting, 3)
+		assert.Assert(t, time.Until(waiting[0].Deadline) <= 20*time.Second)
+		assert.Equal(t, b.Waiting()["p"], 3)
+
+		b.engines = []*engine.Engine{e}
+		b.publish()
+		wg.Wait()
+
+		_, uses := b.Report(0)
+		assert.Equal(t, uses[0].Served, 3)
+	})
+}
+
+// TestCallerLeaves: when the caller goes away, the engine's slot is free at
+// once.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+
+		_, refusal, err := b.do(ctx, newRequest("p", time.Minute))
+		assert.Assert(t, refusal == nil)
+		assert.ErrorIs(t, err, context.Canceled)
+		synctest.Wait()
+
+		_, running := b.engines[0].Use()
+		assert.Equal(t, running, 0)
+	})
+}
+
+// slowSink is a caller that stops reading.
+type slowSink struct{ after int }
+
+func (s *slowSink) Token(string) error {
+	if s.after--; s.after < 0 {
+		return errors.New("write timed out")
+	}
+
+	return nil
+}
+
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+
+		_, err := b.Do(t.Context(), newRequest("p", time.Minute), &slowSink{after: 3})
+		assert.ErrorContains(t, err, "write timed out")
+		synctest.Wait()
+
+		_, running := b.engines[0].Use()
+		assert.Equal(t, running, 0)
+	})
+}
+
+// TestPlanRemoved: requests that wait are refused at once when the lists no
+// longer allow them.
+func TestPlanRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0)
+
+		time.AfterFunc(time.Second, func() {
+			b.RefuseWaiting(func(req *request.Request) *request.Refusal {
+				return request.Refuse(request.PlanRemoved, 0, req.Plan)
+			})
+		})
+
+		began := time.Now()
+		_, refusal, _ := b.do(t.Context(), newRequest("p", time.Minute))
+		assert.Equal(t, refusal.Code, request.PlanRemoved)
+		assert.Equal(t, refusal.Run, request.NotRun)
+		assert.Equal(t, time.Since(began), time.Second)
+	})
+}
+
+// TestOverload is the story of a morning with three times as many requests as
+// the targets can serve: nine tenths of the capacity must end in whole
+// answers, the queue stays bounded, and the customer with few requests gets
+// answers too.
+func TestOverload(t *testing.T) {
+	for _, factor := range []float64{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			const seconds = 30
+
+			b := newBench(t, 2)
+
+			// One answer takes about 0.35 s on a full engine, so 8 slots give
+			// this many answers a second.
+			const capacity = 8 / (0.05 + 20*0.010*1.4)
+
+			var (
+				wg       sync.WaitGroup
+				mu       sync.Mutex
+				answered = make(map[string]int)
+				refused  int
+				untrue   int
+				sent     = make(map[string]int)
+			)
+
+			gap := time.Duration(float64(time.Second) / (capacity * factor))
+
+			for n := range int(seconds * capacity * factor) {
+				req := newRequest(fmt.Sprint("overload ", n), 3*time.Second)
+
+				req.Customer = "flood"
+				if n%20 == 0 {
+					req.Customer = "few"
+				}
+
+				sent[req.Customer]++
+
+				wg.Go(func() {
+					_, refusal, err := b.do(t.Context(), req)
+
+					mu.Lock()
+					defer mu.Unlock()
+
+					switch {
+					case err == nil:
+						answered[req.Customer]++
+					case refusal != nil:
+						refused++
+
+						if refusal.Run != request.NotRun && refusal.Code == request.DeadlinePast {
+							untrue++
+						}
+					}
+				})
+				time.Sleep(gap)
+			}
+
+			wg.Wait()
+
+			total := answered["flood"] + answered["few"]
+			goodput := float64(total) / (seconds * capacity)
+			t.Logf("load %.0fx: goodput %.2f of capacity, %d answered, %d refused, %d cut at the deadline, few %d of %d",
+				factor, goodput, total, refused, untrue, answered["few"], sent["few"])
+			assert.Assert(t, goodput >= 0.9, "goodput %.2f", goodput)
+			assert.Assert(t, answered["few"]*10 >= sent["few"]*9, "few %d of %d", answered["few"], sent["few"])
+			assert.Equal(t, total+refused, sent["flood"]+sent["few"])
+		})
+	}
+}
--- a/internal/serving/dispatch/line.go
+++ b/internal/serving/dispatch/line.go
@@ -74,6 +74,10 @@
 	return got.(*line) //nolint:forcetypeassert // The map holds nothing else.
 }
 
+// answerMargin is how long before its deadline a request must have its answer,
+// so that the answer reaches the caller in time.
+const answerMargin = 50 * time.Millisecond
+
 // acquire returns a target on which the request was counted, after waiting
 // for one if need be.
 func (d *Dispatcher) acquire(ctx context.Context, req *request.Request, q router.Query) (*router.Target, bool, error) {
@@ -91,7 +95,7 @@
 	item := &queue.Item[*waiter]{
 		Customer: req.Customer,
 		Weight:   1 + req.Priority,
-		Deadline: req.Deadline.Add(-d.paceOf(req.Model).duration(req.MaxTokens)),
+		Deadline: req.Deadline.Add(-d.paceOf(req.Model).duration(req.MaxTokens) - answerMargin),
 		Value:    w,
 	}
 
--- a/internal/serving/router/router_test.go
+++ b/internal/serving/router/router_test.go
@@ -159,6 +159,7 @@
 		"full": {info: info(1, func(t *TargetInfo) { t.Slots = 1 }), prep: func(t *Target, _ *Query) { t.Begin(false) }},
 		"another suspect there": {info: info(1), prep: func(t *Target, q *Query) {
 			q.Suspect = true
+
 			t.Begin(true)
 		}},
 		"found dead": {info: info(1), prep: func(t *Target, _ *Query) { t.Died("i", now) }},
@@ -208,8 +209,10 @@
 
 // simulate serves a steady load over entries that see reports which lag, and
 // returns the time to first token of every request. choose picks a target.
-func simulate(entries int, speeds []float64, load float64, choose func([]*Target, *Query) *Target) []time.Duration {
+func simulate(speeds []float64, choose func([]*Target, *Query) *Target) []time.Duration {
 	const (
+		entries  = 8
+		load     = 0.85
 		requests = 20000
 		service  = 100 * time.Millisecond
 		lag      = 500 * time.Millisecond
@@ -308,9 +311,9 @@
 		free[at][slot] = begin.Add(took)
 		firsts = append(firsts, begin.Sub(clock)+took/2)
 
-		load := t.Own()
+		there := t.Own()
 		t.Begin(false)
-		t.Succeeded(begin.Sub(clock)+took/2, load)
+		t.Succeeded(begin.Sub(clock)+took/2, there)
 
 		busy[at]++
 
@@ -346,11 +349,11 @@
 // TestPolicyAgainstNaive: with mixed speeds, a report lag of 500 ms and eight
 // entries, the policy's time to first token must beat the naive ones.
 func TestPolicyAgainstNaive(t *testing.T) {
-	policy := p95(simulate(8, mixed, 0.85, Choose))
+	policy := p95(simulate(mixed, Choose))
 	naive := map[string]time.Duration{
-		"random":      p95(simulate(8, mixed, 0.85, random)),
-		"round robin": p95(simulate(8, mixed, 0.85, roundRobin())),
-		"least own":   p95(simulate(8, mixed, 0.85, leastOwn)),
+		"random":      p95(simulate(mixed, random)),
+		"round robin": p95(simulate(mixed, roundRobin())),
+		"least own":   p95(simulate(mixed, leastOwn)),
 	}
 
 	for name, d := range naive {
--- a/internal/standin/trial/added.go
+++ b/internal/standin/trial/added.go
@@ -30,7 +30,7 @@
 
 	direct := &wire.Client{Target: fastEngine, Address: t.addresses[len(t.addresses)-1], HTTP: client}
 
-	a := ask{key: demoKey, model: fastModel, tokens: 1}
+	a := ask{key: CallerKey, model: fastModel, tokens: 1}
 	if !t.warm(ctx, a) {
 		return h
 	}
--- a/internal/standin/trial/client.go
+++ b/internal/standin/trial/client.go
@@ -91,7 +91,7 @@
 func (t *Trial) draw(n int) ask {
 	a := ask{
 		number: n,
-		key:    []string{demoKey, nightKey}[t.rng.IntN(2)],
+		key:    []string{CallerKey, nightKey}[t.rng.IntN(2)],
 		model:  modelName(min(int(t.rng.ExpFloat64()*2.5), modelCount-1)),
 		prompt: fmt.Sprintf("request %d of seed %d", n, t.opt.Seed),
 		tokens: 4 + t.rng.IntN(maxTokens-4),
@@ -103,7 +103,7 @@
 	}
 
 	if t.rng.Float64() < serviceShare {
-		a.service, a.key = true, demoKey
+		a.service, a.key = true, CallerKey
 		a.repeat = t.rng.Float64() < repeatShare
 	}
 
--- a/internal/standin/trial/faults.go
+++ b/internal/standin/trial/faults.go
@@ -52,12 +52,9 @@
 	}
 
 	t.awaitLoad(ctx)
-	n.dead.Store(true)
-	n.Kill()
-	n.gate.Close()
-	t.platform.Remove(n.ID())
+	t.Kill(n.Entry)
 
-	_ = t.startEntry(ctx, entries)
+	_, _ = t.StartEntry(ctx, entries)
 }
 
 // awaitLoad returns when an engine is loading something, or soon.
@@ -128,7 +125,7 @@
 	go func() {
 		for range repeats {
 			a := ask{
-				number: -1, key: demoKey, model: modelName(0), prompt: "please " + engine.Poison, tokens: 4,
+				number: -1, key: CallerKey, model: modelName(0), prompt: "please " + engine.Poison, tokens: 4,
 				started: time.Now(),
 			}
 
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -53,10 +53,14 @@
 	modelBytes  = 4 * gib
 	loadSpeed   = 16 * gib
 	serviceName = "stamps"
-	demoKey     = "demo-key"
 	nightKey    = "demo-key-night"
 	// OperatorKey is the operators' key of the demo.
 	OperatorKey = "demo-operator"
+	// CallerKey is the key of the demo's first plan.
+	CallerKey = "demo-key"
+	// Model and Service are what the demo's plans may use, among others.
+	Model   = "draft-00"
+	Service = serviceName
 )
 
 // node is an entry and what keeps it running.
@@ -88,23 +92,73 @@
 	books books
 }
 
-// Run makes a trial, runs it to its end and returns its report.
-func Run(ctx context.Context, opt Options) (Report, error) {
+// Start makes a trial and returns when its entries are ready. Stop ends it.
+func Start(ctx context.Context, opt Options) (*Trial, error) {
 	t := &Trial{
 		opt:      opt,
 		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Seed)), //nolint:gosec // A reproducible load.
 		platform: &platform.Platform{},
 		weights:  &engine.Weights{BytesPerSecond: loadSpeed, Concurrent: 4}, //nolint:mnd // As the brief says.
 	}
-	defer t.stop()
 
-	if err := t.start(ctx); err != nil {
-		return Report{}, err
+	err := t.start(ctx)
+	if err == nil {
+		err = t.awaitReady(ctx)
 	}
 
-	if err := t.awaitReady(ctx); err != nil {
+	if err != nil {
+		t.Stop()
+
+		return nil, err
+	}
+
+	return t, nil
+}
+
+// Entries returns the entries that were started, in their order.
+func (t *Trial) Entries() []*entry.Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	out := make([]*entry.Entry, len(t.nodes))
+	for i, n := range t.nodes {
+		out[i] = n.Entry
+	}
+
+	return out
+}
+
+// Platform returns the platform's stand-in.
+func (t *Trial) Platform() *platform.Platform { return t.platform }
+
+// Engines returns the engines' stand-ins.
+func (t *Trial) Engines() []*engine.Engine { return t.engines }
+
+// Services returns the services' stand-ins.
+func (t *Trial) Services() []*service.Service { return t.services }
+
+// Kill ends an entry at once, and takes it off the list.
+func (t *Trial) Kill(e *entry.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, n := range t.nodes {
+		if n.Entry == e {
+			n.dead.Store(true)
+			n.Kill()
+			n.gate.Close()
+			t.platform.Remove(n.ID())
+		}
+	}
+}
+
+// Run makes a trial, runs it to its end and returns its report.
+func Run(ctx context.Context, opt Options) (Report, error) {
+	t, err := Start(ctx, opt)
+	if err != nil {
 		return Report{}, err
 	}
+	defer t.Stop()
 
 	t.load(ctx)
 
@@ -161,7 +215,7 @@
 	}
 
 	for i := range entries {
-		if err := t.startEntry(ctx, i); err != nil {
+		if _, err := t.StartEntry(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -256,7 +310,7 @@
 func (t *Trial) fillLists(ctx context.Context) error {
 	changes := []plan.Change{
 		plan.SetPlan{Plan: plan.Plan{
-			Name: "day", Customer: "platero", Keys: []plan.KeyHash{plan.HashKey(demoKey)}, Concurrency: 200,
+			Name: "day", Customer: "platero", Keys: []plan.KeyHash{plan.HashKey(CallerKey)}, Concurrency: 200,
 			RequestsPerSecond: 2000, Priority: 5, RequestTimeout: 10 * time.Second, OnRemoval: plan.FinishRunning,
 		}},
 		plan.SetPlan{Plan: plan.Plan{
@@ -284,7 +338,8 @@
 	return err
 }
 
-func (t *Trial) startEntry(ctx context.Context, i int) error {
+// StartEntry starts one more entry.
+func (t *Trial) StartEntry(ctx context.Context, i int) (*entry.Entry, error) {
 	free := netip.MustParseAddrPort("127.0.0.1:0")
 	gate := &Gate{}
 
@@ -313,7 +368,7 @@
 		Shutdown: 10 * time.Second,
 	}, t.opt.Logger, entry.WithGate(gate))
 	if err != nil {
-		return err
+		return nil, err
 	}
 
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -333,7 +388,19 @@
 	t.nodes = append(t.nodes, n)
 	t.mu.Unlock()
 
-	return nil
+	return e, nil
+}
+
+// Shutdown tells an entry to shut down gracefully.
+func (t *Trial) Shutdown(e *entry.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, n := range t.nodes {
+		if n.Entry == e {
+			n.cancel()
+		}
+	}
 }
 
 // NotReadyError says that the entries did not become ready.
@@ -385,7 +452,8 @@
 	return nil
 }
 
-func (t *Trial) stop() {
+// Stop ends everything that the trial started.
+func (t *Trial) Stop() {
 	t.mu.Lock()
 	nodes := t.nodes
 	t.mu.Unlock()
