test: hold the wire, the clocks, the files and the separate processes

Cause: what crosses a process had no test. Writing them found that times in the peers' messages lost their fractions of a second (the codec's default), and that request, a package of decisions, imported net/http for status numbers. A script runs two entries and three stand-ins as processes of their own, kills the holder and reads the dead one's story from its peer.

--- /dev/null
+++ b/fetch_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// fetch is the script command "fetch URL [BODY [HEADER=VALUE…]]". It writes
+// the answer to the file answer.
+func fetch(ts *testscript.TestScript, neg bool, args []string) {
+	body, status, err := get(args)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("answer"), body, 0o600))
+
+	if ok := status < http.StatusBadRequest; ok == neg {
+		ts.Fatalf("%s answered %d: %s", args[0], status, body)
+	}
+}
+
+// await is the script command "await URL". It waits until the answer is a
+// success.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	for range 300 {
+		if _, status, err := get(args); err == nil && status == http.StatusOK {
+			return
+		}
+
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	ts.Fatalf("%s: no success", args[0])
+}
+
+func get(args []string) ([]byte, int, error) {
+	method, body := http.MethodGet, ""
+	if len(args) > 1 {
+		method, body = http.MethodPost, args[1]
+	}
+
+	req, err := http.NewRequest(method, args[0], bytes.NewBufferString(body))
+	if err != nil {
+		return nil, 0, err
+	}
+
+	req.Header.Set("Authorization", "Bearer demo-key")
+
+	for _, h := range args[min(2, len(args)):] {
+		name, value, _ := strings.Cut(h, "=")
+		req.Header.Set(name, value)
+	}
+
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+
+	data, err := io.ReadAll(resp.Body)
+
+	return data, resp.StatusCode, err
+}
--- a/internal/fleet/entry/entry_test.go
+++ b/internal/fleet/entry/entry_test.go
@@ -79,7 +79,7 @@
 	assert.Equal(t, len(models.Models), 20)
 
 	req := openai.ChatCompletionRequest{
-		Model: trial.Model, MaxTokens: 7,
+		Model: trial.Model, MaxCompletionTokens: 7,
 		Messages: []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "which mark is this?"}},
 	}
 	want := engine.Answer(trial.Model, "user: which mark is this?\n", 7)
@@ -93,7 +93,7 @@
 	stream, err := client.CreateChatCompletionStream(t.Context(), req)
 	assert.NilError(t, err)
 
-	defer stream.Close()
+	t.Cleanup(func() { _ = stream.Close() })
 
 	var text string
 
@@ -255,7 +255,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 
-	defer l.Close()
+	t.Cleanup(func() { _ = l.Close() })
 
 	var (
 		mu    sync.Mutex
--- /dev/null
+++ b/internal/fleet/peer/set_test.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func after(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+
+func newSet() *Set { return &Set{Self: "a", Terms: DefaultTerms()} }
+
+func TestEntries(t *testing.T) {
+	s := newSet()
+	assert.DeepEqual(t, s.Entries(), []instance.ID{"a"})
+
+	s.Hear(Status{ID: "c"}, now)
+	s.Hear(Status{ID: "b"}, after(1))
+	assert.DeepEqual(t, s.Entries(), []instance.ID{"a", "b", "c"})
+
+	s.Refresh(after(3))
+	assert.DeepEqual(t, s.Entries(), []instance.ID{"a", "b"})
+	assert.Equal(t, len(s.Statuses(after(3))), 1)
+
+	s.Hear(Status{ID: "b", Draining: true}, after(3))
+	assert.DeepEqual(t, s.Entries(), []instance.ID{"a"})
+}
+
+// TestGone is the story of a list that lags: an instance counts as gone only
+// when it has been missing for longer than the lag, also if it was never seen.
+func TestGone(t *testing.T) {
+	s := newSet()
+	assert.Assert(t, !s.Gone("x", after(999)), "the list was never read")
+
+	x := instance.Instance{ID: "x", Role: instance.Engine}
+	s.List([]instance.Instance{x}, now)
+	assert.Assert(t, !s.Gone("x", after(999)))
+
+	s.List(nil, after(10))
+	assert.Assert(t, !s.Gone("x", after(20)))
+	assert.Assert(t, s.Gone("x", after(21)))
+	assert.Assert(t, !s.Gone("y", after(10)), "never seen, and the list was first read ten seconds ago")
+	assert.Assert(t, s.Gone("y", after(11)))
+
+	s.List([]instance.Instance{x}, after(22))
+	assert.Assert(t, !s.Gone("x", after(99)))
+}
+
+// TestSettled lists what proves that a former holder has no order in hand.
+func TestSettled(t *testing.T) {
+	taken := after(10)
+	listed := []instance.Instance{{ID: "b", Role: instance.Entry}}
+
+	for name, tc := range map[string]struct {
+		hear *Status
+		at   time.Time
+		list []instance.Instance
+		want bool
+	}{
+		"not heard":                       {list: listed},
+		"heard before the take-over":      {hear: &Status{ID: "b", Process: "p"}, at: after(9), list: listed},
+		"still believes to hold":          {hear: &Status{ID: "b", Process: "p", Leases: []Lease{{Cell: 3, Token: 1}}}, at: after(11), list: listed},
+		"has an order in hand":            {hear: &Status{ID: "b", Process: "p", OrdersInHand: []int{3}}, at: after(11), list: listed},
+		"has one for another cell":        {hear: &Status{ID: "b", Process: "p", OrdersInHand: []int{4}}, at: after(11), list: listed, want: true},
+		"says that it is done":            {hear: &Status{ID: "b", Process: "p"}, at: after(11), list: listed, want: true},
+		"another process on the instance": {hear: &Status{ID: "b", Process: "q", Leases: []Lease{{Cell: 3}}}, at: after(11), list: listed, want: true},
+		"off the list":                    {want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSet()
+			s.List(tc.list, now)
+
+			if tc.hear != nil {
+				s.Hear(*tc.hear, tc.at)
+			}
+
+			assert.Equal(t, s.Settled("b", "p", 3, taken, after(12)), tc.want)
+		})
+	}
+}
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -188,7 +188,7 @@
 		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
 
-	c.w.WriteHeader(r.Status())
+	c.w.WriteHeader(caller.Status(r))
 	_, _ = c.w.Write(caller.EncodeRefusal(r))
 }
 
--- a/internal/serving/request/request.go
+++ b/internal/serving/request/request.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,21 +78,6 @@
 	DeadlinePast  Code = "deadlinePassed"
 )
 
-// statuses maps codes to HTTP statuses. What is missing is 503.
-var statuses = map[Code]int{
-	BadRequest:   http.StatusBadRequest,
-	KeyMissing:   http.StatusBadRequest,
-	Unauthorized: http.StatusUnauthorized,
-	NotAllowed:   http.StatusForbidden,
-	PlanRemoved:  http.StatusForbidden,
-	UnknownModel: http.StatusNotFound,
-	KeyConflict:  http.StatusConflict,
-	InDoubt:      http.StatusConflict,
-	TooLarge:     http.StatusRequestEntityTooLarge,
-	Limited:      http.StatusTooManyRequests,
-	DeadlinePast: http.StatusGatewayTimeout,
-}
-
 // Refusal is the final answer to a request that gets no other.
 type Refusal struct { //nolint:errname // A refusal is an answer first.
 	Code Code
@@ -108,15 +92,6 @@
 	return fmt.Sprintf("refused: %s, %s: %s", e.Code, e.Run, e.Message)
 }
 
-// Status returns the HTTP status of the refusal.
-func (e *Refusal) Status() int {
-	if s, ok := statuses[e.Code]; ok {
-		return s
-	}
-
-	return http.StatusServiceUnavailable
-}
-
 // Refuse returns a refusal of a request that was never sent.
 func Refuse(code Code, retryAfter time.Duration, message string) *Refusal {
 	return &Refusal{Code: code, Run: NotRun, RetryAfter: retryAfter, Message: message}
--- a/internal/wire/peer/codec.go
+++ b/internal/wire/peer/codec.go
@@ -22,6 +22,16 @@
 
 const prefixLen = 4
 
+// encoding keeps times exact to the nanosecond.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+
+	return mode
+}()
+
 // FrameSizeError says that a message is larger than MaxFrame.
 type FrameSizeError struct{ Size uint64 }
 
@@ -119,7 +129,7 @@
 }
 
 func (f *frames) writeFrame(v any) error {
-	data, err := cbor.Marshal(v)
+	data, err := encoding.Marshal(v)
 	if err != nil {
 		return err
 	}
