--- a/internal/serving/gateway/service.go
+++ b/internal/serving/gateway/service.go
@@ -173,7 +173,9 @@
 			}
 
 			if !pause(ctx, try) {
-				g.refuse(s.call, inDoubt(time.Second))
+				if !errors.Is(ctx.Err(), context.Canceled) {
+					g.refuse(s.call, inDoubt(time.Second))
+				}
 
 				return
 			}
--- a/internal/wire/document/document_test.go
+++ b/internal/wire/document/document_test.go
@@ -31,7 +31,7 @@
 		doc, err := Encode(l, state)
 		assert.NilError(t, err)
 
-		again := plan.State{}
+		var again plan.State
 
 		if l == Plans {
 			version, plans, err := DecodePlans(doc)
