feat: keep and pre-load models by what a wait is worth

Cause: idle replicas stayed for a fixed time and nothing was loaded ahead of its use; models that sat idle overnight met the morning cold.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -278,6 +278,7 @@
 		Send:           e.sendSnapshot,
 		Nudge:          e.nudge,
 		Lists:          e.lists.Current,
+		Objects:        e.platform,
 		Log:            &e.log,
 		Logger:         e.logger,
 		Terms:          e.cfg.Lease,
--- a/internal/placement/cell/cell.go
+++ b/internal/placement/cell/cell.go
@@ -23,6 +23,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/platform/object"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
@@ -52,15 +53,13 @@
 	Nudge func(to instance.ID, cell int)
 	// Lists returns the lists in force.
 	Lists func() plan.State
-	// Expected tells when models are expected to be used next. Nil means that
-	// nothing is expected.
-	Expected func(now time.Time) map[string]time.Time
-	// Used records a model's use, for Expected. Nil means that nobody asks.
-	Used   func(model string, now time.Time)
-	Log    *timeline.Log
-	Logger zerolog.Logger
-	Terms  lease.Terms
-	Policy replica.Terms
+	// Objects keeps the models' histories over changes of the holder. Nil
+	// means that there are none, and idle replicas stay for a fixed time.
+	Objects object.Store
+	Log     *timeline.Log
+	Logger  zerolog.Logger
+	Terms   lease.Terms
+	Policy  replica.Terms
 	// Loads and AdapterLoads are how many loads the cell may have in flight.
 	Loads, AdapterLoads int
 	// BytesPerSecond is the assumed speed of a remote load until some were
--- a/internal/placement/cell/tenure.go
+++ b/internal/placement/cell/tenure.go
@@ -42,6 +42,7 @@
 	loadTime rate
 	waits    []router.Wait
 	feed     feed
+	past     past
 	// urgent asks for a publication at once.
 	urgent bool
 }
@@ -72,6 +73,10 @@
 func (t *tenure) start() {
 	t.wg.Go(t.run)
 	t.wg.Go(t.refreshModels)
+
+	if t.cfg.Objects != nil {
+		t.wg.Go(t.keepPast)
+	}
 }
 
 // stop ends the tenure and waits until no order of it is in hand.
@@ -198,11 +203,11 @@
 	t.asks.Take(r, now)
 
 	for _, d := range r.Waiting {
-		t.used(d.Model, now, d.Waiting)
+		t.past.used(d.Model, now, d.Waiting)
 	}
 
 	for _, u := range r.Uses {
-		t.used(u.Model, now, u.Running+u.Served)
+		t.past.used(u.Model, now, u.Running+u.Served)
 
 		if row := t.book.Row(u.Key); row != nil && u.Running+u.Served > 0 {
 			row.State.LastUsed = now
@@ -212,12 +217,6 @@
 	t.poke()
 }
 
-func (t *tenure) used(model string, now time.Time, n int) {
-	if n > 0 && t.cfg.Used != nil {
-		t.cfg.Used(model, now)
-	}
-}
-
 // round looks at the targets, decides, acts and publishes, once.
 func (t *tenure) round() {
 	now := time.Now()
@@ -263,8 +262,9 @@
 		Terms:            t.cfg.Policy,
 	}
 
-	if t.cfg.Expected != nil {
-		v.Expected = t.cfg.Expected(now)
+	if t.past.known {
+		v.Forecast = &t.past.book
+		v.Candidates = t.past.candidates(now, t.cfg.Policy.Worth)
 	}
 
 	for _, p := range t.cfg.Lists().Plans() {
--- /dev/null
+++ b/internal/placement/history/history_test.go
@@ -0,0 +1,117 @@
+package history
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// monday is a Monday at midnight.
+var monday = time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+
+func at(day int, clock time.Duration) time.Time { return monday.AddDate(0, 0, day).Add(clock) }
+
+// TestMornings: a model that is used every workday at nine is expected shortly
+// before nine on the next, not at noon, and not on a Saturday.
+func TestMornings(t *testing.T) {
+	var b Book
+
+	for day := range 12 {
+		if kindOf(dayOf(at(day, 0))) == 0 {
+			for n := range 10 {
+				b.Used("m", at(day, 9*time.Hour+time.Duration(n)*time.Minute))
+			}
+		}
+	}
+
+	const ahead = time.Minute
+
+	rate := func(day int, clock time.Duration) float64 { return b.Rate("m", at(day, clock), ahead) }
+	before, noon, saturday := rate(14, 8*time.Hour+59*time.Minute+30*time.Second), rate(14, 12*time.Hour), rate(19, 9*time.Hour)
+	assert.Assert(t, before > 100*noon, "before nine %g, at noon %g", before, noon)
+	assert.Assert(t, before > 100*saturday, "on Monday %g, on Saturday %g", before, saturday)
+	assert.Equal(t, b.Rate("never", monday, ahead), 0.0)
+}
+
+// TestSessions: in the middle of a session the next use is expected soon, and
+// the longer the silence, the less.
+func TestSessions(t *testing.T) {
+	var b Book
+
+	clock := monday
+
+	for session := range 20 {
+		for range 15 {
+			clock = clock.Add(20 * time.Second)
+			b.Used("m", clock)
+		}
+
+		clock = clock.Add(time.Duration(3+session%5) * time.Hour)
+	}
+
+	const ahead = 15 * time.Second
+
+	last := b.models["m"].last
+	soon := b.gapRate(b.models["m"], 10*time.Second, ahead)
+	later := b.gapRate(b.models["m"], 20*time.Minute, ahead)
+	assert.Assert(t, soon > 20*later, "%g, %g", soon, later)
+	assert.Assert(t, b.Rate("m", last.Add(10*time.Second), ahead) >= soon)
+}
+
+// TestFewUses: a model with a single use leans on the experience of others.
+func TestFewUses(t *testing.T) {
+	var b Book
+
+	for i := range 50 {
+		clock := monday
+		for range 10 {
+			clock = clock.Add(30 * time.Second)
+			b.Used(fmt.Sprint(i), clock)
+		}
+	}
+
+	b.Used("new", monday)
+	assert.Assert(t, b.Rate("new", monday.Add(10*time.Second), 15*time.Second) > 0.01)
+}
+
+func TestSaveAndRestore(t *testing.T) {
+	var b Book
+
+	for day := range 9 {
+		b.Used("a", at(day, 9*time.Hour))
+		b.Used("b/with:odd.name", at(day, 15*time.Hour))
+	}
+
+	data := b.Save()
+	assert.Assert(t, len(data) < 2*500+200, "%d bytes", len(data))
+
+	var got Book
+
+	assert.NilError(t, got.Restore(data))
+	assert.Equal(t, got.Len(), 2)
+
+	for _, name := range []string{"a", "b/with:odd.name"} {
+		for _, clock := range []time.Duration{0, 9 * time.Hour, 15 * time.Hour} {
+			assert.Equal(t, got.Rate(name, at(9, clock), time.Minute), b.Rate(name, at(9, clock), time.Minute))
+		}
+	}
+
+	var format *FormatError
+
+	assert.Assert(t, errors.As(got.Restore(data[:len(data)-1]), &format))
+	assert.Assert(t, errors.As(got.Restore([]byte("nonsense that is long enough for a header of a saved book, which has a hundred bytes or so")), &format))
+}
+
+func TestCandidates(t *testing.T) {
+	var b Book
+
+	for day := range 5 {
+		b.Used("morning", at(day, 9*time.Hour))
+		b.Used("evening", at(day, 20*time.Hour))
+	}
+
+	assert.DeepEqual(t, b.Candidates(at(7, 9*time.Hour-time.Minute), 2*time.Minute, 1e-4), []string{"morning"})
+}
--- /dev/null
+++ b/internal/placement/history/save.go
@@ -0,0 +1,116 @@
+package history
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// formatVersion begins a saved book.
+const formatVersion = 1
+
+// header begins a saved book.
+type header struct {
+	Version uint32
+	Models  uint32
+	Pooled  [gapBuckets]float32
+}
+
+// saved is one model of a saved book, after its name.
+type saved struct {
+	Gaps  [gapBuckets]float32
+	Slots [dayKinds][daySlots]uint8
+	Today [daySlots]bool
+	Day   int64
+	// Last is in milliseconds since 1970; zero means never.
+	Last int64
+}
+
+// FormatError says that a saved book cannot be read.
+type FormatError struct{ Reason string }
+
+func (e *FormatError) Error() string { return "history: " + e.Reason }
+
+// Save returns the book as bytes, about 400 a model.
+func (b *Book) Save() []byte {
+	var buf bytes.Buffer
+
+	write := func(v any) { _ = binary.Write(&buf, binary.LittleEndian, v) }
+	write(header{Version: formatVersion, Models: uint32(len(b.models)), Pooled: b.pooled}) //nolint:gosec // Bounded.
+
+	for _, name := range slices.Sorted(maps.Keys(b.models)) {
+		m := b.models[name]
+		write(uint16(len(name))) //nolint:gosec // Names are checked to be short.
+		buf.WriteString(name)
+
+		s := saved{Gaps: m.gaps, Slots: m.slots, Today: m.today, Day: m.day}
+		if !m.last.IsZero() {
+			s.Last = m.last.UnixMilli()
+		}
+
+		write(s)
+	}
+
+	return buf.Bytes()
+}
+
+// Restore adds what was saved, for models of which the book knows nothing.
+func (b *Book) Restore(data []byte) error {
+	r := bytes.NewReader(data)
+
+	var h header
+	if err := binary.Read(r, binary.LittleEndian, &h); err != nil {
+		return &FormatError{Reason: err.Error()}
+	}
+
+	if h.Version != formatVersion {
+		return &FormatError{Reason: fmt.Sprintf("version %d", h.Version)}
+	}
+
+	models := make(map[string]*Model)
+
+	for range h.Models {
+		name, m, err := readModel(r)
+		if err != nil {
+			return &FormatError{Reason: err.Error()}
+		}
+
+		models[name] = m
+	}
+
+	maps.Copy(models, b.models)
+	b.models = models
+
+	for i := range h.Pooled {
+		b.pooled[i] += h.Pooled[i]
+	}
+
+	return nil
+}
+
+func readModel(r *bytes.Reader) (string, *Model, error) {
+	var n uint16
+	if err := binary.Read(r, binary.LittleEndian, &n); err != nil {
+		return "", nil, err
+	}
+
+	name := make([]byte, n)
+	if err := binary.Read(r, binary.LittleEndian, name); err != nil {
+		return "", nil, err
+	}
+
+	var s saved
+	if err := binary.Read(r, binary.LittleEndian, &s); err != nil {
+		return "", nil, err
+	}
+
+	m := &Model{gaps: s.Gaps, slots: s.Slots, today: s.Today, day: s.Day}
+	if s.Last != 0 {
+		m.last = time.UnixMilli(s.Last)
+	}
+
+	return string(name), m, nil
+}
--- a/internal/placement/replica/best.go
+++ b/internal/placement/replica/best.go
@@ -228,17 +228,21 @@
 // the model again, weighted by how soon it is expected to be used.
 func (d *decider) loss(t *Target, r *ledger.Row) float64 {
 	reload := d.duration(d.Models[r.Model], tierOf(t, r.Model)).Seconds()
-	if at, ok := d.Expected[r.Model]; ok {
-		return reload * soon(at.Sub(d.Now))
+	if d.Forecast == nil {
+		return reload * soon(d.Now.Sub(r.State.LastUsed))
 	}
 
-	return reload * soon(d.Now.Sub(r.State.LastUsed))
+	// The expected uses in the time that an eviction saves.
+	uses := d.Forecast.Rate(r.Model, d.Now, halfLife) * halfLife.Seconds()
+
+	return reload * uses / (1 + uses)
 }
 
+// halfLife is over what time the loss of a replica is weighed.
+const halfLife = 10 * time.Minute
+
 // soon falls from one to zero as the next use lies further ahead.
 func soon(d time.Duration) float64 {
-	const halfLife = 10 * time.Minute
-
 	return 1 / (1 + float64(max(0, d))/float64(halfLife))
 }
 
--- a/internal/placement/replica/decide_test.go
+++ b/internal/placement/replica/decide_test.go
@@ -44,6 +44,11 @@
 	return v
 }
 
+// rates is a forecast that never changes.
+type rates map[string]float64
+
+func (r rates) Rate(model string, _ time.Time, _ time.Duration) float64 { return r[model] }
+
 func row(t, model string, phase target.Phase, change ...func(*ledger.Row)) ledger.Row {
 	r := ledger.Row{
 		Key: ledger.Key{Target: instance.ID(t), Model: model}, Bytes: 60, Version: 1,
@@ -162,16 +167,21 @@
 		},
 		"idle, but expected soon": {
 			view:   scene(1, row("t0", "a", target.Ready, func(r *ledger.Row) { r.State.LastUsed = now.Add(-time.Hour) })),
-			change: func(v *View) { v.Expected = map[string]time.Time{"a": now.Add(time.Minute)} },
+			change: func(v *View) { v.Forecast = rates{"a": 0.01} },
+		},
+		"not expected soon": {
+			view:   scene(1, row("t0", "a", target.Ready)),
+			change: func(v *View) { v.Forecast = rates{"a": 0.0001} },
+			want:   []Decision{Retire{Target: "t0", Model: "a"}},
 		},
 		"pre-load what is expected": {
 			view:   scene(1),
-			change: func(v *View) { v.Expected = map[string]time.Time{"a": now.Add(time.Minute)} },
+			change: func(v *View) { v.Forecast, v.Candidates = rates{"a": 0.01}, []string{"a", "b"} },
 			want:   []Decision{Load{Target: "t0", Model: "a", Bytes: 60, Ready: 6 * time.Second}},
 		},
 		"an expectation evicts nothing": {
 			view:   scene(1, row("t0", "b", target.Ready)),
-			change: func(v *View) { v.Expected = map[string]time.Time{"a": now.Add(time.Minute)} },
+			change: func(v *View) { v.Forecast, v.Candidates = rates{"a": 0.01, "b": 0.01}, []string{"a"} },
 		},
 		"failed load waits": {
 			view: scene(2, row("t0", "a", target.Failed, func(r *ledger.Row) {
--- a/internal/placement/replica/idle.go
+++ b/internal/placement/replica/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -21,14 +20,43 @@
 	d.out = append(d.out, Retire{Target: k.Target, Model: k.Model, For: forModel})
 }
 
+// Hysteresis: a replica is loaded ahead of its use only if that is worth more
+// than it costs, and unloaded only if keeping it is worth less, so that a
+// model at the border does not come and go.
+const (
+	worthLoading = 1.25
+	worthKeeping = 0.8
+)
+
+// value returns what a loaded replica is worth a second, in accelerators: how
+// often it is expected to save somebody the wait for a load, and how much of
+// an accelerator that wait is worth. It looks as far ahead as the load takes.
+func (d *decider) value(model string, load time.Duration) float64 {
+	const slack = 10 * time.Second
+
+	return d.Forecast.Rate(model, d.Now, load+slack) * load.Seconds() * d.Terms.Worth
+}
+
+// cost returns what an idle replica costs a second: its share of the
+// accelerator's memory.
+func cost(bytes, memory int64) float64 { return float64(bytes) / float64(max(1, memory)) }
+
 // preLoad loads models ahead of their expected use. It takes free memory
 // only: an expectation never evicts anything.
 func (d *decider) preLoad() {
-	for _, model := range slices.Sorted(maps.Keys(d.Expected)) {
-		ahead := d.Expected[model].Sub(d.Now)
+	if d.Forecast == nil {
+		return
+	}
 
+	memory := d.largestMemory()
+
+	for _, model := range slices.Sorted(slices.Values(d.Candidates)) {
 		cp, known := d.Models[model]
-		if !known || d.demanded[model] || ahead > d.Terms.PreLoad+d.duration(cp, target.TierRemote) || ahead < -d.Terms.KeepAlive {
+		if !known || d.demanded[model] {
+			continue
+		}
+
+		if d.value(model, d.duration(cp, target.TierRemote)) < worthLoading*cost(cp.Bytes, memory) {
 			continue
 		}
 
@@ -42,6 +70,15 @@
 	}
 }
 
+func (d *decider) largestMemory() int64 {
+	var most int64
+	for i := range d.Targets {
+		most = max(most, d.Targets[i].Memory)
+	}
+
+	return most
+}
+
 // retireIdle unloads replicas whose next use is too far away, the failed ones
 // whose wait is over, and replicas beyond the first that are no longer needed.
 func (d *decider) retireIdle() {
@@ -78,15 +115,25 @@
 	}
 
 	unused := d.Now.Sub(r.State.LastUsed)
-	if unused < minResidence {
+
+	switch {
+	case unused < minResidence:
+		return false
+	case d.Forecast == nil:
+		return unused >= d.Terms.KeepAlive
+	case d.Now.Sub(r.State.Since) < minResidence:
 		return false
 	}
 
-	if at, ok := d.Expected[r.Model]; ok && d.Now.Before(at.Add(d.Terms.KeepAlive)) && at.Sub(d.Now) <= d.Terms.KeepAhead {
+	at, ok := d.find(r)
+	if !ok {
 		return false
 	}
 
-	return unused >= d.Terms.KeepAlive
+	t := &d.Targets[at]
+	load := d.duration(d.Models[r.Model], tierOf(t, r.Model))
+
+	return d.value(r.Model, load) < worthKeeping*cost(r.Bytes, t.Memory)
 }
 
 // minResidence keeps a replica that was just loaded from being unloaded
--- a/internal/placement/replica/replica.go
+++ b/internal/placement/replica/replica.go
@@ -43,14 +43,12 @@
 
 // Terms are the times and bounds of the policy. See Weigh.
 type Terms struct {
-	// KeepAlive is how long an idle replica stays loaded when nothing is
-	// known about its next use.
+	// Worth is how many seconds of one idle accelerator a second of a caller's
+	// wait for a cold model is worth.
+	Worth float64
+	// KeepAlive is how long an idle replica stays loaded when there is no
+	// forecast.
 	KeepAlive time.Duration
-	// PreLoad is how far ahead of an expected use a model is loaded.
-	PreLoad time.Duration
-	// KeepAhead is the longest expected idle time through which a replica
-	// stays loaded.
-	KeepAhead time.Duration
 	// ScaleUp is the use of slots above which another replica is loaded.
 	ScaleUp float64
 	// LoadsPerHour bounds the loads on one target.
@@ -59,6 +57,13 @@
 	RetryBase, RetryMax time.Duration
 }
 
+// Forecast tells how models are expected to be used.
+type Forecast interface {
+	// Rate returns how many uses a second a model may be expected to get at
+	// its busiest moment between now and ahead from now.
+	Rate(model string, now time.Time, ahead time.Duration) float64
+}
+
 // View is all that a decision depends on.
 type View struct {
 	Now time.Time
@@ -67,9 +72,11 @@
 	Book    *ledger.Book
 	Models  map[string]weight.Checkpoint
 	Demand  []Demand
-	// Expected tells when a model is expected to be used next. Models that
-	// are missing have no expectation.
-	Expected map[string]time.Time
+	// Forecast is nil when nothing is known of the models' use.
+	Forecast Forecast
+	// Candidates are the models that are worth a look for loading ahead of
+	// their use.
+	Candidates []string
 	// FreeLoads and FreeAdapterLoads are how many more loads of each kind may
 	// start now.
 	FreeLoads, FreeAdapterLoads int
--- a/internal/placement/replica/weigh.go
+++ b/internal/placement/replica/weigh.go
@@ -1,27 +1,27 @@
 package replica
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The ends of the policy's range.
 const (
 	minKeepAlive = 30 * time.Second
 	maxKeepAlive = 30 * time.Minute
-	minPreLoad   = 0
-	maxPreLoad   = 5 * time.Minute
+	minWorth     = 1
+	maxWorth     = 1000
 )
 
 // Weigh returns the terms for one weight, from 0, where idle accelerator
-// hours alone count, to 1, where the tail of cold starts alone counts.
+// hours alone count, to 1, where the tail of cold starts alone counts. In
+// between, what a second of a caller's wait is worth grows by the same factor
+// with each step.
 func Weigh(coldStart float64) Terms {
-	between := func(a, b time.Duration) time.Duration {
-		return a + time.Duration(coldStart*float64(b-a))
-	}
-
 	return Terms{
-		KeepAlive:    between(minKeepAlive, maxKeepAlive),
-		PreLoad:      between(minPreLoad, maxPreLoad),
-		KeepAhead:    between(minKeepAlive, 2*maxKeepAlive),
-		ScaleUp:      1.5 - coldStart,
+		Worth:        minWorth * math.Pow(maxWorth/minWorth, coldStart),
+		KeepAlive:    minKeepAlive + time.Duration(coldStart*float64(maxKeepAlive-minKeepAlive)),
+		ScaleUp:      1.5 - coldStart/2, //nolint:mnd // From one and a half to one target's slots.
 		LoadsPerHour: 240,
 		RetryBase:    500 * time.Millisecond,
 		RetryMax:     time.Minute,
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -51,13 +51,16 @@
 
 func (e *echo) Report(r demand.Report) error {
 	e.report = r
+
 	return &LapsedError{}
 }
 
 func (e *echo) Snapshot(s *router.Snapshot) bool {
 	e.snapshot = s
+
 	return true
 }
+
 func (e *echo) Notify(n Notice) { e.notice = n }
 func (e *echo) Nudge(int)       {}
 
--- a/internal/wire/record/record.go
+++ b/internal/wire/record/record.go
@@ -244,3 +244,6 @@
 func ToAllowance(a Allowance) plan.Allowance {
 	return plan.Allowance{Plan: a.Plan, Kind: plan.Kind(a.Kind), Name: a.Name}
 }
+
+// HistoryObject names the object of a cell's history of uses.
+func HistoryObject(cell int) string { return fmt.Sprintf("uses/%d", cell) }
