--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -38,6 +38,7 @@
 	Status   statusCmd   `cmd:""         help:"Show the room's board in the terminal."`
 	Timeline timelineCmd `cmd:""         help:"Tell what happened, over all processes."`
 	Standin  standinCmd  `cmd:""         help:"Run a small stand-in of the platform, an engine or a service."`
+	Measure  measureCmd  `cmd:""         help:"Reproduce the figures of the documents."`
 	Try      tryCmd      `cmd:""         help:"Run the whole path in one process on loopback, under load, and report."`
 	LogLevel string      `default:"info" enum:"debug,info,warn,error,disabled"                                         help:"Least level of log lines."`
 }
--- a/internal/placement/replica/idle.go
+++ b/internal/placement/replica/idle.go
@@ -56,7 +56,7 @@
 			continue
 		}
 
-		if d.value(model, d.duration(cp, target.TierRemote)) < worthLoading*cost(cp.Bytes, memory) {
+		if d.value(model, d.duration(cp, d.bestTier(model))) < worthLoading*cost(cp.Bytes, memory) {
 			continue
 		}
 
@@ -70,6 +70,20 @@
 	}
 }
 
+// bestTier returns the fastest tier in which a usable target has the model. A
+// model that is at hand in memory is hardly worth loading ahead of its use.
+func (d *decider) bestTier(model string) target.Tier {
+	best := target.TierRemote
+
+	for i := range d.Targets {
+		if t := &d.Targets[i]; t.Usable {
+			best = min(best, tierOf(t, model))
+		}
+	}
+
+	return best
+}
+
 func (d *decider) largestMemory() int64 {
 	var most int64
 	for i := range d.Targets {
@@ -123,6 +137,8 @@
 		return unused >= d.Terms.KeepAlive
 	case d.Now.Sub(r.State.Since) < minResidence:
 		return false
+	case !r.State.LastUsed.After(r.State.Since) && d.Now.Sub(r.State.Since) < awaitUse:
+		return false
 	}
 
 	at, ok := d.find(r)
@@ -130,12 +146,19 @@
 		return false
 	}
 
+	// Once it is unloaded, it will be at hand in memory for a while and then on
+	// disk; the disk stands for both.
 	t := &d.Targets[at]
-	load := d.duration(d.Models[r.Model], tierOf(t, r.Model))
+	load := d.duration(d.Models[r.Model], target.TierDisk)
 
 	return d.value(r.Model, load) < worthKeeping*cost(r.Bytes, t.Memory)
 }
 
+// awaitUse is how long a replica that was loaded ahead of its use waits for
+// it. The forecast's slots are as long, so giving up earlier would load the
+// same model again and again.
+const awaitUse = 15 * time.Minute
+
 // minResidence keeps a replica that was just loaded from being unloaded
 // before its first request reaches it.
 const minResidence = 2 * time.Second
--- a/internal/placement/replica/weigh.go
+++ b/internal/placement/replica/weigh.go
@@ -9,8 +9,8 @@
 const (
 	minKeepAlive = 30 * time.Second
 	maxKeepAlive = 30 * time.Minute
-	minWorth     = 1
-	maxWorth     = 1000
+	minWorth     = 20
+	maxWorth     = 20000
 )
 
 // Weigh returns the terms for one weight, from 0, where idle accelerator
