feat: share the weight store's loads between cells

Cause: with more than four cells each cell's fixed part of the four loads was rounded up to one, so that 26 cells could have had 26 loads in flight where the weight store serves four at full speed. After: the holder of the first cell lends the loads for 3 s, counts what was begun under a grant beyond its end, and after a take-over waits until the former holder's grants have run out. A property test (random asks, loads, deaths of the granter, 6 cells) never has more than four in flight. One cell asks nobody.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/placement/cell"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/platform/object"
 	"github.com/fulmarcross/fulmarcross/internal/platform/roster"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
@@ -262,7 +263,11 @@
 const maxWaiting = 512
 
 func (e *Entry) cellConfig(number int) cell.Config {
-	share := func(total int) int { return max(1, total/e.cfg.Cells) }
+	// One cell has all loads; several ask the holder of the first for theirs.
+	ask := e.askShare
+	if e.cfg.Cells == 1 {
+		ask = nil
+	}
 
 	return cell.Config{
 		Cell:           number,
@@ -283,8 +288,8 @@
 		Logger:         e.logger,
 		Terms:          e.cfg.Lease,
 		Policy:         replica.Weigh(e.cfg.ColdStartWeight),
-		Loads:          share(e.cfg.Loads),
-		AdapterLoads:   share(e.cfg.AdapterLoads),
+		Loads:          share.Amount{Models: e.cfg.Loads, Adapters: e.cfg.AdapterLoads},
+		AskShare:       ask,
 		BytesPerSecond: e.cfg.BytesPerSecond,
 	}
 }
--- a/internal/fleet/entry/handler.go
+++ b/internal/fleet/entry/handler.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/placement/cell"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	wire "github.com/fulmarcross/fulmarcross/internal/wire/peer"
@@ -49,6 +50,9 @@
 // Ask implements wire.Handler.
 func (h handler) Ask(a limit.Ask) limit.Grant { return h.e.grant(a) }
 
+// GrantShare implements wire.Handler.
+func (h handler) GrantShare(a share.Ask) share.Amount { return h.e.cells[0].GrantShare(a) }
+
 // Reserve implements wire.Handler.
 func (h handler) Reserve(id instance.ID, holder string, lasting time.Duration) bool {
 	return h.e.kept.reserve(id, holder, time.Now().Add(lasting), time.Now())
--- a/internal/fleet/entry/limits.go
+++ b/internal/fleet/entry/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 )
 
 // homes grants the limits of the plans whose home this entry is.
@@ -61,6 +62,25 @@
 	return c.Ask(ctx, a)
 }
 
+// askShare asks the holder of the first cell for a part of the loads.
+func (e *Entry) askShare(ctx context.Context, a share.Ask) (share.Amount, error) {
+	if err := e.gate.Wait(ctx); err != nil {
+		return share.Amount{}, err
+	}
+
+	holder := e.holder(0)
+	if holder == e.cfg.ID {
+		return e.cells[0].GrantShare(a), nil
+	}
+
+	c, err := e.peer(holder)
+	if err != nil {
+		return share.Amount{}, err
+	}
+
+	return c.GrantShare(ctx, a)
+}
+
 const renewEvery = limit.GrantFor / 4
 
 func (e *Entry) renewGrants(ctx context.Context) {
--- a/internal/measure/replay/act.go
+++ b/internal/measure/replay/act.go
@@ -103,12 +103,17 @@
 func (w *world) loadTime(t *replica.Target, d replica.Load) time.Duration {
 	seconds := float64(d.Bytes) / bytesPerSecond
 
-	switch t.Cached[d.Model] {
+	tier, cached := t.Cached[d.Model]
+	if !cached {
+		tier = target.TierRemote
+	}
+
+	switch tier {
 	case target.TierMemory:
 		seconds /= 10
 	case target.TierDisk:
 		seconds /= 3
-	default:
+	case target.TierRemote:
 		if w.opt.SlowWeights > 1 && !w.now.Before(w.opt.SlowAt) && w.now.Before(w.opt.SlowAt.Add(time.Hour)) {
 			seconds *= w.opt.SlowWeights
 		}
--- a/internal/measure/replay/replay.go
+++ b/internal/measure/replay/replay.go
@@ -78,7 +78,7 @@
 	do  func()
 }
 
-type events []event
+type events []event //nolint:recvcheck // As heap.Interface asks.
 
 func (e events) Len() int { return len(e) }
 
--- a/internal/placement/cell/cell.go
+++ b/internal/placement/cell/cell.go
@@ -23,6 +23,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/platform/object"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
@@ -60,8 +61,11 @@
 	Logger  zerolog.Logger
 	Terms   lease.Terms
 	Policy  replica.Terms
-	// Loads and AdapterLoads are how many loads the cell may have in flight.
-	Loads, AdapterLoads int
+	// Loads is how many loads all cells together may have in flight.
+	Loads share.Amount
+	// AskShare asks the holder of the first cell for this cell's part of them.
+	// Nil means that there is one cell, which has all.
+	AskShare func(ctx context.Context, a share.Ask) (share.Amount, error)
 	// BytesPerSecond is the assumed speed of a remote load until some were
 	// measured.
 	BytesPerSecond float64
@@ -461,6 +465,23 @@
 	return nil
 }
 
+// GrantShare divides the loads between the cells. Only the holder of the first
+// cell is asked; anybody else grants nothing.
+func (c *Cell) GrantShare(a share.Ask) share.Amount {
+	c.mu.Lock()
+	t := c.tenure
+	c.mu.Unlock()
+
+	if t == nil {
+		return share.Amount{}
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.granter.Grant(a, time.Now())
+}
+
 // Lease returns the lease that this instance believes to hold.
 func (c *Cell) Lease() (peer.Lease, bool) {
 	c.mu.Lock()
--- a/internal/placement/cell/tenure.go
+++ b/internal/placement/cell/tenure.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -43,6 +44,11 @@
 	waits    []router.Wait
 	feed     feed
 	past     past
+	// granter divides the loads between cells, if this is the first cell.
+	granter share.Granter
+	// part is this cell's, until partUntil.
+	part      share.Amount
+	partUntil time.Time
 	// urgent asks for a publication at once.
 	urgent bool
 }
@@ -57,7 +63,7 @@
 func newTenure(c *Cell, held lease.Held) *tenure {
 	ctx, cancel := context.WithCancel(context.Background())
 
-	return &tenure{
+	t := &tenure{
 		Cell:     c,
 		ctx:      ctx,
 		cancel:   cancel,
@@ -67,7 +73,11 @@
 		targets:  make(map[instance.ID]*engineState),
 		failures: make(map[string]int),
 		loadTime: rate{perSecond: c.cfg.BytesPerSecond},
+		granter:  share.Granter{Total: c.cfg.Loads},
 	}
+	t.granter.Started(t.since)
+
+	return t
 }
 
 func (t *tenure) start() {
@@ -77,6 +87,10 @@
 	if t.cfg.Objects != nil {
 		t.wg.Go(t.keepPast)
 	}
+
+	if t.cfg.AskShare != nil {
+		t.wg.Go(t.askShares)
+	}
 }
 
 // stop ends the tenure and waits until no order of it is in hand.
@@ -251,15 +265,13 @@
 // view gathers what the decision depends on.
 func (t *tenure) view(now time.Time) *replica.View {
 	v := &replica.View{
-		Now:              now,
-		Book:             &t.book,
-		Models:           t.models,
-		Demand:           t.asks.Merged(now),
-		FreeLoads:        t.cfg.Loads,
-		FreeAdapterLoads: t.cfg.AdapterLoads,
-		BytesPerSecond:   t.loadTime.perSecond,
-		Accelerators:     make(map[string]int),
-		Terms:            t.cfg.Policy,
+		Now:            now,
+		Book:           &t.book,
+		Models:         t.models,
+		Demand:         t.asks.Merged(now),
+		BytesPerSecond: t.loadTime.perSecond,
+		Accelerators:   make(map[string]int),
+		Terms:          t.cfg.Policy,
 	}
 
 	if t.past.known {
@@ -273,15 +285,9 @@
 		}
 	}
 
-	t.book.All(func(r *ledger.Row) {
-		switch {
-		case r.State.Phase != target.Loading:
-		case r.Base == "":
-			v.FreeLoads--
-		default:
-			v.FreeAdapterLoads--
-		}
-	})
+	part, using := t.loadShare(now), t.loading()
+	v.FreeLoads = part.Models - using.Models
+	v.FreeAdapterLoads = part.Adapters - using.Adapters
 
 	v.Targets = t.targetViews(now)
 
--- a/internal/placement/cell/world_test.go
+++ b/internal/placement/cell/world_test.go
@@ -22,6 +22,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
@@ -174,8 +175,7 @@
 		Log:            &timeline.Log{Instance: id, Process: strconv.Itoa(number)},
 		Logger:         zerolog.Nop(),
 		Policy:         policy,
-		Loads:          4,
-		AdapterLoads:   32,
+		Loads:          share.Amount{Models: 4, Adapters: 32},
 		BytesPerSecond: float64(8 * gib),
 	})
 
--- /dev/null
+++ b/internal/placement/share/share.go
@@ -0,0 +1,111 @@
+// Package share divides the weight store's concurrency between cells, so that
+// all cells together never have more loads in flight than the store serves at
+// full speed. The holder of the first cell grants; the others ask again and
+// again. The package does no I/O and reads no clock.
+package share
+
+import "time"
+
+// Amount is a number of loads in flight, by kind.
+type Amount struct{ Models, Adapters int }
+
+// GrantFor is how long a cell may begin loads after it asked.
+const GrantFor = 3 * time.Second
+
+// margin is how much longer the granter counts a grant.
+const margin = 100 * time.Millisecond
+
+// lingering is for how long loads of a cell that no longer asks are counted:
+// the longest that a load is expected to take.
+const lingering = 2 * time.Minute
+
+// Ask is a cell's request.
+type Ask struct {
+	Cell int
+	// Want is how many loads the cell could have in flight now, and Using how
+	// many it has.
+	Want, Using Amount
+}
+
+// Granter divides the total. The zero value grants nothing before Started.
+// It is not safe for concurrent use.
+type Granter struct {
+	Total Amount
+
+	since time.Time
+	cells map[int]held
+}
+
+type held struct {
+	granted, using, want Amount
+	until                time.Time
+}
+
+// Started records that this granter took over. It grants nothing until the
+// former granter's grants have run out; what cells have in flight they tell
+// with their asks meanwhile.
+func (g *Granter) Started(now time.Time) {
+	g.since = now
+	g.cells = make(map[int]held)
+}
+
+// Grant answers an ask. The answer holds for GrantFor from when it was asked.
+func (g *Granter) Grant(a Ask, now time.Time) Amount {
+	if g.cells == nil {
+		return Amount{}
+	}
+
+	g.forget(now)
+	delete(g.cells, a.Cell)
+
+	free := g.Total
+	wants := a.Want
+
+	for _, h := range g.cells {
+		counted := h.counted()
+		free.Models -= counted.Models
+		free.Adapters -= counted.Adapters
+		wants.Models += h.want.Models
+		wants.Adapters += h.want.Adapters
+	}
+
+	grant := Amount{
+		Models:   part(g.Total.Models, a.Want.Models, wants.Models, free.Models),
+		Adapters: part(g.Total.Adapters, a.Want.Adapters, wants.Adapters, free.Adapters),
+	}
+
+	if now.Before(g.since.Add(GrantFor + margin)) {
+		grant = Amount{}
+	}
+
+	g.cells[a.Cell] = held{granted: grant, using: a.Using, want: a.Want, until: now.Add(GrantFor + margin)}
+
+	return grant
+}
+
+// counted is the most that the cell may have in flight. It counts beyond the
+// end of the grant, because what was begun under it goes on.
+func (h *held) counted() Amount {
+	return Amount{Models: max(h.granted.Models, h.using.Models), Adapters: max(h.granted.Adapters, h.using.Adapters)}
+}
+
+// forget drops cells whose loads have ended even if they never said so.
+func (g *Granter) forget(now time.Time) {
+	for cell, h := range g.cells {
+		idle := h.granted == Amount{} && h.using == Amount{}
+		if now.After(h.until.Add(lingering)) || idle && now.After(h.until) {
+			delete(g.cells, cell)
+		}
+	}
+}
+
+// part is a cell's part of one kind: what it wants if all wants fit, else in
+// proportion, at least one, and never more than is free.
+func part(total, want, wants, free int) int {
+	fair := want
+	if wants > total {
+		fair = max(1, total*want/wants)
+	}
+
+	return max(0, min(fair, want, free))
+}
--- /dev/null
+++ b/internal/placement/share/share_test.go
@@ -0,0 +1,73 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestNeverMoreThanAll is the story of many cells that load at once, while the
+// granter dies and another takes over: what all cells have in flight, or may
+// begin, never exceeds what the weight store serves at full speed.
+func TestNeverMoreThanAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const cells, total = 6, 4
+
+		g := Granter{Total: Amount{Models: total, Adapters: 32}}
+		g.Started(now)
+
+		clock := now
+		granted := make([]int, cells)
+		until := make([]time.Time, cells)
+		using := make([]int, cells)
+
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			clock = clock.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			c := rapid.IntRange(0, cells-1).Draw(t, "cell")
+
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				// A new granter hears from every cell that loads before its
+				// first grant, because each asks twice a second.
+				g.Started(clock)
+
+				for i := range cells {
+					g.Grant(Ask{Cell: i, Using: Amount{Models: using[i]}}, clock)
+				}
+			case 1, 2:
+				using[c] = max(0, using[c]-1)
+			case 3, 4, 5:
+				if clock.Before(until[c]) && using[c] < granted[c] {
+					using[c]++
+				}
+			default:
+				want := Amount{Models: using[c] + rapid.IntRange(0, 3).Draw(t, "want")}
+				granted[c] = g.Grant(Ask{Cell: c, Want: want, Using: Amount{Models: using[c]}}, clock).Models
+				until[c] = clock.Add(GrantFor)
+			}
+
+			sum := 0
+			for i := range cells {
+				sum += using[i]
+			}
+
+			if sum > total {
+				t.Fatalf("%d loads in flight of %d", sum, total)
+			}
+		}
+	})
+}
+
+func TestNewGranterWaits(t *testing.T) {
+	g := Granter{Total: Amount{Models: 4}}
+	a := Ask{Cell: 1, Want: Amount{Models: 2}}
+
+	assert.Equal(t, g.Grant(a, now).Models, 0, "it has not started")
+	g.Started(now)
+	assert.Equal(t, g.Grant(a, now.Add(GrantFor)).Models, 0)
+	assert.Equal(t, g.Grant(a, now.Add(GrantFor+margin)).Models, 2)
+}
--- a/internal/standin/trial/client.go
+++ b/internal/standin/trial/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -167,7 +168,13 @@
 	}
 
 	n := nodes[rand.IntN(len(nodes))] //nolint:gosec // No secret.
-	base := "http://" + n.Callers().String()
+
+	return t.tryAt(ctx, a, n.Callers())
+}
+
+// tryAt sends the request to one entry.
+func (t *Trial) tryAt(ctx context.Context, a ask, addr netip.AddrPort) (reply, error) {
+	base := "http://" + addr.String()
 
 	var (
 		path = "/v1/completions"
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -70,6 +71,7 @@
 	return limit.Grant{Amount: a.Want, For: time.Second}
 }
 
+func (e *echo) GrantShare(a share.Ask) share.Amount             { return a.Want }
 func (e *echo) Reserve(instance.ID, string, time.Duration) bool { return true }
 func (e *echo) Unreserve(instance.ID, string)                   {}
 
@@ -156,6 +158,11 @@
 	assert.DeepEqual(t, h.ask, ask)
 	assert.DeepEqual(t, grant, limit.Grant{Amount: ask.Want, For: time.Second})
 
+	loads := share.Amount{Models: 2, Adapters: 3}
+	granted, err := c.GrantShare(ctx, share.Ask{Cell: 1, Want: loads})
+	assert.NilError(t, err)
+	assert.Equal(t, granted, loads)
+
 	p := plan.Plan{
 		Name: "p", Customer: "c", Keys: []plan.KeyHash{plan.HashKey("k")}, RequestsPerSecond: 1, Concurrency: 2,
 		TokensPerMinute: 3, Accelerators: 4, Priority: 5, RequestTimeout: time.Second, OnRemoval: plan.CancelRunning,
--- a/internal/wire/peer/rpc.go
+++ b/internal/wire/peer/rpc.go
@@ -15,6 +15,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -43,6 +44,8 @@
 	Nudge(cell int)
 	// Ask grants part of a plan's limits.
 	Ask(a limit.Ask) limit.Grant
+	// GrantShare grants a cell a part of the loads.
+	GrantShare(a share.Ask) share.Amount
 	// Reserve keeps a target for one suspect for a time. It reports false
 	// when another has it.
 	Reserve(id instance.ID, holder string, lasting time.Duration) bool
@@ -131,6 +134,34 @@
 	return nil
 }
 
+// ShareAsk is a share.Ask on the wire.
+type ShareAsk struct {
+	_ struct{} `cbor:",toarray"`
+
+	Cell                       int
+	WantModels, WantAdapters   int
+	UsingModels, UsingAdapters int
+}
+
+// ShareGrant is a share.Amount on the wire.
+type ShareGrant struct {
+	_ struct{} `cbor:",toarray"`
+
+	Models, Adapters int
+}
+
+// GrantShare is the remote call.
+func (s service) GrantShare(in ShareAsk, out *ShareGrant) error {
+	got := s.h.GrantShare(share.Ask{
+		Cell:  in.Cell,
+		Want:  share.Amount{Models: in.WantModels, Adapters: in.WantAdapters},
+		Using: share.Amount{Models: in.UsingModels, Adapters: in.UsingAdapters},
+	})
+	out.Models, out.Adapters = got.Models, got.Adapters
+
+	return nil
+}
+
 // Reservation asks for a target for one suspect.
 type Reservation struct {
 	_ struct{} `cbor:",toarray"`
@@ -431,6 +462,18 @@
 	return ToGrant(out), err
 }
 
+// GrantShare asks for a cell's part of the loads.
+func (c *Client) GrantShare(ctx context.Context, a share.Ask) (share.Amount, error) {
+	var out ShareGrant
+
+	err := c.call(ctx, "GrantShare", ShareAsk{
+		Cell: a.Cell, WantModels: a.Want.Models, WantAdapters: a.Want.Adapters,
+		UsingModels: a.Using.Models, UsingAdapters: a.Using.Adapters,
+	}, &out)
+
+	return share.Amount{Models: out.Models, Adapters: out.Adapters}, err
+}
+
 // Reserve asks for a target for one suspect.
 func (c *Client) Reserve(ctx context.Context, id instance.ID, holder string, lasting time.Duration) (bool, error) {
 	var ok bool
--- a/main_test.go
+++ b/main_test.go
@@ -40,7 +40,7 @@
 // decisions are the packages that decide. They take their inputs as values.
 var decisions = []string{
 	"customer/limit", "customer/plan", "fleet/instance", "placement/demand", "placement/history", "placement/lease", "placement/ledger",
-	"placement/replica", "room/board", "serving/crash", "serving/queue", "serving/request",
+	"placement/replica", "placement/share", "room/board", "serving/crash", "serving/queue", "serving/request",
 	"serving/router", "serving/stream",
 }
 
