fix: hand over at once, wait for memory while there is time

Cause: repeated runs of the failure tests showed a hand-over of 3.5 s in 1 of 160 (a renewal on its way had changed the row's version, and the release gave up), and a lease handed back at once after a take-over (how long another ranked first was remembered from an earlier tenure). In the trial with faults 12 of 1069 requests were refused with 'noTarget' because an engine with an order in flight counted as unusable. Open: 2 of 150 runs saw five loads at once where four are allowed; its cause is looked for next.

--- a/internal/cli/command/trycmd.go
+++ b/internal/cli/command/trycmd.go
@@ -23,6 +23,7 @@
 	JSON   bool          `help:"Print one JSON object last."           name:"json"`
 	Faults bool          `help:"Bring about failures during the load."`
 	For    time.Duration `help:"How long requests are sent."`
+	Cells  int           `default:"1"                                  help:"How many cells the targets are split into."`
 	Story  bool          `help:"Tell the slowest request's story."`
 	Seed   uint64        `default:"1"                                  help:"Seed of the load."`
 }
@@ -38,7 +39,7 @@
 
 // Run runs the command.
 func (c *tryCmd) Run(ctx context.Context, s *streams, logger zerolog.Logger) error {
-	opt := trial.Options{Seed: c.Seed, For: c.For, Faults: c.Faults, Logger: logger.Level(zerolog.ErrorLevel)}
+	opt := trial.Options{Seed: c.Seed, For: c.For, Faults: c.Faults, Cells: c.Cells, Logger: logger.Level(zerolog.ErrorLevel)}
 
 	if opt.For == 0 {
 		opt.For = calmFor
--- a/internal/placement/cell/cell.go
+++ b/internal/placement/cell/cell.go
@@ -88,6 +88,8 @@
 	// inHand counts the orders that were decided and not yet answered, over
 	// all tenures of this process.
 	inHand atomic.Int64
+	// tableDown says that the last renewal got no answer.
+	tableDown atomic.Bool
 	// Counts for the measurements.
 	Takeovers atomic.Int64
 }
@@ -254,6 +256,7 @@
 
 	c.mu.Lock()
 	c.held = held
+	c.best = "" // How long another ranked first in an earlier tenure does not count.
 	c.tenure = newTenure(c, held)
 	t := c.tenure
 	c.mu.Unlock()
@@ -289,13 +292,31 @@
 	switch {
 	case err == nil:
 		c.renewed(next, version, sent)
+		c.noteTable(false)
 	case table.IsConflict(err):
 		c.conflict(ctx, held)
+	default:
+		c.noteTable(true)
 	}
 
 	return c.cfg.Terms.Poll / 2 //nolint:mnd // Two tries in the time of a look.
 }
 
+// noteTable records when the table service goes away and comes back.
+func (c *Cell) noteTable(down bool) {
+	if c.tableDown.Swap(down) == down {
+		return
+	}
+
+	kind := timeline.TableBack
+	if down {
+		kind = timeline.TableDown
+	}
+
+	c.cfg.Log.Add(timeline.Event{Kind: kind, Detail: fmt.Sprintf("cell %d", c.cfg.Cell)})
+	c.cfg.Logger.Warn().Bool("down", down).Int("cell", c.cfg.Cell).Msg("table service")
+}
+
 func (c *Cell) renewed(next lease.Record, version uint64, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -410,11 +431,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Renew)
 	defer cancel()
 
-	_, err := table.Settle(ctx, c.cfg.Table, table.Transaction{
-		Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: held.Version}},
-		Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
-	})
-	if err != nil {
+	if !c.writeRelease(ctx, next, held.Version) {
 		return
 	}
 
@@ -428,6 +445,38 @@
 	}
 }
 
+// writeRelease writes the released lease. A renewal of this process may have
+// been on its way and have changed the row's version; the row then still names
+// this process and its token. Without the second try the cell would be without
+// a holder until the lease runs out.
+func (c *Cell) writeRelease(ctx context.Context, next lease.Record, version uint64) bool {
+	const tries = 3
+
+	for range tries {
+		_, err := table.Settle(ctx, c.cfg.Table, table.Transaction{
+			Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: version}},
+			Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
+		})
+		if err == nil || !table.IsConflict(err) {
+			return err == nil
+		}
+
+		rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell))
+		if err != nil {
+			return false
+		}
+
+		current, err := c.decode(rows[0])
+		if err != nil || current.Process != c.cfg.Process || current.Token != next.Token {
+			return false
+		}
+
+		version = rows[0].Version
+	}
+
+	return false
+}
+
 func (c *Cell) successor() instance.ID {
 	for _, id := range instance.Rank(Name(c.cfg.Cell), c.cfg.Fleet.Entries()) {
 		if id != c.cfg.Self {
--- a/internal/placement/cell/engines.go
+++ b/internal/placement/cell/engines.go
@@ -363,7 +363,7 @@
 			Memory:        e.inventory.Memory,
 			Speed:         e.inventory.Speed,
 			Slots:         slots,
-			Usable:        e.usable && e.fresh,
+			Usable:        e.usable,
 			Lost:          e.State == instance.Leaving || now.Sub(e.heardAt) > downAfter,
 			Cached:        e.inventory.Cached,
 			LoadsLastHour: len(e.loads),
--- a/internal/placement/lease/lease.go
+++ b/internal/placement/lease/lease.go
@@ -135,7 +135,8 @@
 	case w.record.Released && w.record.Successor == self:
 		return true
 	case w.record.Released:
-		wait += t.Stagger
+		// The successor that was named looks at least this often.
+		wait += 2*t.Poll + t.Stagger
 	default:
 		wait += time.Duration(float64(t.Duration) * (1 + clockRate))
 	}
--- a/internal/placement/replica/decide.go
+++ b/internal/placement/replica/decide.go
@@ -272,20 +272,31 @@
 	}
 }
 
-// busyRetry is what a caller is told when all memory is in use.
+// busyRetry is what a caller is told when all memory is in use, and how long
+// a wait for memory or a target is expected to take.
 const busyRetry = 2 * time.Second
 
+// denyFor handles a wait for which no target was found. What may pass, such as
+// memory that is in use right now, is waited out while the deadline allows.
 func (d *decider) denyFor(cp weight.Checkpoint, dem Demand, reason string) {
-	retryAfter := busyRetry
+	if ready, _ := d.count(cp.Name); ready > 0 {
+		return
+	}
+
 	if reason == ReasonTooLarge {
-		retryAfter = 0
+		d.deny(dem, reason, 0)
+
+		return
 	}
 
-	if ready, _ := d.count(cp.Name); ready > 0 {
+	load := busyRetry + d.duration(cp, target.TierRemote)
+	if dem.Waiting > 0 && dem.Deadline.Sub(d.Now) > load && len(d.Targets) > 0 {
+		d.out = append(d.out, Expect{Model: cp.Name, Ready: load})
+
 		return
 	}
 
-	d.deny(dem, reason, retryAfter)
+	d.deny(dem, reason, busyRetry)
 }
 
 // backingOff reports whether the model's last load failed, and how long to
--- a/internal/serving/dispatch/dispatch_test.go
+++ b/internal/serving/dispatch/dispatch_test.go
@@ -210,6 +210,16 @@
 	"model was unloaded": {engines: 2, before: func(b *bench) {
 		_, _ = b.engines[0].Submit(context.Background(), target.Order{ID: "u", Action: target.Unload{Model: model}})
 	}, within: time.Second},
+	// The list says in the middle of an answer that its target is leaving, and
+	// soon after it is gone. The answer goes on elsewhere with its state.
+	"target leaves mid-answer": {engines: 2, during: func(b *bench) {
+		for _, e := range b.engines {
+			if _, running := e.Use(); running > 0 {
+				b.table.Target(e.ID()).Leave()
+				time.AfterFunc(50*time.Millisecond, e.Stop)
+			}
+		}
+	}, within: time.Second},
 	// The target says that it takes no new work.
 	"target is leaving": {engines: 2, before: func(b *bench) { b.engines[0].Leave() }, within: time.Second},
 }
--- a/internal/serving/dispatch/flight.go
+++ b/internal/serving/dispatch/flight.go
@@ -43,8 +43,60 @@
 	release func()
 	// exclude is the target that failed last. Others are tried before it.
 	exclude []instance.ID
+	// state is the engine's state of the answer, taken from a target that is
+	// leaving.
+	state []byte
 }
 
+// errMoving ends a stream on a target that is leaving, so that it goes on
+// elsewhere with its state.
+var errMoving = errors.New("target is leaving")
+
+// worthMoving is how many tokens must be left for a move to pay: the state's
+// way to another target takes about as long as a few tokens.
+const worthMoving = 8
+
+// shouldMove reports whether the answer should go on elsewhere: its target is
+// leaving, much of it is still to come, and another target has the model.
+func (f *flight) shouldMove() bool {
+	if !f.last.Leaving() || f.req.MaxTokens-f.checker.Next() < worthMoving {
+		return false
+	}
+
+	for _, t := range f.cfg.Table.Targets(f.req.Model) {
+		if t != f.last && !t.Leaving() {
+			return true
+		}
+	}
+
+	return false
+}
+
+// takeState fetches the answer's state from the target that is leaving. It is
+// no loss if that fails: the next target reads the prompt again.
+func (f *flight) takeState(t *router.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+
+	f.state, _ = f.cfg.Engine(t).ExportKV(ctx, f.req.EngineID)
+}
+
+// giveState hands the state to the next target.
+func (f *flight) giveState(t *router.Target) {
+	if f.state == nil {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+
+	_ = f.cfg.Engine(t).ImportKV(ctx, f.req.EngineID, f.state)
+	f.state = nil
+}
+
+// stateTimeout bounds the way of an answer's state.
+const stateTimeout = 500 * time.Millisecond
+
 // sinkError is a failure of the caller's side.
 type sinkError struct{ err error }
 
@@ -172,9 +224,14 @@
 	kind := timeline.Sent
 	if f.trail.Sends() > 0 {
 		kind = timeline.Resumed
+
+		f.cfg.Metrics.Counter("resumed").Inc(1)
 	}
 
 	f.event(kind, t, "")
+	f.giveState(t)
+
+	f.last = t
 	f.incarnation, f.sentToDead = t.Info().Incarnation, t.Dead()
 
 	n := f.trail.Send()
@@ -197,6 +254,10 @@
 	defer s.Close()
 
 	tokens, err := f.pass(s, w, n, next, sent)
+	if errors.Is(err, errMoving) {
+		f.takeState(t)
+	}
+
 	if err != nil {
 		return w.explain(err)
 	}
@@ -260,6 +321,11 @@
 		}
 
 		tokens++
+
+		if f.shouldMove() {
+			return tokens, errMoving
+		}
+
 		now := time.Now()
 		f.learn(tokens, now.Sub(last), now)
 
@@ -332,7 +398,7 @@
 func (f *flight) free(err error) bool {
 	fate := fateOf(err)
 
-	return fate == request.ProvedNotRun || fate == request.NotReached
+	return fate == request.ProvedNotRun || fate == request.NotReached || errors.Is(err, errMoving)
 }
 
 // backOff waits a little before the same targets are asked again.
@@ -367,6 +433,8 @@
 	)
 
 	switch {
+	case errors.Is(err, errMoving):
+		return nil
 	case errors.As(err, &leaving):
 		if t.Leave() {
 			f.cfg.Noticed(Notice{Leaving: t.ID})
@@ -429,6 +497,7 @@
 	}
 
 	if t.Died(f.incarnation, time.Now()) {
+		f.cfg.Metrics.Counter("targetsFoundDead").Inc(1)
 		f.cfg.Noticed(Notice{Dead: death})
 	}
 
--- a/internal/serving/gateway/generate.go
+++ b/internal/serving/gateway/generate.go
@@ -58,7 +58,13 @@
 
 	if err == nil {
 		g.counts.answered(c.plan.Name, res.Tokens)
+		g.cfg.Metrics.Counter("answered").Inc(1)
+		g.cfg.Metrics.Counter("tokens").Inc(int64(res.Tokens))
 		g.cfg.Metrics.Timer("firstToken").Record(res.FirstToken)
+
+		if res.Cold {
+			g.cfg.Metrics.Timer("firstTokenCold").Record(res.FirstToken)
+		}
 	}
 }
 
