--- a/internal/placement/cell/orders.go
+++ b/internal/placement/cell/orders.go
@@ -131,10 +131,13 @@
 // answer is an engine's answer to an order.
 type answer struct {
 	inventory target.Inventory
-	// newest says that no other order was in flight meanwhile. Otherwise the
+	// alone says that no other order was in flight meanwhile. Otherwise the
 	// inventory may have been taken before another order took effect whose
 	// answer was handled first, and would show its replica as missing.
-	newest bool
+	alone bool
+	// epoch is the engine's after this answer. If it has changed by the time
+	// the inventory is looked at, another order was answered in between.
+	epoch uint64
 }
 
 // submit sends one order, if this holder may. It checks the lease right
@@ -168,7 +171,7 @@
 	t.inHand.Add(-1)
 
 	e.orders--
-	newest := e.orders == 0 && e.epoch == epoch
+	alone := e.orders == 0 && e.epoch == epoch
 	e.epoch++
 
 	if err == nil || isNoMemory(err) || isStale(err) {
@@ -183,7 +186,7 @@
 		t.cfg.Log.Add(timeline.Event{Kind: timeline.LateOrder, Model: k.Model, Target: k.Target, Detail: id})
 	}
 
-	return answer{inventory: inv, newest: newest}, err
+	return answer{inventory: inv, alone: alone, epoch: e.epoch}, err
 }
 
 // mayOrder reports whether an order for the row may be sent. Without a valid
@@ -216,7 +219,7 @@
 
 	switch {
 	case e == nil:
-	case a.newest:
+	case a.alone && e.orders == 0 && e.epoch == a.epoch:
 		t.reconcile(k.Target, e, a.inventory, time.Now())
 	default:
 		e.fresh = false
