--- a/internal/fleet/entry/lists.go
+++ b/internal/fleet/entry/lists.go
@@ -41,14 +41,16 @@
 	})
 }
 
-// loadLists takes the whole lists from the table, or from a ready peer while
-// the table is away.
+// loadLists takes the whole lists from a ready peer, if that has the version
+// of the table or the table is away, and else from the table. When a data
+// centre's entries are replaced at once, the table could not serve them all.
 func (e *Entry) loadLists(ctx context.Context) {
 	asked := time.Now()
+	version, tableErr := e.store.Version(ctx)
 
-	state, err := e.store.Load(ctx)
-	if err != nil {
-		state, err = e.loadFromPeer(ctx)
+	state, err := e.loadFromPeer(ctx)
+	if tableErr == nil && (err != nil || state.Version() < version) {
+		state, err = e.store.Load(ctx)
 	}
 
 	if err != nil {
--- a/internal/fleet/entry/reports.go
+++ b/internal/fleet/entry/reports.go
@@ -47,14 +47,14 @@
 // when a model is wanted and at intervals otherwise.
 func (e *Entry) reportCell(ctx context.Context, c int) {
 	for ctx.Err() == nil {
-		busy, err := e.reportOnce(ctx, c)
+		waiting, err := e.reportOnce(ctx, c)
 
 		pause := reportIdle
 
 		switch {
-		case busy && err != nil:
+		case waiting && err != nil:
 			pause = reportRetry
-		case busy:
+		case waiting:
 			pause = reportBusy
 		}
 
@@ -70,7 +70,8 @@
 	}
 }
 
-func (e *Entry) reportOnce(ctx context.Context, c int) (busy bool, err error) {
+// reportOnce sends one report. It reports whether requests wait.
+func (e *Entry) reportOnce(ctx context.Context, c int) (waits bool, err error) {
 	if err := e.gate.Wait(ctx); err != nil {
 		return false, err
 	}
@@ -87,7 +88,7 @@
 		Uses:    uses,
 	}
 
-	return len(waiting) > 0 || len(uses) > 0, e.deliver(ctx, r)
+	return len(waiting) > 0, e.deliver(ctx, r)
 }
 
 func (e *Entry) deliver(ctx context.Context, r demand.Report) error {
