refactor: split the files that had grown

Moved whole declarations by concern, changed none: serving and stopping of an entry, the trial's demo and gate, blame, moves and watches of a request, the engine stand-in's orders, streams and faults, the peers' messages by matter and their client, the hand-over of a lease. An event that nothing sent was dropped.

--- a/internal/room/timeline/event.go
+++ b/internal/room/timeline/event.go
@@ -14,7 +14,6 @@
 const (
 	Admitted       Kind = "admitted"
 	Queued         Kind = "queued"
-	DemandSent     Kind = "demandSent"
 	LedgerWritten  Kind = "ledgerWritten"
 	LoadOrdered    Kind = "loadOrdered"
 	LoadConfirmed  Kind = "loadConfirmed"
--- /dev/null
+++ b/internal/serving/dispatch/blame.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+// maxSends bounds how often one request is sent, whatever the budget says.
+const maxSends = 8
+
+func (f *flight) blockedOrSuspect() bool {
+	f.crashMu.Lock()
+	defer f.crashMu.Unlock()
+
+	return f.crashes.Suspect(f.req.Fingerprint(), time.Now())
+}
+
+// reserveAgain is how soon a suspect asks again for a target of its own.
+const reserveAgain = 50 * time.Millisecond
+
+// reserve makes sure that no other suspect, of whichever entry, runs on the
+// target.
+//
+// It guards against blaming a bystander: if two suspects share a target that
+// dies, both have had two targets die under them, and nobody can tell which
+// of them did it. Apart from each other, the innocent one's target survives.
+func (f *flight) reserve(ctx context.Context, t *router.Target) bool {
+	if !f.suspect || f.cfg.Reserve == nil {
+		return true
+	}
+
+	release, ok := f.cfg.Reserve(ctx, t.ID, f.req.Deadline)
+	f.release = release
+
+	return ok
+}
+
+func (f *flight) unreserve() {
+	if f.release != nil {
+		f.release()
+		f.release = nil
+	}
+}
+
+// judge decides after a failed sending whether to go on. A nil error means to
+// try again.
+func (f *flight) judge(ctx context.Context, t *router.Target, err error) error {
+	var sink *sinkError
+	if errors.As(err, &sink) || ctx.Err() != nil {
+		f.cancel(t)
+
+		if ctx.Err() != nil && sink == nil {
+			return ctx.Err()
+		}
+
+		return err
+	}
+
+	f.last, f.stay = t, false
+	f.exclude = append(f.exclude[:0], t.ID)
+
+	if refusal := f.blame(ctx, t, err); refusal != nil {
+		return refusal
+	}
+
+	if f.trail.Sends() >= maxSends || !f.free(err) && !f.budget.take() {
+		return f.trail.Refuse(request.TargetFailed, overloadRetry, "targets failed: "+err.Error())
+	}
+
+	return f.backOff(ctx)
+}
+
+// free reports whether a retry costs no budget, because the target did no
+// work.
+func (f *flight) free(err error) bool {
+	fate := fateOf(err)
+
+	return fate == request.ProvedNotRun || fate == request.NotReached || errors.Is(err, errMoving)
+}
+
+// backOff waits a little before the same targets are asked again.
+func (f *flight) backOff(ctx context.Context) error {
+	if f.stay || f.trail.Sends() < 2 { //nolint:mnd // The first retry goes at once.
+		return nil
+	}
+
+	const base = 20 * time.Millisecond
+
+	return pause(ctx, base<<min(f.trail.Sends(), 4)) //nolint:mnd // At most sixteenfold.
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// blame finds out what went wrong on the target. It returns a refusal when
+// the request must not be tried again.
+func (f *flight) blame(ctx context.Context, t *router.Target, err error) *request.Refusal {
+	var (
+		leaving   *target.LeavingError
+		notLoaded *target.NotLoadedError
+	)
+
+	switch {
+	case errors.Is(err, errMoving):
+		return nil
+	case errors.As(err, &leaving):
+		if t.Leave() {
+			f.cfg.Noticed(Notice{Leaving: t.ID})
+		}
+
+		return nil
+	case errors.As(err, &notLoaded):
+		return nil
+	}
+
+	t.Failed(time.Now())
+
+	alive := f.probe(ctx, t)
+
+	var silent *silentError
+
+	switch {
+	case !alive:
+		return f.targetDied(t)
+	case errors.As(err, &silent):
+		// The target lives, so only the connection went silent. The engine
+		// still holds the stream's state: go on there, on a new connection.
+		f.cfg.Refresh(t)
+		f.cancel(t)
+		f.stay = true
+	case isCut(err):
+		f.stay = f.checker.Next() > 0
+	}
+
+	return nil
+}
+
+func isCut(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+const probeTimeout = 500 * time.Millisecond
+
+// probe asks the target on a new connection whether it is the same process as
+// when the request was sent. What was known then counts: by now routing may
+// know the target's next process.
+func (f *flight) probe(ctx context.Context, t *router.Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	inv, err := f.cfg.Probe(ctx, t)
+
+	return err == nil && (f.incarnation == "" || inv.Incarnation == f.incarnation)
+}
+
+func (f *flight) targetDied(t *router.Target) *request.Refusal {
+	f.event(timeline.TargetDied, t, "")
+
+	death := crash.Death{Target: t.ID, Incarnation: f.incarnation}
+
+	if f.sentToDead {
+		// It was dead when the request was sent, so the request is no
+		// suspect.
+		return nil
+	}
+
+	if t.Died(f.incarnation, time.Now()) {
+		f.cfg.Metrics.Counter("targetsFoundDead").Inc(1)
+		f.cfg.Noticed(Notice{Dead: death})
+	}
+
+	blocked := f.died(f.req.Fingerprint(), death)
+	f.suspect = true
+
+	if !blocked {
+		return nil
+	}
+
+	f.event(timeline.PoisonFound, t, "")
+
+	return f.trail.Refuse(request.Poisoned, 0, "targets crashed while they ran this request")
+}
+
+// cancel tells the engine that nobody waits for the answer any more.
+func (f *flight) cancel(t *router.Target) {
+	const timeout = time.Second
+
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+
+	_ = f.cfg.Engine(t).Cancel(ctx, f.req.EngineID)
+}
--- a/internal/serving/dispatch/flight.go
+++ b/internal/serving/dispatch/flight.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
-	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/stream"
@@ -48,55 +45,6 @@
 	state []byte
 }
 
-// errMoving ends a stream on a target that is leaving, so that it goes on
-// elsewhere with its state.
-var errMoving = errors.New("target is leaving")
-
-// worthMoving is how many tokens must be left for a move to pay: the state's
-// way to another target takes about as long as a few tokens.
-const worthMoving = 8
-
-// shouldMove reports whether the answer should go on elsewhere: its target is
-// leaving, much of it is still to come, and another target has the model.
-func (f *flight) shouldMove() bool {
-	if !f.last.Leaving() || f.req.MaxTokens-f.checker.Next() < worthMoving {
-		return false
-	}
-
-	for _, t := range f.cfg.Table.Targets(f.req.Model) {
-		if t != f.last && !t.Leaving() {
-			return true
-		}
-	}
-
-	return false
-}
-
-// takeState fetches the answer's state from the target that is leaving. It is
-// no loss if that fails: the next target reads the prompt again.
-func (f *flight) takeState(t *router.Target) {
-	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
-	defer cancel()
-
-	f.state, _ = f.cfg.Engine(t).ExportKV(ctx, f.req.EngineID)
-}
-
-// giveState hands the state to the next target.
-func (f *flight) giveState(t *router.Target) {
-	if f.state == nil {
-		return
-	}
-
-	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
-	defer cancel()
-
-	_ = f.cfg.Engine(t).ImportKV(ctx, f.req.EngineID, f.state)
-	f.state = nil
-}
-
-// stateTimeout bounds the way of an answer's state.
-const stateTimeout = 500 * time.Millisecond
-
 // sinkError is a failure of the caller's side.
 type sinkError struct{ err error }
 
@@ -104,9 +52,6 @@
 
 func (e *sinkError) Unwrap() error { return e.err }
 
-// maxSends bounds how often one request is sent, whatever the budget says.
-const maxSends = 8
-
 // fly sends the request until its answer is whole.
 func (f *flight) fly(ctx context.Context) (Result, error) {
 	f.suspect = f.blockedOrSuspect()
@@ -137,13 +82,6 @@
 	}
 }
 
-func (f *flight) blockedOrSuspect() bool {
-	f.crashMu.Lock()
-	defer f.crashMu.Unlock()
-
-	return f.crashes.Suspect(f.req.Fingerprint(), time.Now())
-}
-
 // next returns the target of the next sending, on which the request is
 // counted.
 func (f *flight) next(ctx context.Context) (*router.Target, error) {
@@ -171,33 +109,6 @@
 	}
 }
 
-// reserveAgain is how soon a suspect asks again for a target of its own.
-const reserveAgain = 50 * time.Millisecond
-
-// reserve makes sure that no other suspect, of whichever entry, runs on the
-// target.
-//
-// It guards against blaming a bystander: if two suspects share a target that
-// dies, both have had two targets die under them, and nobody can tell which
-// of them did it. Apart from each other, the innocent one's target survives.
-func (f *flight) reserve(ctx context.Context, t *router.Target) bool {
-	if !f.suspect || f.cfg.Reserve == nil {
-		return true
-	}
-
-	release, ok := f.cfg.Reserve(ctx, t.ID, f.req.Deadline)
-	f.release = release
-
-	return ok
-}
-
-func (f *flight) unreserve() {
-	if f.release != nil {
-		f.release()
-		f.release = nil
-	}
-}
-
 // prefixLen is how much of a prompt keeps requests together.
 const prefixLen = 64
 
@@ -365,164 +276,6 @@
 	return Result{Tokens: f.checker.Next(), FirstToken: f.firstToken, Cold: f.cold}
 }
 
-// judge decides after a failed sending whether to go on. A nil error means to
-// try again.
-func (f *flight) judge(ctx context.Context, t *router.Target, err error) error {
-	var sink *sinkError
-	if errors.As(err, &sink) || ctx.Err() != nil {
-		f.cancel(t)
-
-		if ctx.Err() != nil && sink == nil {
-			return ctx.Err()
-		}
-
-		return err
-	}
-
-	f.last, f.stay = t, false
-	f.exclude = append(f.exclude[:0], t.ID)
-
-	if refusal := f.blame(ctx, t, err); refusal != nil {
-		return refusal
-	}
-
-	if f.trail.Sends() >= maxSends || !f.free(err) && !f.budget.take() {
-		return f.trail.Refuse(request.TargetFailed, overloadRetry, "targets failed: "+err.Error())
-	}
-
-	return f.backOff(ctx)
-}
-
-// free reports whether a retry costs no budget, because the target did no
-// work.
-func (f *flight) free(err error) bool {
-	fate := fateOf(err)
-
-	return fate == request.ProvedNotRun || fate == request.NotReached || errors.Is(err, errMoving)
-}
-
-// backOff waits a little before the same targets are asked again.
-func (f *flight) backOff(ctx context.Context) error {
-	if f.stay || f.trail.Sends() < 2 { //nolint:mnd // The first retry goes at once.
-		return nil
-	}
-
-	const base = 20 * time.Millisecond
-
-	return pause(ctx, base<<min(f.trail.Sends(), 4)) //nolint:mnd // At most sixteenfold.
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
-// blame finds out what went wrong on the target. It returns a refusal when
-// the request must not be tried again.
-func (f *flight) blame(ctx context.Context, t *router.Target, err error) *request.Refusal {
-	var (
-		leaving   *target.LeavingError
-		notLoaded *target.NotLoadedError
-	)
-
-	switch {
-	case errors.Is(err, errMoving):
-		return nil
-	case errors.As(err, &leaving):
-		if t.Leave() {
-			f.cfg.Noticed(Notice{Leaving: t.ID})
-		}
-
-		return nil
-	case errors.As(err, &notLoaded):
-		return nil
-	}
-
-	t.Failed(time.Now())
-
-	alive := f.probe(ctx, t)
-
-	var silent *silentError
-
-	switch {
-	case !alive:
-		return f.targetDied(t)
-	case errors.As(err, &silent):
-		// The target lives, so only the connection went silent. The engine
-		// still holds the stream's state: go on there, on a new connection.
-		f.cfg.Refresh(t)
-		f.cancel(t)
-		f.stay = true
-	case isCut(err):
-		f.stay = f.checker.Next() > 0
-	}
-
-	return nil
-}
-
-func isCut(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
-const probeTimeout = 500 * time.Millisecond
-
-// probe asks the target on a new connection whether it is the same process as
-// when the request was sent. What was known then counts: by now routing may
-// know the target's next process.
-func (f *flight) probe(ctx context.Context, t *router.Target) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-
-	inv, err := f.cfg.Probe(ctx, t)
-
-	return err == nil && (f.incarnation == "" || inv.Incarnation == f.incarnation)
-}
-
-func (f *flight) targetDied(t *router.Target) *request.Refusal {
-	f.event(timeline.TargetDied, t, "")
-
-	death := crash.Death{Target: t.ID, Incarnation: f.incarnation}
-
-	if f.sentToDead {
-		// It was dead when the request was sent, so the request is no
-		// suspect.
-		return nil
-	}
-
-	if t.Died(f.incarnation, time.Now()) {
-		f.cfg.Metrics.Counter("targetsFoundDead").Inc(1)
-		f.cfg.Noticed(Notice{Dead: death})
-	}
-
-	blocked := f.died(f.req.Fingerprint(), death)
-	f.suspect = true
-
-	if !blocked {
-		return nil
-	}
-
-	f.event(timeline.PoisonFound, t, "")
-
-	return f.trail.Refuse(request.Poisoned, 0, "targets crashed while they ran this request")
-}
-
-// cancel tells the engine that nobody waits for the answer any more.
-func (f *flight) cancel(t *router.Target) {
-	const timeout = time.Second
-
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-
-	_ = f.cfg.Engine(t).Cancel(ctx, f.req.EngineID)
-}
-
 // end turns the last error into the request's final answer.
 func (f *flight) end(err error) error {
 	refusal, ok := asRefusal(err)
@@ -551,49 +304,3 @@
 		Kind: k, Request: f.req.ID, Model: f.req.Model, Target: t.ID, Customer: f.req.Customer, Detail: detail,
 	})
 }
-
-// silentError says that a stream was silent for longer than is normal.
-type silentError struct{ err error }
-
-func (e *silentError) Error() string { return "stream went silent: " + e.err.Error() }
-
-func (e *silentError) Unwrap() error { return e.err }
-
-// watch cancels a sending that stays silent for too long.
-//
-// It guards against a connection that goes silent for good while new ones
-// work: without it the request would hang until its deadline.
-type watch struct {
-	ctx    context.Context //nolint:containedctx // The watch is the context's owner.
-	cancel context.CancelFunc
-	timer  *time.Timer
-	silent atomic.Bool
-}
-
-func newWatch(ctx context.Context, bound time.Duration) *watch {
-	w := &watch{}
-	w.ctx, w.cancel = context.WithCancel(ctx)
-	w.timer = time.AfterFunc(bound, func() {
-		w.silent.Store(true)
-		w.cancel()
-	})
-
-	return w
-}
-
-func (w *watch) pause() { w.timer.Stop() }
-
-func (w *watch) expect(bound time.Duration) { w.timer.Reset(bound) }
-
-func (w *watch) stop() {
-	w.timer.Stop()
-	w.cancel()
-}
-
-func (w *watch) explain(err error) error {
-	if w.silent.Load() {
-		return &silentError{err}
-	}
-
-	return err
-}
--- /dev/null
+++ b/internal/serving/dispatch/overload_test.go
@@ -0,0 +1,177 @@
+package dispatch
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+)
+
+// TestRefusals lists how a request is refused that gets no target, as soon as
+// that is certain, and truthfully.
+func TestRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		wait    *router.Wait
+		timeout time.Duration
+		code    request.Code
+		within  time.Duration
+		retry   time.Duration
+	}{
+		"no replica can be had": {
+			&router.Wait{Model: model, Reason: replica.ReasonBusy, RetryAfter: 7 * time.Second},
+			time.Minute, request.Overloaded, time.Second, 7 * time.Second,
+		},
+		"no such checkpoint": {
+			&router.Wait{Model: model, Reason: replica.ReasonUnknown}, time.Minute, request.UnknownModel, time.Second, 0,
+		},
+		"the load takes longer than there is time": {
+			&router.Wait{Model: model, Ready: 30 * time.Second}, 10 * time.Second, request.TooCold, time.Second, 20 * time.Second,
+		},
+		"nobody says anything": {nil, 5 * time.Second, request.DeadlineAhead, 5100 * time.Millisecond, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 0)
+
+				if tc.wait != nil {
+					time.AfterFunc(100*time.Millisecond, func() { b.publish(*tc.wait) })
+				}
+
+				began := time.Now()
+				_, refusal, err := b.do(t.Context(), newRequest("p", tc.timeout))
+				assert.Assert(t, refusal != nil, err)
+				assert.Equal(t, refusal.Code, tc.code)
+				assert.Equal(t, refusal.Run, request.NotRun)
+				assert.Assert(t, refusal.RetryAfter >= tc.retry, "retry after %s", refusal.RetryAfter)
+				assert.Assert(t, time.Since(began) <= tc.within, "took %s", time.Since(began))
+				assert.Assert(t, b.demanded > 0)
+			})
+		})
+	}
+}
+
+// TestOldDenial is the story of a request that comes just after the holder
+// has denied the model to others: the old word must not refuse it.
+func TestOldDenial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 0)
+		b.publish(router.Wait{Model: model, Reason: replica.ReasonBusy})
+		time.Sleep(100 * time.Millisecond)
+
+		began := time.Now()
+		_, refusal, _ := b.do(t.Context(), newRequest("p", 3*time.Second))
+		assert.Equal(t, refusal.Code, request.TooCold)
+		assert.Assert(t, time.Since(began) > 2*time.Second, "refused after %s", time.Since(began))
+	})
+}
+
+// TestColdStart: requests that wait for a cold model are all served once it is
+// ready, and the holder hears of the earliest deadline and their number.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		e := b.engines[0]
+		b.engines = nil
+		b.publish()
+
+		var wg sync.WaitGroup
+		for i := range 3 {
+			wg.Go(func() {
+				_, _, err := b.do(t.Context(), newRequest(fmt.Sprint(i), time.Duration(20+i)*time.Second))
+				assert.Check(t, err)
+			})
+		}
+
+		synctest.Wait()
+
+		waiting, _ := b.Report(0)
+		assert.Equal(t, len(waiting), 1)
+		assert.Equal(t, waiting[0].Waiting, 3)
+		assert.Assert(t, time.Until(waiting[0].Deadline) <= 20*time.Second)
+		assert.Equal(t, b.Waiting()["p"], 3)
+
+		b.engines = []*engine.Engine{e}
+		b.publish()
+		wg.Wait()
+
+		_, uses := b.Report(0)
+		assert.Equal(t, uses[0].Served, 3)
+	})
+}
+
+// TestOverload is the story of a morning with three times as many requests as
+// the targets can serve: nine tenths of the capacity must end in whole
+// answers, the queue stays bounded, and the customer with few requests gets
+// answers too.
+func TestOverload(t *testing.T) {
+	for _, factor := range []float64{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			const seconds = 30
+
+			b := newBench(t, 2)
+
+			// One answer takes about 0.35 s on a full engine, so 8 slots give
+			// this many answers a second.
+			const capacity = 8 / (0.05 + 20*0.010*1.4)
+
+			var (
+				wg       sync.WaitGroup
+				mu       sync.Mutex
+				answered = make(map[string]int)
+				refused  int
+				untrue   int
+				sent     = make(map[string]int)
+			)
+
+			gap := time.Duration(float64(time.Second) / (capacity * factor))
+
+			for n := range int(seconds * capacity * factor) {
+				req := newRequest(fmt.Sprint("overload ", n), 3*time.Second)
+
+				req.Customer = "flood"
+				if n%20 == 0 {
+					req.Customer = "few"
+				}
+
+				sent[req.Customer]++
+
+				wg.Go(func() {
+					_, refusal, err := b.do(t.Context(), req)
+
+					mu.Lock()
+					defer mu.Unlock()
+
+					switch {
+					case err == nil:
+						answered[req.Customer]++
+					case refusal != nil:
+						refused++
+
+						if refusal.Run != request.NotRun && refusal.Code == request.DeadlinePast {
+							untrue++
+						}
+					}
+				})
+				time.Sleep(gap)
+			}
+
+			wg.Wait()
+
+			total := answered["flood"] + answered["few"]
+			goodput := float64(total) / (seconds * capacity)
+			t.Logf("load %.0fx: goodput %.2f of capacity, %d answered, %d refused, %d cut at the deadline, few %d of %d",
+				factor, goodput, total, refused, untrue, answered["few"], sent["few"])
+			assert.Assert(t, goodput >= 0.9, "goodput %.2f", goodput)
+			assert.Assert(t, answered["few"]*10 >= sent["few"]*9, "few %d of %d", answered["few"], sent["few"])
+			assert.Equal(t, total+refused, sent["flood"]+sent["few"])
+		})
+	}
+}
