--- a/internal/fleet/entry/lists.go
+++ b/internal/fleet/entry/lists.go
@@ -266,3 +266,6 @@
 }
 
 var _ wire.Handler = handler{}
+
+// ListVersion returns the version of the lists in force on this entry.
+func (e *Entry) ListVersion() uint64 { return e.lists.Current().Version() }
--- a/internal/placement/cell/failure_test.go
+++ b/internal/placement/cell/failure_test.go
@@ -70,8 +70,8 @@
 		w.beforeOrder = func(p *proc, o target.Order) {
 			if _, ok := o.Action.(target.Load); ok {
 				once.Do(func() {
-					p.gate.close()
-					time.AfterFunc(10*time.Second, p.gate.open)
+					p.gate.Close()
+					time.AfterFunc(10*time.Second, p.gate.Open)
 				})
 			}
 		}
--- a/internal/placement/cell/gate_test.go
+++ b/internal/placement/cell/gate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,61 +9,20 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/standin/pause"
 )
 
-// gate pauses what a process sends.
-type gate struct {
-	mu     sync.Mutex
-	closed chan struct{}
-}
-
-func (g *gate) wait(ctx context.Context) error {
-	g.mu.Lock()
-	closed := g.closed
-	g.mu.Unlock()
-
-	if closed == nil {
-		return nil
-	}
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-closed:
-		return nil
-	}
-}
-
-func (g *gate) close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-
-	if g.closed == nil {
-		g.closed = make(chan struct{})
-	}
-}
-
-func (g *gate) open() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-
-	if g.closed != nil {
-		close(g.closed)
-		g.closed = nil
-	}
-}
-
 // gatedTable delays a paused process's calls until it wakes.
 type gatedTable struct {
 	table.Service
 
 	w *world
 	p *proc
-	g *gate
+	g *pause.Gate
 }
 
 func (t gatedTable) Read(ctx context.Context, keys ...string) ([]table.Row, error) {
-	if err := t.g.wait(ctx); err != nil {
+	if err := t.g.Wait(ctx); err != nil {
 		return nil, &table.UnavailableError{Op: "read", Err: err}
 	}
 
@@ -72,7 +30,7 @@
 }
 
 func (t gatedTable) Scan(ctx context.Context, prefix, after string, n int) ([]table.Row, error) {
-	if err := t.g.wait(ctx); err != nil {
+	if err := t.g.Wait(ctx); err != nil {
 		return nil, &table.UnavailableError{Op: "scan", Err: err}
 	}
 
@@ -80,7 +38,7 @@
 }
 
 func (t gatedTable) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
-	if err := t.g.wait(ctx); err != nil {
+	if err := t.g.Wait(ctx); err != nil {
 		return 0, &table.UnavailableError{Op: "commit", Err: err}
 	}
 
@@ -88,7 +46,7 @@
 	if err == nil && t.w.afterCommit != nil {
 		t.w.afterCommit(t.p, tx)
 
-		if err := t.g.wait(ctx); err != nil {
+		if err := t.g.Wait(ctx); err != nil {
 			return 0, &table.UnavailableError{Op: "commit", Err: err}
 		}
 	}
@@ -103,7 +61,7 @@
 
 	w *world
 	p *proc
-	g *gate
+	g *pause.Gate
 }
 
 const engineTimeout = 2 * time.Second
@@ -113,7 +71,7 @@
 		e.w.beforeOrder(e.p, o)
 	}
 
-	if err := e.g.wait(ctx); err != nil {
+	if err := e.g.Wait(ctx); err != nil {
 		return target.Inventory{}, err
 	}
 
@@ -157,7 +115,7 @@
 }
 
 func (e gatedEngine) Inventory(ctx context.Context) (target.Inventory, error) {
-	if err := e.g.wait(ctx); err != nil {
+	if err := e.g.Wait(ctx); err != nil {
 		return target.Inventory{}, err
 	}
 
--- a/internal/placement/cell/schedule_test.go
+++ b/internal/placement/cell/schedule_test.go
@@ -37,8 +37,8 @@
 	}},
 	{"pause the holder past its lease", func(w *world, rng *rand.Rand) {
 		if p := w.holder(); p != nil {
-			p.gate.close()
-			time.AfterFunc(3*time.Second+rand64(rng, 6*time.Second), p.gate.open)
+			p.gate.Close()
+			time.AfterFunc(3*time.Second+rand64(rng, 6*time.Second), p.gate.Open)
 		}
 	}},
 	{"pause the holder with an order in hand", func(w *world, rng *rand.Rand) {
@@ -48,8 +48,8 @@
 
 		w.beforeOrder = func(p *proc, _ target.Order) {
 			once.Do(func() {
-				p.gate.close()
-				time.AfterFunc(d, p.gate.open)
+				p.gate.Close()
+				time.AfterFunc(d, p.gate.Open)
 			})
 		}
 	}},
--- a/internal/placement/cell/world_test.go
+++ b/internal/placement/cell/world_test.go
@@ -28,6 +28,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+	"github.com/fulmarcross/fulmarcross/internal/standin/pause"
 	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
 	"github.com/fulmarcross/fulmarcross/internal/wire/record"
 )
@@ -69,7 +70,7 @@
 
 	id     instance.ID
 	set    *peer.Set
-	gate   *gate
+	gate   *pause.Gate
 	cancel context.CancelFunc
 	table  router.Table
 }
@@ -150,7 +151,7 @@
 	w.mu.Unlock()
 
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &proc{id: id, gate: &gate{}, cancel: cancel}
+	p := &proc{id: id, gate: &pause.Gate{}, cancel: cancel}
 	p.set = &peer.Set{Self: id, Terms: peer.DefaultTerms()}
 	p.set.Terms.ListLag = listLag
 
@@ -233,7 +234,7 @@
 // lives and is not paused.
 func (w *world) beat(ctx context.Context, p *proc) {
 	for ctx.Err() == nil {
-		if p.gate.wait(ctx) != nil {
+		if p.gate.Wait(ctx) != nil {
 			return
 		}
 
@@ -274,7 +275,7 @@
 	}
 	w.mu.Unlock()
 
-	p.gate.close()
+	p.gate.Close()
 	p.cancel()
 }
 
@@ -286,7 +287,7 @@
 	w.platform.SetFaults(platform.Faults{})
 
 	for _, p := range procs {
-		p.gate.open()
+		p.gate.Open()
 		p.cancel()
 	}
 
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/standin/httpjson"
 	wire "github.com/fulmarcross/fulmarcross/internal/wire/engine"
 )
 
@@ -32,7 +33,7 @@
 
 func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
 	var g wire.Generation
-	if !decode(w, r, &g) {
+	if !httpjson.Decode(w, r, maxBody, &g) {
 		return
 	}
 
@@ -65,14 +66,14 @@
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var c wire.Cancel
-	if decode(w, r, &c) {
+	if httpjson.Decode(w, r, maxBody, &c) {
 		answer(w, struct{}{}, e.Cancel(r.Context(), c.RequestID))
 	}
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var m wire.Order
-	if !decode(w, r, &m) {
+	if !httpjson.Decode(w, r, maxBody, &m) {
 		return
 	}
 
@@ -116,7 +117,7 @@
 
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
 	var state []byte
-	if decode(w, r, &state) {
+	if httpjson.Decode(w, r, maxBody, &state) {
 		answer(w, struct{}{}, e.ImportKV(r.Context(), r.PathValue("id"), state))
 	}
 }
@@ -135,7 +136,7 @@
 
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var m faultsMessage
-	if !decode(w, r, &m) {
+	if !httpjson.Decode(w, r, maxBody, &m) {
 		return
 	}
 
@@ -162,16 +163,6 @@
 	answer(w, struct{}{}, nil)
 }
 
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-
-		return false
-	}
-
-	return true
-}
-
 func answer(w http.ResponseWriter, v any, err error) {
 	if err != nil {
 		refuse(w, err)
@@ -179,8 +170,7 @@
 		return
 	}
 
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	httpjson.Write(w, http.StatusOK, v)
 }
 
 // refuse maps typed errors to the protocol's refusals. Any other error means
@@ -207,7 +197,5 @@
 		panic(http.ErrAbortHandler)
 	}
 
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusConflict)
-	_ = json.NewEncoder(w).Encode(r)
+	httpjson.Write(w, http.StatusConflict, r)
 }
--- a/internal/standin/trial/gate.go
+++ b/internal/standin/pause/pause.go
@@ -1,17 +1,19 @@
-package trial
+// Package pause stops what a process sends, and lets it go again, as when the
+// process itself is paused.
+package pause
 
 import (
 	"context"
 	"sync"
 )
 
-// Gate pauses everything that an entry sends. The zero value is open.
+// Gate delays all that passes it while it is closed. The zero value is open.
 type Gate struct {
 	mu     sync.Mutex
 	closed chan struct{}
 }
 
-// Wait implements entry.Gate.
+// Wait returns when the gate is open, or with the context's error.
 func (g *Gate) Wait(ctx context.Context) error {
 	g.mu.Lock()
 	closed := g.closed
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/platform/object"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/standin/httpjson"
 	wire "github.com/fulmarcross/fulmarcross/internal/wire/platform"
 )
 
@@ -35,7 +35,7 @@
 
 func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request) {
 	var req wire.ReadRequest
-	if !decode(w, r, &req) {
+	if !httpjson.Decode(w, r, maxBody, &req) {
 		return
 	}
 
@@ -45,7 +45,7 @@
 
 func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
 	var req wire.ScanRequest
-	if !decode(w, r, &req) {
+	if !httpjson.Decode(w, r, maxBody, &req) {
 		return
 	}
 
@@ -55,7 +55,7 @@
 
 func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
 	var req wire.CommitRequest
-	if !decode(w, r, &req) {
+	if !httpjson.Decode(w, r, maxBody, &req) {
 		return
 	}
 
@@ -121,7 +121,7 @@
 
 func (p *Platform) serveAnnounce(w http.ResponseWriter, r *http.Request) {
 	var in wire.Instance
-	if !decode(w, r, &in) {
+	if !httpjson.Decode(w, r, maxBody, &in) {
 		return
 	}
 
@@ -158,7 +158,7 @@
 
 func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var m faultsMessage
-	if !decode(w, r, &m) {
+	if !httpjson.Decode(w, r, maxBody, &m) {
 		return
 	}
 
@@ -171,16 +171,6 @@
 	answer(w, struct{}{}, nil)
 }
 
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-
-		return false
-	}
-
-	return true
-}
-
 func answer(w http.ResponseWriter, v any, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -188,6 +178,5 @@
 		return
 	}
 
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	httpjson.Write(w, http.StatusOK, v)
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,13 +3,14 @@
 package service
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/standin/httpjson"
 )
 
 // PathFaults is the path of the fault switches.
@@ -91,20 +92,16 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", s)
 	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(s.Runs())
+		httpjson.Write(w, http.StatusOK, s.Runs())
 	})
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		var m struct {
 			LoseAnswers int `json:"loseAnswers"`
 		}
 
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&m); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-
-			return
+		if httpjson.Decode(w, r, maxBody, &m) {
+			s.LoseAnswers(m.LoseAnswers)
 		}
-
-		s.LoseAnswers(m.LoseAnswers)
 	})
 
 	return mux
--- a/internal/standin/trial/faults.go
+++ b/internal/standin/trial/faults.go
@@ -54,7 +54,7 @@
 	t.awaitLoad(ctx)
 	t.Kill(n.Entry)
 
-	_, _ = t.StartEntry(ctx, entries)
+	_, _ = t.StartEntry(ctx, t.opt.Entries)
 }
 
 // awaitLoad returns when an engine is loading something, or soon.
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -26,6 +26,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/standin/engine"
+	"github.com/fulmarcross/fulmarcross/internal/standin/pause"
 	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
 	"github.com/fulmarcross/fulmarcross/internal/standin/service"
 )
@@ -35,6 +36,8 @@
 	Seed   uint64
 	For    time.Duration
 	Faults bool
+	// Entries is how many entries there are; zero means three.
+	Entries int
 	// Cells is how many cells the targets are split into; zero means one.
 	Cells int
 	// Progress receives a line now and then; nil means nobody looks.
@@ -44,7 +47,6 @@
 
 // The size of the demo.
 const (
-	entries     = 3
 	engines     = 5
 	services    = 2
 	modelCount  = 12
@@ -67,7 +69,7 @@
 type node struct {
 	*entry.Entry
 
-	gate   *Gate
+	gate   *pause.Gate
 	cancel context.CancelFunc
 	done   chan struct{}
 	dead   atomic.Bool
@@ -95,6 +97,11 @@
 // Start makes a trial and returns when its entries are ready. Stop ends it.
 func Start(ctx context.Context, opt Options) (*Trial, error) {
 	opt.Cells = max(1, opt.Cells)
+
+	if opt.Entries == 0 {
+		opt.Entries = 3
+	}
+
 	t := &Trial{
 		opt:      opt,
 		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Seed)), //nolint:gosec // A reproducible load.
@@ -215,7 +222,7 @@
 		return err
 	}
 
-	for i := range entries {
+	for i := range t.opt.Entries {
 		if _, err := t.StartEntry(ctx, i); err != nil {
 			return err
 		}
@@ -244,7 +251,7 @@
 // StartEntry starts one more entry.
 func (t *Trial) StartEntry(ctx context.Context, i int) (*entry.Entry, error) {
 	free := netip.MustParseAddrPort("127.0.0.1:0")
-	gate := &Gate{}
+	gate := &pause.Gate{}
 
 	e, err := entry.New(&settings.Settings{
 		ID:              instance.ID(fmt.Sprintf("entry-%d", i)),
@@ -315,7 +322,7 @@
 	const patience = 10 * time.Second
 
 	for end := time.Now().Add(patience); time.Now().Before(end) && ctx.Err() == nil; {
-		if len(t.ready()) == entries && t.holder() != nil {
+		if len(t.ready()) == t.opt.Entries && t.holder() != nil {
 			return nil
 		}
 
