fix: keep suspects apart until a death is known, leave late replies alone

Ruled out: the reservations between entries, which the test does not use. The tests' own shared variables are atomics or behind the world's lock.

--- a/internal/placement/cell/failure_test.go
+++ b/internal/placement/cell/failure_test.go
@@ -38,11 +38,11 @@
 		// no engine has heard of; the successor must order it.
 		var once sync.Once
 
-		w.afterCommit = func(p *proc, tx table.Transaction) {
+		w.hookCommit(func(p *proc, tx table.Transaction) {
 			if strings.HasPrefix(tx.Writes[0].Key, record.LedgerPrefix(0)) {
 				once.Do(func() { w.kill(p) })
 			}
-		}
+		})
 
 		took, ok := w.askUntil(modelName(0), 20*time.Second)
 		assert.Assert(t, ok, w.state())
@@ -67,14 +67,14 @@
 		// is asked for. Then the former holder wakes and its order arrives.
 		var once sync.Once
 
-		w.beforeOrder = func(p *proc, o target.Order) {
+		w.hook(func(p *proc, o target.Order) {
 			if _, ok := o.Action.(target.Load); ok {
 				once.Do(func() {
 					p.gate.Close()
 					time.AfterFunc(10*time.Second, p.gate.Open)
 				})
 			}
-		}
+		})
 
 		before := w.token()
 		w.ask(modelName(0))
@@ -128,7 +128,7 @@
 
 		holders := 0
 
-		for _, p := range w.procs {
+		for _, p := range w.running() {
 			if l, held := p.Lease(); held && l.Token > 1 {
 				holders++
 			}
@@ -169,7 +169,7 @@
 		// Two loads go to one engine at once. The answer to the second is
 		// handled first; the answer to the first shows an inventory from
 		// before the second. The second's row must stay counted.
-		w.jitter = 400 * time.Millisecond
+		w.jitter.Store(int64(400 * time.Millisecond))
 
 		for round := range 6 {
 			w.ask(modelName(round%modelsAsked), modelName((round+1)%modelsAsked))
@@ -269,19 +269,10 @@
 
 // deafen makes the processes hear nothing of each other for a while.
 func (w *world) deafen(d time.Duration) {
-	for _, p := range w.procs {
-		p.set.Terms.Silence = 0
-	}
-
-	time.AfterFunc(d, func() {
-		for _, p := range w.procs {
-			p.set.Terms.Silence = peerSilence
-		}
-	})
+	w.deaf.Store(true)
+	time.AfterFunc(d, func() { w.deaf.Store(false) })
 }
 
-const peerSilence = 2 * time.Second
-
 // TestLapsedHolder is the story of a holder that the table service has left
 // alone: its lease lapses, and it cannot know whether there is a successor.
 // Callers wait for a cold model. It must not order the load, and the callers
--- a/internal/placement/cell/gate_test.go
+++ b/internal/placement/cell/gate_test.go
@@ -43,8 +43,8 @@
 	}
 
 	version, err := t.Service.Commit(ctx, tx)
-	if err == nil && t.w.afterCommit != nil {
-		t.w.afterCommit(t.p, tx)
+	if _, committed := t.w.hooks(); err == nil && committed != nil {
+		committed(t.p, tx)
 
 		if err := t.g.Wait(ctx); err != nil {
 			return 0, &table.UnavailableError{Op: "commit", Err: err}
@@ -67,8 +67,8 @@
 const engineTimeout = 2 * time.Second
 
 func (e gatedEngine) Submit(ctx context.Context, o target.Order) (target.Inventory, error) {
-	if e.w.beforeOrder != nil {
-		e.w.beforeOrder(e.p, o)
+	if before, _ := e.w.hooks(); before != nil {
+		before(e.p, o)
 	}
 
 	if err := e.g.Wait(ctx); err != nil {
@@ -93,8 +93,8 @@
 
 // travel takes the time of a message on its way, which its name determines.
 func (w *world) travel(name string) {
-	if w.jitter > 0 {
-		time.Sleep(time.Duration(xxhash.Sum64String(name) % uint64(w.jitter)))
+	if jitter := w.jitter.Load(); jitter > 0 {
+		time.Sleep(time.Duration(xxhash.Sum64String(name) % uint64(jitter)))
 	}
 }
 
--- a/internal/placement/cell/schedule_test.go
+++ b/internal/placement/cell/schedule_test.go
@@ -24,7 +24,7 @@
 
 var mishaps = []mishap{
 	{"kill the holder", func(w *world, _ *rand.Rand) {
-		if p := w.holder(); p != nil && len(w.procs) > 1 {
+		if p := w.holder(); p != nil && len(w.running()) > 1 {
 			w.kill(p)
 			w.platform.Remove(p.id)
 		}
@@ -46,12 +46,12 @@
 
 		var once sync.Once
 
-		w.beforeOrder = func(p *proc, _ target.Order) {
+		w.hook(func(p *proc, _ target.Order) {
 			once.Do(func() {
 				p.gate.Close()
 				time.AfterFunc(d, p.gate.Open)
 			})
-		}
+		})
 	}},
 	{"lose answers of the table", func(w *world, rng *rand.Rand) {
 		w.platform.SetFaults(platform.Faults{LoseAnswers: 1 + rng.IntN(4), ListLag: time.Second})
@@ -103,7 +103,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rng := newRand(seed)
 		w := newWorld(t, 3, modelsAsked, checksTokens)
-		w.jitter = time.Duration(seed%3) * 150 * time.Millisecond
+		w.jitter.Store(int64(seed%3) * int64(150*time.Millisecond))
 
 		for i := range 3 {
 			w.start(instance.ID(fmt.Sprintf("entry-%d", i)))
--- a/internal/placement/cell/world_test.go
+++ b/internal/placement/cell/world_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,7 +49,9 @@
 	beforeOrder func(p *proc, o target.Order)
 	afterCommit func(p *proc, tx table.Transaction)
 	// jitter bounds the time that an order and its answer take on the way.
-	jitter time.Duration
+	jitter atomic.Int64 // jitter is a time.Duration.
+	// deaf makes heartbeats get lost.
+	deaf atomic.Bool
 
 	mu     sync.Mutex
 	procs  []*proc
@@ -192,6 +195,37 @@
 	return p
 }
 
+// hook makes f run before each order.
+func (w *world) hook(f func(p *proc, o target.Order)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.beforeOrder = f
+}
+
+// hookCommit makes f run after each commit.
+func (w *world) hookCommit(f func(p *proc, tx table.Transaction)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.afterCommit = f
+}
+
+func (w *world) hooks() (func(*proc, target.Order), func(*proc, table.Transaction)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.beforeOrder, w.afterCommit
+}
+
+// running returns the processes that live.
+func (w *world) running() []*proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return append([]*proc(nil), w.procs...)
+}
+
 func (w *world) engineOf(id instance.ID) *engine.Engine {
 	for _, e := range w.engines {
 		if e.ID() == id {
@@ -255,7 +289,7 @@
 		w.mu.Unlock()
 
 		for _, o := range others {
-			if o != p {
+			if o != p && !w.deaf.Load() {
 				o.set.Hear(st, time.Now())
 			}
 		}
--- a/internal/serving/claim/claim_test.go
+++ b/internal/serving/claim/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,7 +90,8 @@
 		var p platform.Platform
 
 		b := bookOf(&p, "a")
-		slow := &late{Platform: &p, after: 10 * time.Second}
+		slow := &late{Platform: &p}
+		slow.after.Store(int64(10 * time.Second))
 		b.Table = slow
 
 		_, err := b.Take(t.Context(), "claim/c/k", "d")
@@ -102,7 +104,7 @@
 		assert.Assert(t, ok, "the write took effect late")
 		time.Sleep(30 * time.Second)
 
-		slow.after = 0
+		slow.after.Store(0)
 
 		o, err := b.Take(t.Context(), "claim/c/k", "d")
 		assert.NilError(t, err)
@@ -117,15 +119,16 @@
 type late struct {
 	*platform.Platform
 
-	after time.Duration
+	after atomic.Int64 // after is a time.Duration.
 }
 
 func (l *late) Commit(ctx context.Context, tx table.Transaction) (uint64, error) {
-	if l.after == 0 {
+	after := time.Duration(l.after.Load())
+	if after == 0 {
 		return l.Platform.Commit(ctx, tx)
 	}
 
-	time.AfterFunc(l.after, func() { _, _ = l.Platform.Commit(context.WithoutCancel(ctx), tx) })
+	time.AfterFunc(after, func() { _, _ = l.Platform.Commit(context.WithoutCancel(ctx), tx) })
 
 	return 0, &table.UnavailableError{Op: "commit", Err: context.DeadlineExceeded}
 }
--- a/internal/serving/dispatch/dispatch_test.go
+++ b/internal/serving/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,13 +144,13 @@
 	return err
 }
 
-var requests int
+var requests atomic.Int64
 
 func newRequest(prompt string, timeout time.Duration) *request.Request {
-	requests++
+	n := requests.Add(1)
 
 	return &request.Request{
-		ID: fmt.Sprint("r", requests), EngineID: fmt.Sprint("e", requests), Customer: "c", Plan: "p", Model: model,
+		ID: fmt.Sprint("r", n), EngineID: fmt.Sprint("e", n), Customer: "c", Plan: "p", Model: model,
 		Prompt: prompt, MaxTokens: 20, Arrived: time.Now(), Deadline: time.Now().Add(timeout),
 	}
 }
--- a/internal/serving/dispatch/flight.go
+++ b/internal/serving/dispatch/flight.go
@@ -62,21 +62,25 @@
 			return Result{}, f.end(err)
 		}
 
-		err = f.attempt(ctx, t)
-		t.End(f.suspect)
+		suspect := f.suspect
 
-		if err == nil {
-			f.unreserve()
+		err = f.attempt(ctx, t)
+		failed := err != nil
 
-			return f.landed(), nil
+		if failed {
+			err = f.judge(ctx, t, err)
 		}
 
-		// The reservation ends only after a death was made known, so that no
-		// other suspect is sent to the dead target and blamed for its death.
-		err = f.judge(ctx, t, err)
+		// A suspect leaves its target only after a death was made known, so
+		// that no other suspect is sent to the dead target and blamed for its
+		// death.
+		t.End(suspect)
 		f.unreserve()
 
-		if err != nil {
+		switch {
+		case !failed:
+			return f.landed(), nil
+		case err != nil:
 			return Result{}, f.end(err)
 		}
 	}
@@ -85,9 +89,7 @@
 // next returns the target of the next sending, on which the request is
 // counted.
 func (f *flight) next(ctx context.Context) (*router.Target, error) {
-	if f.stay && !f.last.Leaving() {
-		f.last.Begin(f.suspect)
-
+	if f.stay && !f.last.Leaving() && f.last.Begin(f.suspect) {
 		return f.last, nil
 	}
 
--- a/internal/serving/dispatch/line.go
+++ b/internal/serving/dispatch/line.go
@@ -147,8 +147,8 @@
 	q.Entries = l.d.cfg.Entries()
 
 	t := router.Choose(l.d.cfg.Table.Targets(l.model), q)
-	if t != nil {
-		t.Begin(q.Suspect)
+	if t == nil || !t.Begin(q.Suspect) {
+		return nil
 	}
 
 	return t
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -213,13 +213,17 @@
 	return float64(out) / float64(n)
 }
 
-// Begin counts a request on the target.
-func (t *Target) Begin(suspect bool) {
+// Begin counts a request on the target. It reports false, and counts nothing,
+// when a suspect would join another: two that choose at the same time both see
+// the target without a suspect, and only one of them may have it.
+func (t *Target) Begin(suspect bool) bool {
+	if suspect && !t.suspects.CompareAndSwap(0, 1) {
+		return false
+	}
+
 	t.own.Add(1)
 
-	if suspect {
-		t.suspects.Add(1)
-	}
+	return true
 }
 
 // End takes the request off again.
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -94,6 +94,8 @@
 	}
 }
 
+// call makes one call. After an error out must not be read: a late answer may
+// still be written to it.
 func (c *Client) call(ctx context.Context, method string, in, out any) error {
 	client, err := c.connect()
 	if err != nil {
@@ -127,9 +129,11 @@
 func (c *Client) Heartbeat(ctx context.Context, s peer.Status) (peer.Status, error) {
 	var out Status
 
-	err := c.call(ctx, "Heartbeat", FromStatus(s), &out)
+	if err := c.call(ctx, "Heartbeat", FromStatus(s), &out); err != nil {
+		return peer.Status{}, err
+	}
 
-	return ToStatus(out), err
+	return ToStatus(out), nil
 }
 
 // Report sends an entry's demand.
@@ -141,9 +145,11 @@
 func (c *Client) Snapshot(ctx context.Context, s *router.Snapshot) (bool, error) {
 	var applied bool
 
-	err := c.call(ctx, "Snapshot", FromSnapshot(s), &applied)
+	if err := c.call(ctx, "Snapshot", FromSnapshot(s), &applied); err != nil {
+		return false, err
+	}
 
-	return applied, err
+	return applied, nil
 }
 
 // Notify sends a notice.
@@ -169,9 +175,11 @@
 func (c *Client) Ask(ctx context.Context, a limit.Ask) (limit.Grant, error) {
 	var out Grant
 
-	err := c.call(ctx, "Ask", FromAsk(a), &out)
+	if err := c.call(ctx, "Ask", FromAsk(a), &out); err != nil {
+		return limit.Grant{}, err
+	}
 
-	return ToGrant(out), err
+	return ToGrant(out), nil
 }
 
 // GrantShare asks for a cell's part of the loads.
@@ -182,8 +190,11 @@
 		Cell: a.Cell, WantModels: a.Want.Models, WantAdapters: a.Want.Adapters,
 		UsingModels: a.Using.Models, UsingAdapters: a.Using.Adapters,
 	}, &out)
+	if err != nil {
+		return share.Amount{}, err
+	}
 
-	return share.Amount{Models: out.Models, Adapters: out.Adapters}, err
+	return share.Amount{Models: out.Models, Adapters: out.Adapters}, nil
 }
 
 // Reserve asks for a target for one suspect.
@@ -191,9 +202,11 @@
 	var ok bool
 
 	in := Reservation{Target: string(id), Holder: holder, ForMs: lasting.Milliseconds()}
-	err := c.call(ctx, "Reserve", in, &ok)
+	if err := c.call(ctx, "Reserve", in, &ok); err != nil {
+		return false, err
+	}
 
-	return ok, err
+	return ok, nil
 }
 
 // Unreserve ends a reservation.
@@ -210,9 +223,11 @@
 
 	var version uint64
 
-	err := c.call(ctx, "Edits", in, &version)
+	if err := c.call(ctx, "Edits", in, &version); err != nil {
+		return 0, err
+	}
 
-	return version, err
+	return version, nil
 }
 
 // EditsAfter fetches the edits after a version.
@@ -256,9 +271,11 @@
 	var out []Event
 
 	in := Filter{Request: f.Request, Model: f.Model, Since: uint64(f.Since)}
-	err := c.call(ctx, "Events", in, &out)
+	if err := c.call(ctx, "Events", in, &out); err != nil {
+		return nil, err
+	}
 
-	return ToEvents(out), err
+	return ToEvents(out), nil
 }
 
 // KeepEvents sends copies of events.
