--- a/internal/placement/cell/failure_test.go
+++ b/internal/placement/cell/failure_test.go
@@ -463,3 +463,32 @@
 
 	assert.Assert(t, moved < names/cells*5/4, "%d moved for one more cell", moved)
 }
+
+// TestNoOrderAfterLapse is the story of an order that gets no answer and is
+// sent again and again, while the holder cannot renew its lease: once that has
+// lapsed, a successor may decide, and an engine that ignores tokens would carry
+// out both. Not one more order may go out.
+func TestNoOrderAfterLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, modelsAsked, false)
+		p := w.start("entry-0")
+
+		defer w.stopAll()
+
+		time.Sleep(3 * time.Second)
+		w.engines[0].SetFaults(engine.Faults{LateOrders: 3 * time.Minute})
+		w.ask(modelName(0))
+		time.Sleep(time.Second)
+		w.platform.SetFaults(platform.Faults{TableDown: true})
+
+		before := time.Now()
+		time.Sleep(p.cfg.Terms.Duration)
+
+		lapsed := time.Now()
+		assert.Assert(t, len(w.ordersBy(p.id, before)) > 0, "the order was sent again while the lease lasted")
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(w.ordersBy(p.id, lapsed)), 0)
+		w.engines[0].SetFaults(engine.Faults{})
+		time.Sleep(5 * time.Minute)
+	})
+}
