--- a/internal/placement/cell/failure_test.go
+++ b/internal/placement/cell/failure_test.go
@@ -482,9 +482,11 @@
 		w.platform.SetFaults(platform.Faults{TableDown: true})
 
 		before := time.Now()
+
 		time.Sleep(p.cfg.Terms.Duration)
 
 		lapsed := time.Now()
+
 		assert.Assert(t, len(w.ordersBy(p.id, before)) > 0, "the order was sent again while the lease lasted")
 		time.Sleep(time.Minute)
 		assert.Equal(t, len(w.ordersBy(p.id, lapsed)), 0)
