--- a/internal/placement/replica/decide.go
+++ b/internal/placement/replica/decide.go
@@ -23,6 +23,9 @@
 	retired map[ledger.Key]bool
 	// demanded are the models with demand.
 	demanded map[string]bool
+	// placed are the models that this round has looked for a place for, so
+	// that a base which several want is loaded once.
+	placed   map[string]bool
 	loads    int
 	adapters int
 }
@@ -34,6 +37,7 @@
 		taken:    make([]int64, len(v.Targets)),
 		retired:  make(map[ledger.Key]bool),
 		demanded: make(map[string]bool, len(v.Demand)),
+		placed:   make(map[string]bool),
 		loads:    v.FreeLoads,
 		adapters: v.FreeAdapterLoads,
 	}
@@ -153,6 +157,12 @@
 
 // place looks for a target and, if need be, for what to evict there.
 func (d *decider) place(cp weight.Checkpoint, dem Demand, evict bool) {
+	if d.placed[cp.Name] {
+		return
+	}
+
+	d.placed[cp.Name] = true
+
 	if cp.Base != "" && !d.hasReady(cp.Base) {
 		d.placeBase(cp, dem, evict)
 
--- a/internal/placement/replica/decide_test.go
+++ b/internal/placement/replica/decide_test.go
@@ -184,6 +184,14 @@
 			change: func(v *View) { v.Forecast, v.Candidates = rates{"a": 0.01}, []string{"a", "b"} },
 			want:   []Decision{Load{Target: "t0", Model: "a", Bytes: 60, Ready: 6 * time.Second}},
 		},
+		"a base that is expected by itself and by its adapter is loaded once": {
+			view:   scene(3),
+			change: func(v *View) { v.Forecast, v.Candidates = rates{"a": 1, "a+": 1}, []string{"a", "a+"} },
+			want: []Decision{
+				Load{Target: "t0", Model: "a", Bytes: 60, Ready: 6 * time.Second},
+				Expect{Model: "a+", Ready: 6 * time.Second},
+			},
+		},
 		"an expectation evicts nothing": {
 			view:   scene(1, row("t0", "b", target.Ready)),
 			change: func(v *View) { v.Forecast, v.Candidates = rates{"a": 0.01, "b": 0.01}, []string{"a"} },
@@ -269,6 +277,11 @@
 			}
 		}
 
+		if rapid.Bool().Draw(t, "forecast") {
+			v.Forecast = rates{"a": 1, "b": 1, "a+": 1, "c": 0.0001}
+			v.Candidates = names[:5]
+		}
+
 		checkRound(t, v, Decide(v))
 	})
 }
