refactor: wait, write a lease and look at the crash book in one way each

After: clock.Sleep, writeLease and ownLease serve all; both looks at the crash book skip the lock while it is empty. Behaviour and tests are as before.

--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/entry/entry.go
@@ -371,16 +371,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ID returns the instance's id.
 func (e *Entry) ID() instance.ID { return e.cfg.ID }
 
--- a/internal/fleet/entry/members.go
+++ b/internal/fleet/entry/members.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/peer"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
@@ -86,7 +87,7 @@
 		}
 
 		pause := max(rosterEvery, time.Duration(len(e.fleet.Entries()))*rosterPerEntry)
-		sleep(ctx, pause/2+rand.N(pause)) //nolint:gosec // Spreads the load.
+		_ = clock.Sleep(ctx, pause/2+rand.N(pause)) //nolint:gosec // Spreads the load.
 	}
 }
 
--- a/internal/fleet/entry/reports.go
+++ b/internal/fleet/entry/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/cell"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
@@ -62,7 +63,7 @@
 		select {
 		case <-ctx.Done():
 		case <-e.reports.kicks[c]:
-			sleep(ctx, reportGather)
+			_ = clock.Sleep(ctx, reportGather)
 		case <-t.C:
 		}
 
--- a/internal/fleet/entry/serve.go
+++ b/internal/fleet/entry/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	wire "github.com/fulmarcross/fulmarcross/internal/wire/peer"
 )
@@ -120,7 +121,7 @@
 		c.Drain(ctx)
 	}
 
-	sleep(ctx, lingerUnready)
+	_ = clock.Sleep(ctx, lingerUnready)
 
 	for _, s := range e.servers {
 		if s.Shutdown(ctx) != nil {
--- a/internal/placement/cell/cell.go
+++ b/internal/placement/cell/cell.go
@@ -284,10 +284,7 @@
 	tryCtx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Renew)
 	defer cancel()
 
-	version, err := table.Settle(tryCtx, c.cfg.Table, table.Transaction{
-		Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: held.Version}},
-		Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
-	})
+	version, err := c.writeLease(tryCtx, next, held.Version)
 
 	switch {
 	case err == nil:
@@ -333,21 +330,39 @@
 // whose answer came too late has changed the row as well, and then the lease
 // is still held: the row names this process and its token.
 func (c *Cell) conflict(ctx context.Context, held lease.Held) {
-	rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell))
-	if err != nil {
-		return
-	}
+	version, own, err := c.ownLease(ctx, held.Token)
 
-	current, err := c.decode(rows[0])
-	if err == nil && current.Process == c.cfg.Process && current.Token == held.Token && !current.Released {
+	switch {
+	case err != nil:
+	case own:
 		c.mu.Lock()
-		c.held.Version = rows[0].Version
+		c.held.Version = version
 		c.mu.Unlock()
+	default:
+		c.lost(held.Token)
+	}
+}
 
-		return
+// writeLease replaces the lease row of the version and returns its new one.
+func (c *Cell) writeLease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
+	return table.Settle(ctx, c.cfg.Table, table.Transaction{
+		Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: version}},
+		Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
+	})
+}
+
+// ownLease reads the lease row. It reports whether that still names this
+// process with the token, and the row's version.
+func (c *Cell) ownLease(ctx context.Context, token uint64) (version uint64, own bool, err error) {
+	rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell))
+	if err != nil {
+		return 0, false, err
 	}
 
-	c.lost(held.Token)
+	current, err := c.decode(rows[0])
+	own = err == nil && current.Process == c.cfg.Process && current.Token == token && !current.Released
+
+	return rows[0].Version, own, nil
 }
 
 // lost ends the tenure, because another instance holds the lease.
--- a/internal/placement/cell/handover.go
+++ b/internal/placement/cell/handover.go
@@ -11,7 +11,6 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
-	"github.com/fulmarcross/fulmarcross/internal/wire/record"
 )
 
 // rebalanceAfter is how long another instance must rank first before the
@@ -97,25 +96,15 @@
 	const tries = 3
 
 	for range tries {
-		_, err := table.Settle(ctx, c.cfg.Table, table.Transaction{
-			Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: version}},
-			Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
-		})
+		_, err := c.writeLease(ctx, next, version)
 		if err == nil || !table.IsConflict(err) {
 			return err == nil
 		}
 
-		rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell))
-		if err != nil {
+		var own bool
+		if version, own, err = c.ownLease(ctx, next.Token); err != nil || !own {
 			return false
 		}
-
-		current, err := c.decode(rows[0])
-		if err != nil || current.Process != c.cfg.Process || current.Token != next.Token {
-			return false
-		}
-
-		version = rows[0].Version
 	}
 
 	return false
--- a/internal/placement/cell/tenure.go
+++ b/internal/placement/cell/tenure.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
@@ -138,15 +139,7 @@
 }
 
 func (t *tenure) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-
-	select {
-	case <-t.ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return clock.Sleep(t.ctx, d) == nil
 }
 
 // adoptLedger reads the rows of the cell. It runs after the fence was
--- a/internal/platform/table/settle.go
+++ b/internal/platform/table/settle.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 )
 
 // Pause between two tries to settle a write, doubled up to the limit.
@@ -43,7 +45,7 @@
 			return 0, err
 		}
 
-		if !wait(ctx, pause) {
+		if clock.Sleep(ctx, pause) != nil {
 			return 0, &UnavailableError{Op: "settle", Err: context.Cause(ctx)}
 		}
 
@@ -75,7 +77,7 @@
 			return err
 		}
 
-		if !wait(ctx, pause) {
+		if clock.Sleep(ctx, pause) != nil {
 			return &UnavailableError{Op: "settle delete", Err: context.Cause(ctx)}
 		}
 	}
@@ -97,16 +99,3 @@
 
 	return witnessState{ours: ours, version: row.Version}, nil
 }
-
-// wait sleeps for d and reports whether ctx is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -147,3 +147,6 @@
 		delete(b.suspects, oldest)
 	}
 }
+
+// Len returns how many requests are on the book.
+func (b *Book) Len() int { return len(b.suspects) }
--- a/internal/serving/dispatch/blame.go
+++ b/internal/serving/dispatch/blame.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
@@ -16,13 +17,6 @@
 // maxSends bounds how often one request is sent, whatever the budget says.
 const maxSends = 8
 
-func (f *flight) blockedOrSuspect() bool {
-	f.crashMu.Lock()
-	defer f.crashMu.Unlock()
-
-	return f.crashes.Suspect(f.req.Fingerprint(), time.Now())
-}
-
 // reserveAgain is how soon a suspect asks again for a target of its own.
 const reserveAgain = 50 * time.Millisecond
 
@@ -94,19 +88,7 @@
 
 	const base = 20 * time.Millisecond
 
-	return pause(ctx, base<<min(f.trail.Sends(), 4)) //nolint:mnd // At most sixteenfold.
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+	return clock.Sleep(ctx, base<<min(f.trail.Sends(), 4)) //nolint:mnd // At most sixteenfold.
 }
 
 // blame finds out what went wrong on the target. It returns a refusal when
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -74,9 +74,9 @@
 
 	crashMu sync.Mutex
 	crashes crash.Book
-	// blocked is how many requests are blocked, so that the common case of
+	// marked is how many requests are on the book, so that the common case of
 	// none needs no lock.
-	blocked atomic.Int64
+	marked atomic.Int64
 
 	running atomic.Int64
 }
@@ -255,12 +255,12 @@
 	defer d.crashMu.Unlock()
 
 	d.crashes.Block(fp, time.Now())
-	d.blocked.Store(int64(len(d.crashes.BlockedNow(time.Now()))))
+	d.marked.Store(int64(d.crashes.Len()))
 }
 
 // Blocked returns the requests that are blocked.
 func (d *Dispatcher) Blocked() []request.Fingerprint {
-	if d.blocked.Load() == 0 {
+	if d.marked.Load() == 0 {
 		return nil
 	}
 
@@ -271,7 +271,7 @@
 }
 
 func (d *Dispatcher) isBlocked(fp request.Fingerprint) (time.Duration, bool) {
-	if d.blocked.Load() == 0 {
+	if d.marked.Load() == 0 {
 		return 0, false
 	}
 
@@ -281,6 +281,18 @@
 	return d.crashes.Blocked(fp, time.Now())
 }
 
+// isSuspect reports whether a target died under the request lately.
+func (d *Dispatcher) isSuspect(fp request.Fingerprint) bool {
+	if d.marked.Load() == 0 {
+		return false
+	}
+
+	d.crashMu.Lock()
+	defer d.crashMu.Unlock()
+
+	return d.crashes.Suspect(fp, time.Now())
+}
+
 // died records that a target died under the request. It reports whether the
 // request is blocked by now.
 func (d *Dispatcher) died(fp request.Fingerprint, death crash.Death) bool {
@@ -288,7 +300,7 @@
 	now := time.Now()
 	news := d.crashes.Died(fp, death, now)
 	_, blocked := d.crashes.Blocked(fp, now)
-	d.blocked.Store(int64(len(d.crashes.BlockedNow(now))))
+	d.marked.Store(int64(d.crashes.Len()))
 	d.crashMu.Unlock()
 
 	if news {
@@ -303,6 +315,7 @@
 	defer d.crashMu.Unlock()
 
 	d.crashes.Cleared(fp)
+	d.marked.Store(int64(d.crashes.Len()))
 }
 
 // RefuseWaiting refuses all waiting requests for which why returns a refusal.
--- a/internal/serving/dispatch/flight.go
+++ b/internal/serving/dispatch/flight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
@@ -54,7 +55,7 @@
 
 // fly sends the request until its answer is whole.
 func (f *flight) fly(ctx context.Context) (Result, error) {
-	f.suspect = f.blockedOrSuspect()
+	f.suspect = f.isSuspect(f.req.Fingerprint())
 
 	for {
 		t, err := f.next(ctx)
@@ -105,7 +106,7 @@
 
 		t.End(f.suspect)
 
-		if err := pause(ctx, reserveAgain); err != nil {
+		if err := clock.Sleep(ctx, reserveAgain); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/serving/gateway/service.go
+++ b/internal/serving/gateway/service.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/claim"
@@ -204,15 +205,7 @@
 func pause(ctx context.Context, try int) bool {
 	const base, most = 25 * time.Millisecond, 5
 
-	t := time.NewTimer(base << min(try, most))
-	defer t.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return clock.Sleep(ctx, base<<min(try, most)) == nil
 }
 
 // storeTimeout bounds how long an answer is tried to be stored after its
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -139,9 +139,6 @@
 // Platform returns the platform's stand-in.
 func (t *Trial) Platform() *platform.Platform { return t.platform }
 
-// Engines returns the engines' stand-ins.
-func (t *Trial) Engines() []*engine.Engine { return t.engines }
-
 // Services returns the services' stand-ins.
 func (t *Trial) Services() []*service.Service { return t.services }
 
