--- /dev/null
+++ b/cmd/fulmarcross-entry/main.go
@@ -0,0 +1,11 @@
+// Command fulmarcross-entry is one entry of fulmarcross on the users'
+// platform.
+package main
+
+import (
+	"os"
+
+	"github.com/fulmarcross/fulmarcross/internal/cli/member"
+)
+
+func main() { os.Exit(member.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/cli/member/member.go
@@ -0,0 +1,135 @@
+// Package member is the command line of the entry that runs on the users'
+// platform.
+package member
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/node"
+	"github.com/fulmarcross/fulmarcross/internal/room/logbook"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/platform"
+)
+
+// commands are the commands of the program.
+type commands struct {
+	Serve serveCommand `cmd:"" help:"Serve as an entry until stopped."`
+	Check checkCommand `cmd:"" help:"Check the settings and name every fault."`
+}
+
+type serveCommand struct{}
+
+type checkCommand struct{}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var c commands
+
+	parser, err := kong.New(&c, kong.Name("fulmarcross-entry"), kong.Writers(stdout, stderr),
+		kong.Description("One entry of fulmarcross on the users' platform. The settings file's path stands in "+platform.SettingsVariable+"."))
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+
+		return 1
+	}
+
+	ctx, err := parser.Parse(args)
+	if err == nil {
+		ctx.BindTo(stdout, (*io.Writer)(nil))
+
+		err = ctx.Run()
+	}
+
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+
+		return 1
+	}
+
+	return 0
+}
+
+// Run checks the settings.
+func (checkCommand) Run(stdout io.Writer) error {
+	if _, err := Load(os.Getenv(platform.SettingsVariable)); err != nil {
+		return err
+	}
+
+	_, err := fmt.Fprintln(stdout, "settings: ok")
+
+	return err
+}
+
+const (
+	// heapGrowth is the garbage collector's target in per cent. The live heap
+	// is a few megabytes, and memory is priced more than processor time.
+	heapGrowth = 60
+	// memoryLimit is the heap above which the collector works harder.
+	memoryLimit = 64 << 20
+	// unknownEntries is how many entries share the budgets until they are
+	// known: today's sites have seven or eight machines and three spare ones.
+	unknownEntries = 8
+)
+
+// Run serves until a signal stops it.
+func (serveCommand) Run(stdout io.Writer) error {
+	debug.SetGCPercent(heapGrowth)
+	debug.SetMemoryLimit(memoryLimit)
+
+	s, err := Load(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+
+	book := logbook.New(stdout)
+	defer book.Close()
+
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(book).With().Timestamp().Str("node", string(s.Name)).Logger()
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	signal.Ignore(syscall.SIGHUP)
+
+	store := &platform.Store{Address: s.Store, HTTP: client()}
+	n := node.New(node.Config{
+		Self: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics,
+		ReadyPath: platform.ReadyPath, Source: store, Table: store, Engines: &platform.Engines{HTTP: client()},
+		Protocol: platform.Headers{}, Entries: unknownEntries, Allowance: s.Allowance, Grace: s.Grace, TurnPause: s.TurnPause,
+		Log: log,
+	})
+
+	return n.Run(ctx)
+}
+
+const (
+	// idleConns and idleTime bound the connections that are kept to the store
+	// and to each engine. Engines close theirs after a few seconds.
+	idleConns = 2
+	idleTime  = 2 * time.Second
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = 1100 * time.Millisecond
+)
+
+// client returns a client whose connections find out when their other end is
+// silent.
+func client() *http.Client {
+	d := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: relay.KeepAlive(), Control: relay.Control}
+
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true,
+	}}
+}
--- /dev/null
+++ b/internal/cli/member/settings.go
@@ -0,0 +1,137 @@
+package member
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+)
+
+// Settings are the settings of one entry on the users' platform.
+type Settings struct {
+	Name                               instance.ID
+	DataCentre                         instance.DataCentre
+	Callers, Readiness, Peers, Metrics netip.AddrPort
+	Store                              netip.AddrPort
+	Grace, TurnPause                   time.Duration
+	Allowance                          relay.Allowance
+}
+
+// document is the settings file.
+type document struct {
+	Name        string `json:"name"`
+	DataCentre  string `json:"dataCentre"`
+	Host        string `json:"host"`
+	Callers     string `json:"callers"`
+	Readiness   string `json:"readiness"`
+	PeerPort    uint16 `json:"peerPort"`
+	MetricsPort uint16 `json:"metricsPort"`
+	Store       string `json:"store"`
+	Bounds      struct {
+		GraceSeconds        float64 `json:"graceSeconds"`
+		TurnPauseMs         float64 `json:"turnPauseMs"`
+		RepeatRatio         float64 `json:"repeatRatio"`
+		RepeatBurst         float64 `json:"repeatBurst"`
+		RepeatWindowSeconds float64 `json:"repeatWindowSeconds"`
+	} `json:"bounds"`
+}
+
+// FieldError says that a setting cannot be used.
+type FieldError struct {
+	Path   string
+	Reason string
+}
+
+func (e *FieldError) Error() string { return fmt.Sprintf("settings: %s: %s", e.Path, e.Reason) }
+
+// Load reads and checks a settings file. Its error names every setting that
+// cannot be used.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+
+	var d document
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, fmt.Errorf("settings: %s: %w", path, err)
+	}
+
+	return d.check()
+}
+
+// checker gathers what is wrong with a document.
+type checker struct{ errs []error }
+
+func (c *checker) fail(path, reason string) {
+	c.errs = append(c.errs, &FieldError{Path: path, Reason: reason})
+}
+
+func (c *checker) text(path, value string) string {
+	if value == "" {
+		c.fail(path, "missing")
+	}
+
+	return value
+}
+
+func (c *checker) address(path, value string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(c.text(path, value))
+	if err != nil && value != "" {
+		c.fail(path, err.Error())
+	}
+
+	return a
+}
+
+func (c *checker) span(path string, value float64, unit time.Duration) time.Duration {
+	if value <= 0 {
+		c.fail(path, "must be above zero")
+	}
+
+	return time.Duration(value * float64(unit))
+}
+
+func (d *document) check() (*Settings, error) {
+	var c checker
+
+	s := &Settings{
+		Name:       instance.ID(c.text("name", d.Name)),
+		DataCentre: instance.DataCentre(c.text("dataCentre", d.DataCentre)),
+		Callers:    c.address("callers", d.Callers),
+		Readiness:  c.address("readiness", d.Readiness),
+		Store:      c.address("store", d.Store),
+		Grace:      c.span("bounds.graceSeconds", d.Bounds.GraceSeconds, time.Second),
+		TurnPause:  c.span("bounds.turnPauseMs", d.Bounds.TurnPauseMs, time.Millisecond),
+		Allowance: relay.Allowance{
+			Ratio: d.Bounds.RepeatRatio, Burst: d.Bounds.RepeatBurst,
+			Window: c.span("bounds.repeatWindowSeconds", d.Bounds.RepeatWindowSeconds, time.Second),
+		},
+	}
+
+	if d.Bounds.RepeatRatio < 0 || d.Bounds.RepeatBurst < 0 {
+		c.fail("bounds", "repeatRatio and repeatBurst must not be below zero")
+	}
+
+	host, err := netip.ParseAddr(c.text("host", d.Host))
+	if err != nil && d.Host != "" {
+		c.fail("host", err.Error())
+	}
+
+	if d.PeerPort == 0 || d.MetricsPort == 0 || d.PeerPort == d.MetricsPort {
+		c.fail("peerPort", "peerPort and metricsPort must be two ports")
+	}
+
+	s.Peers, s.Metrics = netip.AddrPortFrom(host, d.PeerPort), netip.AddrPortFrom(host, d.MetricsPort)
+
+	if len(c.errs) > 0 {
+		return nil, errors.Join(c.errs...)
+	}
+
+	return s, nil
+}
--- a/internal/fleet/entry/members.go
+++ b/internal/fleet/entry/members.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/claim"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 	wire "github.com/fulmarcross/fulmarcross/internal/wire/peer"
 )
 
@@ -43,7 +44,7 @@
 		c.all = make(map[instance.ID]*wire.Client)
 	}
 
-	got = &wire.Client{Address: in.Address, TLS: c.tls}
+	got = &wire.Client{Caller: frame.Caller{Address: in.Address, TLS: c.tls}}
 	c.all[in.ID] = got
 
 	return got
--- /dev/null
+++ b/internal/fleet/node/node.go
@@ -0,0 +1,294 @@
+// Package node is one entry on the users' platform, put together: it learns
+// what is in force and which targets there are, answers callers, takes part in
+// the control of the engines and speaks with the other entries.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/wire/news"
+)
+
+// Source is where an entry learns what is in force and which targets there
+// are. Its calls with a version wait for changes.
+type Source interface {
+	Configuration(ctx context.Context) (*route.Config, uint64, error)
+	ConfigurationAfter(ctx context.Context, after uint64, wait time.Duration) (*route.Config, uint64, error)
+	Targets(ctx context.Context) ([]inventory.Change, uint64, error)
+	TargetsAfter(ctx context.Context, after uint64, wait time.Duration) ([]inventory.Change, uint64, error)
+}
+
+// Config is what an entry works with.
+type Config struct {
+	Self       instance.ID
+	DataCentre instance.DataCentre
+	// Callers, Readiness, Peers and Metrics are the addresses to listen on.
+	Callers, Readiness, Peers, Metrics netip.AddrPort
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
+	Source    Source
+	Table     table.Service
+	Engines   holder.Engines
+	Protocol  relay.Protocol
+	// Entries is how many entries there may be until the others are known.
+	Entries   int
+	Allowance relay.Allowance
+	// Grace is how long a process may take to stop, and TurnPause for how long
+	// no two holders may take turns.
+	Grace, TurnPause time.Duration
+	Log              zerolog.Logger
+}
+
+// Node is one entry. Create it with New.
+type Node struct {
+	cfg     Config
+	process string
+	relay   *relay.Server
+	lines   *dispatch.Dispatcher
+	targets router.Table
+	holder  *holder.Holder
+	peers   peers
+	pool    relay.Pool
+	budgets relay.Budgets
+
+	routes   atomic.Pointer[route.Table]
+	listed   atomic.Bool
+	stopping atomic.Bool
+	// changed asks for the routing to be built anew, and asked for a report.
+	changed, asked chan struct{}
+
+	mu   sync.Mutex
+	book inventory.Book
+	// known is a copy of the book's targets that nobody changes.
+	known map[instance.ID]inventory.Target
+	news  holder.News
+	heard time.Time
+	// absent is until when a target is taken not to hold a key.
+	absent  map[holder.Missing]time.Time
+	missing []holder.Missing
+	number  uint64
+}
+
+// New returns an entry. Run starts it.
+func New(cfg Config) *Node {
+	n := &Node{
+		cfg: cfg, process: uuid.NewString(),
+		changed: make(chan struct{}, 1), asked: make(chan struct{}, 1),
+		absent: make(map[holder.Missing]time.Time),
+	}
+	n.budgets.Allowance = cfg.Allowance
+	n.budgets.Share(cfg.Entries)
+	n.peers.node = n
+
+	n.lines = dispatch.New(dispatch.Config{
+		Table: &n.targets, Entries: n.entries, CellOf: func(string) int { return 0 },
+		Demanded: func(string) { poke(n.asked) }, Noticed: n.noticed, MaxWaiting: maxWaiting,
+	})
+	n.relay = &relay.Server{
+		Protocol: cfg.Protocol, Lines: n.lines, Pool: &n.pool, Budgets: &n.budgets,
+		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Log: cfg.Log,
+	}
+	n.holder = holder.New(holder.Config{
+		Self: cfg.Self, Process: n.process, Table: cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
+		Targets: n.knownTargets, Routes: n.config, Peers: n.peers.alive, Publish: n.publish, Log: cfg.Log,
+	})
+
+	return n
+}
+
+// maxWaiting bounds the requests that wait for one model on this entry.
+const maxWaiting = 256
+
+// terms are the lease's times. A take-over after a death takes the duration
+// and a look, about three seconds; a renewal has two tries before it lapses.
+var terms = lease.Terms{
+	Duration: 2500 * time.Millisecond,
+	Renew:    800 * time.Millisecond,
+	Poll:     400 * time.Millisecond,
+	Stagger:  200 * time.Millisecond,
+}
+
+func poke(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	listen := net.ListenConfig{KeepAliveConfig: relay.KeepAlive(), Control: relay.Control}
+
+	callers, err := listen.Listen(ctx, "tcp", n.cfg.Callers.String())
+	if err != nil {
+		return err
+	}
+
+	checks, err := listen.Listen(ctx, "tcp", n.cfg.Readiness.String())
+	if err != nil {
+		return err
+	}
+
+	peerListener, err := listen.Listen(ctx, "tcp", n.cfg.Peers.String())
+	if err != nil {
+		return err
+	}
+
+	// Work goes on while requests are answered after ctx has ended.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+
+	front := &http.Server{
+		Handler: n.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: nil,
+	}
+	ready := &http.Server{Handler: n.checks(), ReadHeaderTimeout: headerTimeout}
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() { n.served("callers", front.Serve(callers)) })
+	wg.Go(func() { n.served("readiness", ready.Serve(checks)) })
+	wg.Go(func() { n.served("peers", news.Serve(work, peerListener, n)) })
+
+	for _, loop := range []func(context.Context){n.watchConfig, n.watchTargets, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep} {
+		wg.Go(func() { loop(work) })
+	}
+
+	n.cfg.Log.Info().Str("process", n.process).Str("dataCentre", string(n.cfg.DataCentre)).Stringer("callers", n.cfg.Callers).Msg("started")
+
+	<-ctx.Done()
+	n.stop(front)
+	_ = ready.Close()
+	_ = peerListener.Close()
+	cancel()
+	wg.Wait()
+	n.cfg.Log.Info().Msg("stopped")
+
+	return nil
+}
+
+const (
+	// headerTimeout and idleTimeout bound how long a caller may take for a
+	// head and stay idle. The operators allow 3 s and 15 s; a connection must
+	// not be closed before its caller gives it up.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 20 * time.Second
+	// maxHeader bounds a request's head; the operators allow 16 KB.
+	maxHeader = 32 << 10
+)
+
+func (n *Node) served(what string, err error) {
+	if !n.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
+		n.cfg.Log.Error().Err(err).Str("listener", what).Msg("listener ended")
+	}
+}
+
+const (
+	// crossing is how long after the stop's beginning idle connections stay
+	// open: the platform needs two checks, one a second, to send no more
+	// callers, and a request may be on its way.
+	crossing = 2300 * time.Millisecond
+	// stopMargin is how long before the end of the grace the process is done.
+	stopMargin = 500 * time.Millisecond
+)
+
+// stop ends the entry: it reports not ready, gives up the lease, answers what
+// it has and what still comes, and closes.
+func (n *Node) stop(front *http.Server) {
+	began := time.Now()
+
+	n.stopping.Store(true)
+	n.relay.Stop()
+	n.cfg.Log.Info().Int("running", n.relay.Running()).Msg("stopping")
+
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Grace-stopMargin)
+	defer cancel()
+
+	n.holder.Release(ctx)
+	n.peers.leave(ctx)
+
+	if clock.Sleep(ctx, crossing-time.Since(began)) != nil {
+		return
+	}
+
+	if err := front.Shutdown(ctx); err != nil {
+		n.cfg.Log.Warn().Err(err).Int("running", n.relay.Running()).Msg("requests broken off at the end of the grace time")
+	}
+
+	_ = front.Close()
+}
+
+// checks answers the platform's readiness checks.
+func (n *Node) checks() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.cfg.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+
+	return mux
+}
+
+// ready reports whether callers may be sent here.
+func (n *Node) ready() bool {
+	return n.routes.Load() != nil && n.listed.Load() && !n.stopping.Load()
+}
+
+func (n *Node) config() *route.Config {
+	if t := n.routes.Load(); t != nil {
+		return t.Config
+	}
+
+	return nil
+}
+
+// entries returns how many entries share the targets.
+func (n *Node) entries() int {
+	if known := len(n.peers.alive()) + 1; known > 1 {
+		return known
+	}
+
+	return n.cfg.Entries
+}
+
+const sweepEvery = 500 * time.Millisecond
+
+// sweep closes idle connections to targets and keeps the budgets' share.
+func (n *Node) sweep(ctx context.Context) {
+	for clock.Sleep(ctx, sweepEvery) == nil {
+		n.pool.Sweep(time.Now())
+		n.budgets.Share(max(n.entries(), n.cfg.Entries))
+
+		n.mu.Lock()
+		expired := n.book.Expire(time.Now())
+		if expired {
+			n.known = n.book.Targets()
+		}
+		n.mu.Unlock()
+
+		if expired {
+			poke(n.changed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/node/routing.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+const (
+	// newsLast is for how long a holder's news go before the list of targets:
+	// the holder knows of its own loads seconds before the list does, but
+	// without a holder the list is all there is.
+	newsLast = 4 * time.Second
+	// absentFor is for how long a target that said that it does not hold a
+	// model is not asked for it again.
+	absentFor = 150 * time.Millisecond
+	// requestTokens is what an ordinary request takes of an engine's memory.
+	requestTokens = 1700
+)
+
+// keepRouting builds the routing anew whenever what it rests on changes, and
+// when a load is expected to end.
+func (n *Node) keepRouting(ctx context.Context) {
+	next := time.NewTimer(time.Hour)
+	defer next.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.changed:
+		case <-next.C:
+		}
+
+		next.Reset(n.rebuild(time.Now()))
+	}
+}
+
+// rebuild builds the routing and returns when it changes by itself.
+func (n *Node) rebuild(now time.Time) time.Duration {
+	c := n.config()
+	if c == nil {
+		return time.Hour
+	}
+
+	n.mu.Lock()
+	b := builder{now: now, next: now.Add(newsLast), absent: n.absent, snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
+	n.number++
+	b.snapshot.Number = n.number
+
+	stations := make(map[instance.ID]*holder.Station, len(n.news.Stations))
+
+	if now.Sub(n.heard) < newsLast {
+		for i := range n.news.Stations {
+			stations[n.news.Stations[i].Target] = &n.news.Stations[i]
+		}
+	}
+
+	for key, until := range n.absent {
+		if !now.Before(until) {
+			delete(n.absent, key)
+		}
+	}
+
+	for _, t := range n.known {
+		if service, ok := c.Services[t.Service]; ok {
+			b.add(t, service, stations[t.ID])
+		}
+	}
+	n.mu.Unlock()
+
+	n.targets.Apply(&b.snapshot, now)
+	n.lines.Kick()
+
+	return max(time.Millisecond, b.next.Sub(now))
+}
+
+// builder makes a routing snapshot of what is known of the targets.
+type builder struct {
+	now time.Time
+	// next is when the snapshot is out of date by itself.
+	next     time.Time
+	absent   map[holder.Missing]time.Time
+	snapshot router.Snapshot
+}
+
+func (b *builder) add(t inventory.Target, service route.Service, s *holder.Station) {
+	info := router.TargetInfo{
+		ID: t.ID, DataCentre: t.DataCentre, Address: t.Address, Speed: 1, Slots: t.Slots,
+		Leaving: t.Leaving, Incarnation: strconv.FormatInt(t.Born, 10), ReportAge: reportAge,
+	}
+
+	e := service.Engine
+	if e == nil {
+		b.snapshot.Targets = append(b.snapshot.Targets, info)
+		b.replica(t.ID, relay.Key(t.Service, ""), b.now)
+
+		return
+	}
+
+	if e.CacheTokens > 0 {
+		info.Slots = min(info.Slots, max(1, e.CacheTokens/requestTokens))
+	}
+
+	if s != nil && s.Born != t.Born {
+		s = nil
+	}
+
+	if s != nil {
+		info.Running = s.Running
+	}
+
+	b.snapshot.Targets = append(b.snapshot.Targets, info)
+
+	for _, h := range heldBy(t, s) {
+		b.replica(t.ID, relay.Key(t.Service, h.Model), h.Ready)
+
+		for _, a := range h.Adapters {
+			b.replica(t.ID, relay.Key(t.Service, h.Model+"/"+a.Name), latest(h.Ready, a.Ready))
+		}
+	}
+}
+
+// reportAge makes a death that was found stand until a newer process is
+// listed.
+const reportAge = time.Second
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+// heldBy returns what a target holds: by the holder's news if there are any,
+// or else by the list.
+func heldBy(t inventory.Target, s *holder.Station) []holder.Held {
+	if s != nil {
+		return s.Held
+	}
+
+	out := make([]holder.Held, len(t.Held))
+
+	for i, h := range t.Held {
+		out[i].Model = h.Model
+		for _, name := range h.Adapters {
+			out[i].Adapters = append(out[i].Adapters, holder.Adapter{Name: name})
+		}
+	}
+
+	return out
+}
+
+// replica adds what is ready by now, and notes when the rest will be.
+func (b *builder) replica(id instance.ID, key string, ready time.Time) {
+	if until, ok := b.absent[holder.Missing{Target: id, Key: key}]; ok {
+		ready = latest(ready, until)
+	}
+
+	if ready.After(b.now) {
+		if ready.Before(b.next) {
+			b.next = ready
+		}
+
+		return
+	}
+
+	b.snapshot.Added = append(b.snapshot.Added, router.Replica{Target: id, Model: key})
+}
+
+// foundAbsent notes that a target does not hold a key.
+func (n *Node) foundAbsent(t *router.Target, key string) {
+	m := holder.Missing{Target: t.ID, Key: key}
+
+	n.mu.Lock()
+	n.absent[m] = time.Now().Add(absentFor)
+	n.missing = append(n.missing, m)
+	n.mu.Unlock()
+	poke(n.changed)
+	poke(n.asked)
+}
+
+// foundMoved notes that another instance has a target's address.
+func (n *Node) foundMoved(t *router.Target) {
+	if t.Leave() {
+		n.cfg.Log.Warn().Str("target", string(t.ID)).Stringer("address", t.Address).Msg("address belongs to another target")
+	}
+}
--- /dev/null
+++ b/internal/placement/holder/decide.go
@@ -0,0 +1,332 @@
+package holder
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+// storeLoads is how many loads the weight store carries at full speed; more
+// at once only make each other longer.
+const storeLoads = 4
+
+// adapterTime is what the load of an adapter takes, 6 to 19 ms, and the way
+// of the order.
+const adapterTime = 20 * time.Millisecond
+
+// rateSpan is over what time the rate of a model's requests is smoothed: long
+// enough to tell a busy model from a rare one, short against the time in
+// which the busy models change.
+const rateSpan = 6 * time.Second
+
+// rates are the smoothed rates of requests by model.
+type rates struct {
+	perSecond map[string]float64
+	at        time.Time
+}
+
+func (r *rates) add(model string, n int) {
+	if r.perSecond == nil {
+		r.perSecond = make(map[string]float64)
+	}
+
+	r.perSecond[model] += float64(n) / rateSpan.Seconds()
+}
+
+func (r *rates) decay(now time.Time) {
+	keep := math.Exp(-now.Sub(r.at).Seconds() / rateSpan.Seconds())
+	for model := range r.perSecond {
+		r.perSecond[model] *= keep
+	}
+
+	r.at = now
+}
+
+// want is what is asked for under one key.
+type want struct {
+	service, model, adapter string
+	swap.Want
+}
+
+// splitKey takes a key apart into service, model and adapter.
+func splitKey(key string) (service, model, adapter string) {
+	service, rest, _ := strings.Cut(key, "/")
+	model, adapter, _ = strings.Cut(rest, "/")
+
+	return service, model, adapter
+}
+
+// noteUses learns from an entry's report when what was used last. The caller
+// holds the lock.
+func (h *Holder) noteUses(r demand.Report, now time.Time) {
+	for _, u := range r.Uses {
+		_, model, adapter := splitKey(u.Model)
+		h.rates.add(model, u.Served)
+
+		s := h.stations[u.Target]
+		if s == nil || s.held[model] == nil {
+			continue
+		}
+
+		s.held[model].used = now
+
+		if a := s.held[model].adapters[adapter]; a != nil {
+			a.used = now
+		}
+	}
+}
+
+// decide does what is due while the lease is held.
+func (h *Holder) decide(ctx context.Context) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	now := clock.Now()
+	if !h.held.Valid(now, h.cfg.Terms) {
+		return
+	}
+
+	h.sync(now)
+	h.rates.decay(now)
+
+	if !now.Before(h.mayOrder) && !h.draining {
+		h.order(ctx, now)
+	}
+
+	if !h.published || now.Sub(h.heard) >= publishEvery {
+		h.publish(now)
+	}
+}
+
+// publish sends news. The caller holds the lock.
+func (h *Holder) publish(now time.Time) {
+	h.last, h.heard, h.published = h.news(), now, true
+	h.cfg.Publish(h.last)
+}
+
+// order begins the loads that are due. The caller holds the lock.
+func (h *Holder) order(ctx context.Context, now time.Time) {
+	routes := h.cfg.Routes()
+	if routes == nil {
+		return
+	}
+
+	for _, s := range h.stations {
+		if !s.known && !s.working && now.Sub(s.doubted) >= reportAgain {
+			s.doubted = now
+			h.begin(s, func() { h.inquire(ctx, s) })
+		}
+	}
+
+	wants := h.wants()
+
+	for name, service := range routes.Services {
+		if service.Engine == nil {
+			continue
+		}
+
+		h.orderModels(ctx, name, service.Engine, wants, now)
+		h.orderAdapters(ctx, name, service.Engine, wants, now)
+	}
+}
+
+// wants returns what is asked for, by key.
+func (h *Holder) wants() []want {
+	var out []want
+
+	for _, d := range h.asks.Merged(time.Now()) {
+		w := want{Want: swap.Want{Waiting: d.Waiting, Running: d.Running, Deadline: d.Deadline, Priority: d.Priority}}
+		w.service, w.model, w.adapter = splitKey(d.Model)
+		out = append(out, w)
+	}
+
+	return out
+}
+
+func (h *Holder) orderModels(ctx context.Context, service string, e *route.Engine, wants []want, now time.Time) {
+	v := &swap.View{
+		Now: now, Engine: e, Wants: byModel(service, wants), Rate: h.rates.perSecond, StoreLoads: storeLoads,
+	}
+	running := h.running()
+	uses := h.usesByModel()
+
+	for id, s := range h.stations {
+		if s.target.Service != service {
+			continue
+		}
+
+		if s.fromStore && now.Before(s.loading) {
+			v.StoreLoads--
+		}
+
+		v.Targets = append(v.Targets, s.view(now, running[id], uses[id]))
+	}
+
+	slices.SortFunc(v.Targets, func(a, b swap.Target) int { return cmp.Compare(a.ID, b.ID) })
+
+	for _, m := range swap.Plan(v) {
+		s := h.stations[m.Target]
+		h.cfg.Log.Info().Str("target", string(m.Target)).Str("load", m.Load).Strs("unload", m.Unload).Int("tier", int(m.From)).
+			Dur("takes", m.Takes).Str("for", string(m.For)).Uint64("token", h.held.Token).Uint64("sequence", s.sequence).Msg("swap decided")
+		h.begin(s, func() { h.swap(ctx, s, m) })
+	}
+}
+
+// byModel sums the wants of a service's models and their adapters.
+func byModel(service string, wants []want) []swap.Want {
+	sums := make(map[string]*swap.Want)
+
+	var order []string
+
+	for _, w := range wants {
+		if w.service != service || w.model == "" {
+			continue
+		}
+
+		sum := sums[w.model]
+		if sum == nil {
+			sum = &swap.Want{Model: w.model, Deadline: w.Deadline}
+			sums[w.model] = sum
+			order = append(order, w.model)
+		}
+
+		sum.Waiting += w.Waiting
+		sum.Running += w.Running
+		sum.Priority = max(sum.Priority, w.Priority)
+
+		if sum.Deadline.IsZero() || !w.Deadline.IsZero() && w.Deadline.Before(sum.Deadline) {
+			sum.Deadline = w.Deadline
+		}
+	}
+
+	out := make([]swap.Want, 0, len(order))
+	for _, model := range order {
+		out = append(out, *sums[model])
+	}
+
+	return out
+}
+
+// usesByModel returns how many requests run on each model of each target.
+func (h *Holder) usesByModel() map[instance.ID]map[string]int {
+	out := make(map[instance.ID]map[string]int)
+
+	for _, u := range h.asks.Uses() {
+		_, model, adapter := splitKey(u.Model)
+
+		if out[u.Target] == nil {
+			out[u.Target] = make(map[string]int)
+		}
+
+		out[u.Target][model] += u.Running
+
+		if adapter != "" {
+			out[u.Target][model+"/"+adapter] += u.Running
+		}
+	}
+
+	return out
+}
+
+// view returns the station as the plan sees it.
+func (s *station) view(now time.Time, running int, uses map[string]int) swap.Target {
+	t := swap.Target{
+		ID: s.target.ID, Free: s.known && !s.working && !now.Before(s.loading),
+		Serving: !s.target.Leaving, AtHand: s.atHand, Running: running,
+	}
+
+	for model, res := range s.held {
+		t.Held = append(t.Held, swap.Resident{
+			Model: model, Running: uses[model], Used: res.used, Coming: now.Before(res.ready),
+		})
+	}
+
+	return t
+}
+
+func (h *Holder) orderAdapters(ctx context.Context, service string, e *route.Engine, wants []want, now time.Time) {
+	running := h.running()
+	uses := h.usesByModel()
+
+	for _, w := range wants {
+		if w.service != service || w.adapter == "" || w.Waiting == 0 || h.adapterPlaced(w) {
+			continue
+		}
+
+		var sites []swap.Site
+
+		for id, s := range h.stations {
+			if s.target.Service == service && s.takesAdapter(w.model, now) {
+				sites = append(sites, s.site(id, running[id], uses[id]))
+			}
+		}
+
+		m, ok := swap.PlaceAdapter(sites, e.AdapterSlots, now)
+		if !ok {
+			continue
+		}
+
+		s := h.stations[m.Target]
+		h.cfg.Log.Info().Str("target", string(m.Target)).Str("model", w.model).Str("adapter", w.adapter).
+			Str("unload", m.Unload).Uint64("sequence", s.sequence).Msg("adapter decided")
+		h.begin(s, func() { h.loadAdapter(ctx, s, w.model, w.adapter, m.Unload) })
+	}
+}
+
+// adapterPlaced reports whether an adapter is on a target, or on its way.
+func (h *Holder) adapterPlaced(w want) bool {
+	for _, s := range h.stations {
+		if s.target.Leaving || s.target.Service != w.service {
+			continue
+		}
+
+		if res := s.held[w.model]; res != nil && res.adapters[w.adapter] != nil {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (s *station) takesAdapter(model string, now time.Time) bool {
+	res := s.held[model]
+
+	return res != nil && s.known && !s.working && !s.target.Leaving && !now.Before(s.loading) && !now.Before(res.ready)
+}
+
+func (s *station) site(id instance.ID, running int, uses map[string]int) swap.Site {
+	site := swap.Site{ID: id, Running: running}
+
+	for model, res := range s.held {
+		for name, a := range res.adapters {
+			full := model + "/" + name
+			site.Adapters = append(site.Adapters, swap.AdapterOn{Name: full, Running: uses[full], Used: a.used})
+		}
+	}
+
+	return site
+}
+
+// begin runs work that sends orders to a station, one at a time. The caller
+// holds the lock.
+func (h *Holder) begin(s *station, work func()) {
+	s.working = true
+
+	h.orders.Go(func() {
+		work()
+
+		h.mu.Lock()
+		s.working = false
+		h.mu.Unlock()
+		h.Wake()
+	})
+}
--- /dev/null
+++ b/internal/placement/holder/orders.go
@@ -0,0 +1,253 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
+)
+
+const (
+	// orderTimeout bounds an order's answer. Engines answer within a few
+	// milliseconds; a silent connection is given up after this.
+	orderTimeout = 700 * time.Millisecond
+	// busyAgain is how soon an order is sent again to an engine that has
+	// another in hand, and busyMost for how long: an unload waits for the runs
+	// on its model.
+	busyAgain = 70 * time.Millisecond
+	busyMost  = 4 * time.Second
+	// reportLag is how old an engine's report may be.
+	reportLag = 350 * time.Millisecond
+	// reportAgain is how soon an engine that gave no clear report is asked
+	// again.
+	reportAgain = 300 * time.Millisecond
+	// foretold is added to a load's time before requests are sent, for the
+	// way of the order and the engine's own step.
+	foretold = 20 * time.Millisecond
+)
+
+// swap unloads what makes way and loads the model.
+func (h *Holder) swap(ctx context.Context, s *station, m swap.Move) {
+	for _, model := range m.Unload {
+		// Entries stop sending to the model before its unload is ordered.
+		h.forget(s, model)
+
+		if !h.send(ctx, s, Order{Unload: true, Model: model}) {
+			return
+		}
+	}
+
+	if !h.send(ctx, s, Order{Model: m.Load}) {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	now := clock.Now()
+	s.loading = now.Add(m.Takes + foretold)
+	s.fromStore = m.From == target.TierRemote
+	s.held[m.Load] = &residence{ready: s.loading, used: now, adapters: make(map[string]*placed)}
+	// A load leaves copies in memory and on disk.
+	s.atHand[m.Load] = target.TierMemory
+	h.published = false
+}
+
+// forget takes a model out of what entries are told.
+func (h *Holder) forget(s *station, model string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	delete(s.held, model)
+	h.publish(clock.Now())
+}
+
+// loadAdapter loads an adapter, after an idle one was given up if need be.
+func (h *Holder) loadAdapter(ctx context.Context, s *station, model, adapter, idle string) {
+	if idle != "" {
+		_, idleModel, idleName := splitKey("/" + idle)
+
+		h.mu.Lock()
+		if res := s.held[idleModel]; res != nil {
+			delete(res.adapters, idleName)
+		}
+		h.publish(clock.Now())
+		h.mu.Unlock()
+
+		if !h.send(ctx, s, Order{Unload: true, Model: idleModel, Adapter: idleName}) {
+			return
+		}
+	}
+
+	if !h.send(ctx, s, Order{Model: model, Adapter: adapter}) {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if res := s.held[model]; res != nil {
+		now := clock.Now()
+		res.adapters[adapter] = &placed{ready: now.Add(adapterTime), used: now}
+	}
+
+	h.published = false
+}
+
+// send hands over one order and reports whether it is, or will be, carried
+// out. If not, the station is no longer known and the engine is asked.
+func (h *Holder) send(ctx context.Context, s *station, o Order) bool {
+	began := clock.Now()
+
+	for {
+		if !h.stamp(s, &o) {
+			return false
+		}
+
+		out, err := h.submit(ctx, s, o)
+
+		switch {
+		case err != nil:
+			h.cfg.Log.Warn().Err(err).Str("target", string(s.target.ID)).Str("model", o.Model).Uint64("sequence", o.Sequence).Msg("order without answer")
+
+			switch h.settle(ctx, s, o) {
+			case carriedOut:
+				return true
+			case notYet:
+				continue
+			case unclear:
+				return false
+			}
+		case out == Accepted || out == Holds:
+			h.accepted(s, o, out)
+
+			return true
+		case out == Busy && clock.Now().Sub(began) < busyMost:
+			if clock.Sleep(ctx, busyAgain) != nil {
+				return h.lose(s, o, out)
+			}
+		default:
+			return h.lose(s, o, out)
+		}
+	}
+}
+
+// stamp puts the lease's token and the engine's sequence on an order. It
+// reports false when the lease no longer allows one.
+//
+// It guards against a holder that was paused or cut off and still believes it
+// holds its lease: it is asked right before each order, after the last wait,
+// on a clock that counts suspensions.
+func (h *Holder) stamp(s *station, o *Order) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if !h.held.Valid(clock.Now(), h.cfg.Terms) || h.stations[s.target.ID] != s {
+		s.known = false
+
+		return false
+	}
+
+	o.Sequence, o.Token, o.Holder = s.sequence, h.held.Token, h.cfg.Self
+
+	return true
+}
+
+func (h *Holder) submit(ctx context.Context, s *station, o Order) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+
+	return h.cfg.Engines.Order(ctx, s.target, o)
+}
+
+// accepted counts an order. An order that already holds is not counted by the
+// engine, but for the unload of an adapter, which is done at once.
+func (h *Holder) accepted(s *station, o Order, out Outcome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if out == Accepted || o.Unload {
+		s.sequence++
+	}
+}
+
+func (h *Holder) lose(s *station, o Order, out Outcome) bool {
+	h.mu.Lock()
+	s.known = false
+	h.mu.Unlock()
+
+	h.cfg.Log.Info().Str("target", string(s.target.ID)).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
+		Uint64("sequence", o.Sequence).Int("outcome", int(out)).Msg("order not carried out")
+
+	return false
+}
+
+// fate is what became of an order without an answer.
+type fate int
+
+const (
+	carriedOut fate = iota
+	notYet
+	unclear
+)
+
+// settle finds out what became of an order without an answer.
+//
+// It guards against engines that leave an order unanswered and carry it out
+// seconds later. One that was not carried out yet is sent again under the same
+// sequence, so that only one of the two can be.
+func (h *Holder) settle(ctx context.Context, s *station, o Order) fate {
+	if clock.Sleep(ctx, reportLag) != nil {
+		return unclear
+	}
+
+	r, err := h.report(ctx, s)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	switch {
+	case err == nil && r.Sequence == o.Sequence+1:
+		s.sequence = r.Sequence
+
+		return carriedOut
+	case err == nil && r.Sequence == o.Sequence:
+		return notYet
+	}
+
+	s.known = false
+
+	return unclear
+}
+
+func (h *Holder) report(ctx context.Context, s *station) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+
+	return h.cfg.Engines.Report(ctx, s.target)
+}
+
+// inquire asks an engine what it holds.
+func (h *Holder) inquire(ctx context.Context, s *station) {
+	r, err := h.report(ctx, s)
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Str("target", string(s.target.ID)).Msg("engine gave no report")
+
+		return
+	}
+
+	// A report that is older than the last order says nothing.
+	if r.Sequence < s.sequence {
+		return
+	}
+
+	s.take(r, clock.Now())
+	h.cfg.Log.Info().Str("target", string(s.target.ID)).Uint64("sequence", r.Sequence).Int("models", len(r.Held)).Bool("busy", r.Busy).Msg("engine reported")
+	h.published = false
+}
--- /dev/null
+++ b/internal/placement/holder/station.go
@@ -0,0 +1,243 @@
+package holder
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+)
+
+// station is what the holder knows of one engine.
+//
+// Every order names the sequence that the engine must have, and what the
+// station holds is what the engine held at that sequence. So an order that is
+// decided on wrong knowledge, or that is carried out seconds late, is refused
+// by the engine, and memory is never overcommitted.
+type station struct {
+	target inventory.Target
+	// known says that sequence and held are the engine's.
+	known    bool
+	sequence uint64
+	held     map[string]*residence
+	// atHand are the models whose weights are not in the weight store only.
+	atHand map[string]target.Tier
+	// working says that a goroutine sends orders or asks for a report.
+	working bool
+	// doubted is when an entry last found something missing.
+	doubted time.Time
+	// loading is until when the last model load is expected to last.
+	loading time.Time
+	// fromStore says that the last load came from the weight store.
+	fromStore bool
+}
+
+// residence is a model on an engine.
+type residence struct {
+	ready    time.Time
+	used     time.Time
+	adapters map[string]*placed
+}
+
+// placed is an adapter on an engine.
+type placed struct {
+	ready time.Time
+	used  time.Time
+}
+
+// sync takes in what the list of targets says. The caller holds the lock.
+func (h *Holder) sync(now time.Time) {
+	targets := h.cfg.Targets()
+
+	for id := range h.stations {
+		if _, listed := targets[id]; !listed {
+			delete(h.stations, id)
+			h.published = false
+		}
+	}
+
+	routes := h.cfg.Routes()
+
+	for id, t := range targets {
+		if routes == nil || routes.Services[t.Service].Engine == nil {
+			continue
+		}
+
+		s := h.stations[id]
+		if s == nil || s.target.Born != t.Born || s.target.Address != t.Address {
+			s = &station{target: t, held: make(map[string]*residence)}
+			s.takeAtHand(t)
+			h.stations[id] = s
+			h.published = false
+		}
+
+		if s.target.Version != t.Version {
+			s.target = t
+			s.takeAtHand(t)
+			s.compare(t, now)
+		}
+	}
+}
+
+// takeAtHand learns from where the engine would load models.
+func (s *station) takeAtHand(t inventory.Target) {
+	s.atHand = make(map[string]target.Tier, len(t.OnDisk)+len(t.InMemory))
+	for _, m := range t.OnDisk {
+		s.atHand[m] = target.TierDisk
+	}
+
+	for _, m := range t.InMemory {
+		s.atHand[m] = target.TierMemory
+	}
+}
+
+// rowLag is how long after a load is expected to end the list must show it.
+const rowLag = 1500 * time.Millisecond
+
+// compare doubts the station when a new row of the list shows other models
+// than are expected to be loaded by now.
+func (s *station) compare(t inventory.Target, now time.Time) {
+	if !s.known || s.working || now.Before(s.loading.Add(rowLag)) {
+		return
+	}
+
+	listed := make([]string, 0, len(t.Held))
+	for _, held := range t.Held {
+		listed = append(listed, held.Model)
+	}
+
+	if len(listed) != len(s.held) || slices.ContainsFunc(listed, func(m string) bool { return s.held[m] == nil }) {
+		s.known = false
+	}
+}
+
+// take replaces what is known by the engine's own report.
+func (s *station) take(r Report, now time.Time) {
+	held := make(map[string]*residence, len(r.Held))
+
+	for _, m := range r.Held {
+		old := s.held[m.Model]
+		if old == nil {
+			old = &residence{}
+		}
+
+		res := &residence{used: old.used, adapters: make(map[string]*placed, len(m.Adapters))}
+
+		for _, name := range m.Adapters {
+			res.adapters[name] = &placed{used: usedOf(old.adapters[name])}
+		}
+
+		held[m.Model] = res
+	}
+
+	for _, text := range r.Pending {
+		model, adapter, _ := strings.Cut(text, "/")
+		adapter, _, _ = strings.Cut(adapter, "@")
+
+		if res := held[model]; res != nil {
+			res.adapters[adapter] = &placed{ready: now.Add(adapterTime)}
+		}
+	}
+
+	s.held, s.sequence, s.known = held, r.Sequence, !r.Busy
+}
+
+func usedOf(p *placed) time.Time {
+	if p == nil {
+		return time.Time{}
+	}
+
+	return p.used
+}
+
+// adopt starts a tenure with what the former holder last said. Orders name
+// the sequence, so what is wrong of it is refused by the engines.
+func (h *Holder) adopt() {
+	h.stations = make(map[instance.ID]*station)
+	now := clock.Now()
+	h.sync(now)
+
+	for _, n := range h.last.Stations {
+		s := h.stations[n.Target]
+		if s == nil || s.target.Born != n.Born {
+			continue
+		}
+
+		for _, held := range n.Held {
+			res := &residence{ready: held.Ready, adapters: make(map[string]*placed, len(held.Adapters))}
+			for _, a := range held.Adapters {
+				res.adapters[a.Name] = &placed{ready: a.Ready}
+			}
+
+			s.held[held.Model] = res
+		}
+
+		s.sequence = n.Sequence
+	}
+}
+
+// doubt notes that an entry was told that a target does not hold a key. A
+// load that ends a little later than foretold is no reason to ask.
+func (h *Holder) doubt(m Missing) {
+	s := h.stations[m.Target]
+	if s == nil || s.working {
+		return
+	}
+
+	now := clock.Now()
+	if now.Before(s.loading.Add(lateLoad)) || now.Sub(s.doubted) < lateLoad {
+		return
+	}
+
+	s.doubted, s.known = now, false
+}
+
+// lateLoad is how much later than foretold a load may end before the engine
+// is asked what it holds.
+const lateLoad = 700 * time.Millisecond
+
+// news returns the whole state for the entries. The caller holds the lock.
+func (h *Holder) news() News {
+	h.number++
+
+	n := News{
+		Holder: h.cfg.Self, Process: h.cfg.Process, Token: h.held.Token, Number: h.number, LeaseVersion: h.held.Version,
+	}
+
+	running := h.running()
+
+	for id, s := range h.stations {
+		st := Station{Target: id, Born: s.target.Born, Sequence: s.sequence, Running: running[id]}
+
+		if !s.known && len(s.held) == 0 {
+			// Nothing is known yet, so entries go by the list.
+			continue
+		}
+
+		for model, res := range s.held {
+			held := Held{Model: model, Ready: res.ready}
+			for name, a := range res.adapters {
+				held.Adapters = append(held.Adapters, Adapter{Name: name, Ready: a.ready})
+			}
+
+			st.Held = append(st.Held, held)
+		}
+
+		n.Stations = append(n.Stations, st)
+	}
+
+	return n
+}
+
+// running returns how many requests run on each target.
+func (h *Holder) running() map[instance.ID]int {
+	out := make(map[instance.ID]int)
+	for _, u := range h.asks.Uses() {
+		out[u.Target] += u.Running
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/placement/swap/swap.go
@@ -0,0 +1,352 @@
+// Package swap decides which model a target loads next and what it gives up
+// for it. Its decisions are pure functions of values: it does no I/O and reads
+// no clock.
+//
+// It answers the load in which most models are rarely asked for: more models
+// than fit are wanted within a few seconds, each by a request or two, and every
+// model's weights lie on the disks of a few targets. A load from there takes a
+// second or two, which a caller can wait for, so a model is loaded as soon as
+// somebody waits for it, and what was used least lately makes way.
+package swap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+// Resident is a model on a target.
+type Resident struct {
+	Model string
+	// Running is how many requests run on it, over all entries.
+	Running int
+	// Used is when a request last ran or waited there; zero means never.
+	Used time.Time
+	// Coming says that its load has not ended.
+	Coming bool
+}
+
+// Target is a target as the holder sees it.
+type Target struct {
+	ID instance.ID
+	// Free says that no order is in hand there and that it takes new ones.
+	Free bool
+	// Serving says that entries send requests there.
+	Serving bool
+	Held    []Resident
+	// AtHand tells from where a model would be loaded; a model that is missing
+	// comes from the weight store.
+	AtHand map[string]target.Tier
+	// Running is how many requests run on the target.
+	Running int
+}
+
+// Want is what all entries together ask of one model.
+type Want struct {
+	Model            string
+	Waiting, Running int
+	// Deadline is the earliest deadline of the waiting requests.
+	Deadline time.Time
+	Priority int
+}
+
+// View is all that a plan depends on.
+type View struct {
+	Now    time.Time
+	Engine *route.Engine
+	// Targets are sorted by id.
+	Targets []Target
+	Wants   []Want
+	// Rate is how many requests a second each model gets lately.
+	Rate map[string]float64
+	// StoreLoads is how many loads from the weight store may start now.
+	StoreLoads int
+}
+
+// Move is a load and the unloads that make room for it.
+type Move struct {
+	Target instance.ID
+	Unload []string
+	Load   string
+	// Takes is how long the load is expected to take once it is accepted.
+	Takes time.Duration
+	From  target.Tier
+	// For says why the model is loaded.
+	For Reason
+}
+
+// Reason says why a model is loaded.
+type Reason string
+
+// The reasons for a load.
+const (
+	// ForWaiting means that requests wait for a model that is nowhere.
+	ForWaiting Reason = "waiting"
+	// ForLoad means that the model's replicas are crowded.
+	ForLoad Reason = "crowded"
+)
+
+const (
+	// crowded is how many requests a replica may have before another is
+	// loaded. A batch of a dozen still reads a prompt of 1,500 tokens within
+	// the 600 ms that callers of the busiest route allow.
+	crowded = 8
+	// unloadTime is what an unload takes when nothing runs on the model.
+	unloadTime = 150 * time.Millisecond
+	// runTime is how long a run on a model that is to make way may still
+	// take: an answer of 170 tokens at 12 ms each.
+	runTime = 2 * time.Second
+	// youngAge is for how long a model that was just used is not given up:
+	// requests for it may be on their way.
+	youngAge = 300 * time.Millisecond
+)
+
+// planner gathers the moves of one round, which see each other.
+type planner struct {
+	*View
+
+	moves []Move
+	// busy are the targets that have a move in this round.
+	busy  map[instance.ID]bool
+	wants map[string]Want
+	// copies is on how many serving targets a model is, or comes.
+	copies map[string]int
+	store  int
+}
+
+// Plan returns the loads to begin now, the most urgent first.
+func Plan(v *View) []Move {
+	p := &planner{
+		View: v, busy: make(map[instance.ID]bool), wants: make(map[string]Want, len(v.Wants)),
+		copies: make(map[string]int), store: v.StoreLoads,
+	}
+
+	for _, w := range v.Wants {
+		p.wants[w.Model] = w
+	}
+
+	for i := range v.Targets {
+		if !v.Targets[i].Serving {
+			continue
+		}
+
+		for _, r := range v.Targets[i].Held {
+			p.copies[r.Model]++
+		}
+	}
+
+	for _, w := range p.byUrgency() {
+		p.meet(w)
+	}
+
+	return p.moves
+}
+
+// byUrgency orders the wants: models that are nowhere before crowded ones,
+// then by deadline.
+func (p *planner) byUrgency() []Want {
+	sorted := slices.Clone(p.Wants)
+	slices.SortStableFunc(sorted, func(a, b Want) int {
+		return cmp.Or(
+			cmp.Compare(min(p.copies[a.Model], 1), min(p.copies[b.Model], 1)),
+			a.Deadline.Compare(b.Deadline),
+			cmp.Compare(a.Model, b.Model),
+		)
+	})
+
+	return sorted
+}
+
+func (p *planner) meet(w Want) {
+	m, known := p.Engine.Models[w.Model]
+	if !known {
+		return
+	}
+
+	switch n := p.copies[w.Model]; {
+	case n == 0 && w.Waiting > 0:
+		p.place(m, w, ForWaiting)
+	case n > 0 && w.Waiting+w.Running > crowded*n && !p.coming(w.Model):
+		p.place(m, w, ForLoad)
+	}
+}
+
+// coming reports whether a replica of the model is on its way.
+func (p *planner) coming(model string) bool {
+	for i := range p.Targets {
+		for _, r := range p.Targets[i].Held {
+			if r.Model == model && r.Coming {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
+// choice is a target with what a load there would cost.
+type choice struct {
+	move Move
+	cost float64
+}
+
+// place finds the target on which the model would serve soonest at the least
+// loss to others.
+func (p *planner) place(m route.Model, w Want, why Reason) {
+	var best *choice
+
+	for i := range p.Targets {
+		t := &p.Targets[i]
+		if !t.Free || !t.Serving || p.busy[t.ID] || holds(t, m.Name) {
+			continue
+		}
+
+		if c, ok := p.consider(t, m, w, why); ok && (best == nil || c.cost < best.cost) {
+			best = &c
+		}
+	}
+
+	if best == nil {
+		return
+	}
+
+	if best.move.From == target.TierRemote {
+		p.store--
+	}
+
+	p.busy[best.move.Target] = true
+	p.copies[m.Name]++
+	p.moves = append(p.moves, best.move)
+
+	for _, model := range best.move.Unload {
+		p.copies[model]--
+	}
+}
+
+func holds(t *Target, model string) bool {
+	return slices.ContainsFunc(t.Held, func(r Resident) bool { return r.Model == model })
+}
+
+// lossWeight turns a model that is given up into seconds of delay: a request
+// a second for the only copy of a model costs as much as two seconds.
+const lossWeight = 2.0
+
+// loadWeight is the seconds of delay that one more running request on a
+// target is worth, because the batch shares its steps.
+const loadWeight = 0.02
+
+func (p *planner) consider(t *Target, m route.Model, w Want, why Reason) (choice, bool) {
+	tier, takes := tierOf(t, m)
+	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad) {
+		return choice{}, false
+	}
+
+	victims, loss, wait, ok := p.makeRoom(t, m, w)
+	if !ok {
+		return choice{}, false
+	}
+
+	return choice{
+		move: Move{Target: t.ID, Unload: victims, Load: m.Name, Takes: takes, From: tier, For: why},
+		cost: (takes + wait).Seconds() + lossWeight*loss + loadWeight*float64(t.Running),
+	}, true
+}
+
+func tierOf(t *Target, m route.Model) (target.Tier, time.Duration) {
+	switch t.AtHand[m.Name] {
+	case target.TierMemory:
+		return target.TierMemory, m.FromMemory
+	case target.TierDisk:
+		return target.TierDisk, m.FromDisk
+	default:
+		return target.TierRemote, m.FromStore
+	}
+}
+
+// Reserve is the memory that is kept for adapters, in MB.
+func Reserve(e *route.Engine) float64 {
+	most := 0.0
+	for _, m := range e.Models {
+		most = max(most, m.AdapterMB)
+	}
+
+	return most * float64(e.AdapterSlots)
+}
+
+// victim is a model that could make way.
+type victim struct {
+	Resident
+
+	loss float64
+}
+
+// makeRoom returns what must be unloaded so that the model fits, what that
+// costs others and how long it takes.
+func (p *planner) makeRoom(t *Target, m route.Model, w Want) (models []string, loss float64, wait time.Duration, ok bool) {
+	free := p.Engine.MemoryMB - Reserve(p.Engine)
+	for _, r := range t.Held {
+		free -= p.Engine.Models[r.Model].MB
+	}
+
+	if free >= m.MB {
+		return nil, 0, 0, true
+	}
+
+	for _, v := range p.victims(t) {
+		if p.copies[v.Model] <= 1 && v.loss > p.gain(w) {
+			continue
+		}
+
+		models = append(models, v.Model)
+		loss += v.loss
+		wait = max(wait, unloadTime)
+
+		if v.Running > 0 {
+			wait = max(wait, runTime)
+		}
+
+		if free += p.Engine.Models[v.Model].MB; free >= m.MB {
+			return models, loss, wait, true
+		}
+	}
+
+	return nil, 0, 0, false
+}
+
+// gain is the rate that the model's copy would serve.
+func (p *planner) gain(w Want) float64 {
+	return max(p.Rate[w.Model], float64(w.Waiting)) / float64(p.copies[w.Model]+1)
+}
+
+// victims returns the target's models that may make way, the least loss first.
+func (p *planner) victims(t *Target) []victim {
+	var out []victim
+
+	for _, r := range t.Held {
+		if r.Coming || p.Now.Sub(r.Used) < youngAge || p.wants[r.Model].Waiting > 0 {
+			continue
+		}
+
+		out = append(out, victim{r, p.loss(r)})
+	}
+
+	slices.SortFunc(out, func(a, b victim) int {
+		return cmp.Or(
+			cmp.Compare(min(a.Running, 1), min(b.Running, 1)),
+			cmp.Compare(a.loss, b.loss),
+			a.Used.Compare(b.Used),
+			cmp.Compare(a.Model, b.Model),
+		)
+	})
+
+	return out
+}
+
+// loss is the rate of requests that a copy of the model carries.
+func (p *planner) loss(r Resident) float64 {
+	return p.Rate[r.Model] / float64(max(1, p.copies[r.Model]))
+}
--- a/internal/room/timeline/log.go
+++ b/internal/room/timeline/log.go
@@ -65,8 +65,12 @@
 	return out
 }
 
-// Add stamps and keeps e.
+// Add stamps and keeps e. A nil log keeps nothing.
 func (l *Log) Add(e Event) {
+	if l == nil {
+		return
+	}
+
 	e.At = l.Clock.Now()
 	e.Instance = l.Instance
 	e.Process = l.Process
--- /dev/null
+++ b/internal/serving/relay/deliver.go
@@ -0,0 +1,448 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+const (
+	// maxSends bounds how often one request is sent, whatever the budget says.
+	maxSends = 8
+	// sendAgain is the pause after a target said that it did not run a
+	// request, doubled each time: a load that ends later than foretold is late
+	// by a tenth of a second or two.
+	sendAgain = 60 * time.Millisecond
+	// maxBody bounds an answer that is held until it is whole.
+	maxBody = 16 << 20
+	// eventSilence is how long a stream that can go on elsewhere may be
+	// silent between two events. Callers leave after 2.4 s or more.
+	eventSilence = 1600 * time.Millisecond
+)
+
+// RejectedError says that a target did not run the request.
+type RejectedError struct {
+	Target instance.ID
+	Status int
+}
+
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("target %s: not run, status %d", e.Target, e.Status)
+}
+
+// FailedError says that a target answered with a failure of its own.
+type FailedError struct {
+	Target instance.ID
+	Status int
+}
+
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("target %s: failed with status %d", e.Target, e.Status)
+}
+
+// callerError is a failure of the caller's side.
+type callerError struct{ err error }
+
+func (e *callerError) Error() string { return "caller: " + e.err.Error() }
+
+func (e *callerError) Unwrap() error { return e.err }
+
+// run sends the request until it is answered or must not be sent again.
+func (d *delivery) run(ctx context.Context) error {
+	for {
+		t, err := d.acquire(ctx)
+		if err != nil {
+			return err
+		}
+
+		err = d.attempt(ctx, t)
+		d.Lines.Return(t, d.req, d.suspect)
+
+		if err == nil {
+			if d.suspect {
+				d.Lines.Cleared(d.req.Fingerprint())
+			}
+
+			return nil
+		}
+
+		d.Log.Info().Str("id", d.ask.ID).Str("target", string(t.ID)).Int("send", d.trail.Sends()).Err(err).Msg("attempt failed")
+
+		if !d.mayGoOn(ctx, err) {
+			return err
+		}
+
+		d.exclude = append(d.exclude[:0], string(t.ID))
+
+		if !d.Budgets.Take(d.service, time.Now()) {
+			return err
+		}
+
+		if err := d.backOff(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+func (d *delivery) acquire(ctx context.Context) (*router.Target, error) {
+	q := router.Query{Affinity: d.req.Model + " " + d.ask.Shared, Suspect: d.suspect}
+	for _, id := range d.exclude {
+		q.Exclude = append(q.Exclude, instance.ID(id))
+	}
+
+	t, cold, err := d.Lines.Acquire(ctx, d.req, q)
+	d.cold = d.cold || cold
+
+	return t, err
+}
+
+// mayGoOn reports whether the request may be sent once more after err.
+func (d *delivery) mayGoOn(ctx context.Context, err error) bool {
+	var caller *callerError
+	if errors.As(err, &caller) || ctx.Err() != nil || d.trail.Sends() >= maxSends {
+		return false
+	}
+
+	var poisoned *request.Refusal
+	if errors.As(err, &poisoned) {
+		return false
+	}
+
+	if notRun(err) {
+		return true
+	}
+
+	return d.route.Repeatable() && d.ran < d.route.Attempts
+}
+
+// notRun reports whether the error proves that the target did not run the
+// request.
+func notRun(err error) bool {
+	var (
+		dial     *DialError
+		rejected *RejectedError
+	)
+
+	return errors.As(err, &dial) || errors.As(err, &rejected)
+}
+
+// backOff waits before the same targets are asked again.
+func (d *delivery) backOff(ctx context.Context, err error) error {
+	var rejected *RejectedError
+	if !errors.As(err, &rejected) {
+		return nil
+	}
+
+	return clock.Sleep(ctx, sendAgain<<min(d.trail.Sends()-1, 3)) //nolint:mnd // At most eightfold.
+}
+
+// attempt sends the request to the target and passes its answer on.
+func (d *delivery) attempt(ctx context.Context, t *router.Target) error {
+	n := d.trail.Send()
+	sent := time.Now()
+
+	if n == 0 {
+		d.Budgets.Earn(d.service, sent)
+	}
+
+	last := d.last
+	if last == "" {
+		last = d.ask.After
+	}
+
+	out := &outgoing{
+		method: d.r.Method, uri: d.r.RequestURI, host: d.r.Host, id: d.ask.ID,
+		header: d.Protocol.Outgoing(d.r.Header, Sending{
+			Left: d.deadline.Sub(sent), Target: t.ID, After: last, Ranked: d.ranked, Priority: d.route.Priority,
+		}),
+		body: d.body, hasBody: d.r.ContentLength != 0, fresh: !d.route.Repeatable(),
+	}
+
+	a, err := d.Pool.exchange(ctx, t, out, d.Protocol)
+	if err != nil {
+		return d.failed(ctx, t, n, err)
+	}
+
+	if a.mark.NotRun {
+		return d.rejected(t, n, a)
+	}
+
+	d.ran++
+
+	if err := d.deliver(ctx, t, n, a, sent); err != nil {
+		return d.blame(ctx, t, err)
+	}
+
+	return nil
+}
+
+// failed judges a sending without an answer.
+func (d *delivery) failed(ctx context.Context, t *router.Target, n int, err error) error {
+	var dial *DialError
+	if errors.As(err, &dial) {
+		d.trail.Learn(n, request.NotReached)
+
+		if ctx.Err() == nil {
+			d.suspectTarget(t)
+		}
+
+		return err
+	}
+
+	d.ran++
+
+	return d.blame(ctx, t, err)
+}
+
+// suspectTarget keeps requests away from a target that cannot be reached.
+func (d *delivery) suspectTarget(t *router.Target) {
+	now := time.Now()
+	t.Failed(now)
+
+	if t.Died(t.Info().Incarnation, now) {
+		d.Log.Warn().Str("target", string(t.ID)).Msg("target not reached")
+	}
+}
+
+// rejected records that the target did not run the request.
+func (d *delivery) rejected(t *router.Target, n int, a *answer) error {
+	d.trail.Learn(n, request.ProvedNotRun)
+
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxHead)); err == nil {
+		a.finish()
+	} else {
+		a.abandon()
+	}
+
+	switch {
+	case a.mark.Misdirected && a.mark.Instance != "" && a.mark.Instance != t.ID:
+		d.Moved(t)
+	case a.mark.Misdirected:
+		d.Absent(t, d.req.Model)
+	}
+
+	return &RejectedError{Target: t.ID, Status: a.StatusCode}
+}
+
+// blame finds out whether the target died under the request.
+//
+// It guards against a request that crashes every target that runs it: a target
+// counts as dead only if it refuses a new connection right after, so that a
+// lost answer alone blames nobody.
+func (d *delivery) blame(ctx context.Context, t *router.Target, err error) error {
+	var caller *callerError
+
+	var failed *FailedError
+	if errors.As(err, &caller) || errors.As(err, &failed) || ctx.Err() != nil {
+		return err
+	}
+
+	t.Failed(time.Now())
+
+	if !broken(err) {
+		return err
+	}
+
+	probe, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+
+	c, dialErr := d.Pool.get(probe, peerKey{t.ID, t.Address}, true)
+	if dialErr == nil {
+		d.Pool.put(c, 0)
+
+		return err
+	}
+
+	incarnation := t.Info().Incarnation
+	t.Died(incarnation, time.Now())
+	d.Log.Warn().Str("id", d.ask.ID).Str("target", string(t.ID)).Msg("target died under a request")
+
+	if d.Lines.Died(d.req.Fingerprint(), crash.Death{Target: t.ID, Incarnation: incarnation}) {
+		return d.trail.Refuse(request.Poisoned, 0, "targets crashed while they ran this request")
+	}
+
+	return err
+}
+
+// broken reports whether a connection ended under a request.
+func broken(err error) bool {
+	var opErr *net.OpError
+
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.As(err, &opErr)
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *whole) write(d *delivery) {
+	h := d.w.Header()
+	for name, values := range a.header {
+		h[name] = values
+	}
+
+	if _, typed := h["Content-Type"]; !typed {
+		// The target named no type, so none is guessed.
+		h["Content-Type"] = nil
+	}
+
+	d.w.WriteHeader(a.status)
+	_, _ = d.w.Write(a.body) // A caller that left gets nothing, and the server notices.
+}
+
+// deliver passes a target's answer on.
+func (d *delivery) deliver(ctx context.Context, t *router.Target, n int, a *answer, sent time.Time) error {
+	if !a.mark.Signed || a.Header.Get("Content-Encoding") != "" {
+		a.abandon()
+
+		return &GarbledError{Reason: "not signed, or encoded"}
+	}
+
+	if d.route.Kind == route.Stream && a.StatusCode == http.StatusOK {
+		return d.pass(ctx, t, n, a, sent)
+	}
+
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBody))
+	if err != nil || len(body) == maxBody {
+		a.abandon()
+
+		return errors.Join(&GarbledError{Reason: "answer cut short"}, err)
+	}
+
+	a.finish()
+	d.trail.Learn(n, request.Completed)
+
+	got := &whole{status: a.StatusCode, header: d.Protocol.Incoming(a.Header), body: body}
+
+	if a.StatusCode >= http.StatusInternalServerError {
+		d.fallback = got
+
+		return &FailedError{Target: t.ID, Status: a.StatusCode}
+	}
+
+	if d.begun {
+		// A resumed stream was answered with something else.
+		return &FailedError{Target: t.ID, Status: a.StatusCode}
+	}
+
+	d.first = time.Since(d.arrived)
+	t.Succeeded(time.Since(sent), t.Own())
+	got.write(d)
+
+	return nil
+}
+
+// pass hands a stream's events to the caller as they come.
+func (d *delivery) pass(ctx context.Context, t *router.Target, n int, a *answer, sent time.Time) error {
+	if !d.begun && !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		d.Log.Debug().Str("id", d.ask.ID).Str("type", a.Header.Get("Content-Type")).Msg("stream of another type")
+	}
+
+	var (
+		buf   []byte
+		ev    = events{bufio.NewReader(a.Body)}
+		watch = time.AfterFunc(time.Hour, func() { _ = a.conn.Close() })
+	)
+
+	defer watch.Stop()
+
+	for count := 0; ; count++ {
+		event, id, err := ev.next(buf)
+		buf = event
+
+		if err != nil {
+			return d.passed(t, n, a, event, err)
+		}
+
+		if d.last != "" && id != "" && !after(id, d.last) {
+			continue
+		}
+
+		if err := d.passEvent(a, event); err != nil {
+			a.abandon()
+
+			return err
+		}
+
+		d.trail.Learn(n, request.Begun)
+
+		if id != "" {
+			d.last = id
+		}
+
+		if count == 0 {
+			d.noteFirst(t, sent)
+		}
+
+		if d.route.Resumable {
+			watch.Reset(eventSilence)
+		}
+	}
+}
+
+func (d *delivery) noteFirst(t *router.Target, sent time.Time) {
+	if d.first == 0 {
+		d.first = time.Since(d.arrived)
+	}
+
+	t.Succeeded(time.Since(sent), t.Own())
+}
+
+// passed judges the end of a stream.
+func (d *delivery) passed(t *router.Target, n int, a *answer, rest []byte, err error) error {
+	if !errors.Is(err, io.EOF) || !a.framed() && len(rest) > 0 {
+		a.abandon()
+
+		return fmt.Errorf("target %s: stream cut: %w", t.ID, err)
+	}
+
+	a.finish()
+	d.trail.Learn(n, request.Completed)
+
+	if len(rest) > 0 || !d.begun {
+		return d.passEvent(a, rest)
+	}
+
+	return nil
+}
+
+// passEvent writes one event, after the head of the first target's answer.
+func (d *delivery) passEvent(a *answer, event []byte) error {
+	if !d.begun {
+		h := d.w.Header()
+		for name, values := range d.Protocol.Incoming(a.Header) {
+			h[name] = values
+		}
+
+		d.w.WriteHeader(a.StatusCode)
+
+		d.begun = true
+	}
+
+	if _, err := d.w.Write(event); err != nil {
+		return &callerError{err}
+	}
+
+	if err := http.NewResponseController(d.w).Flush(); err != nil {
+		return &callerError{err}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/serving/relay/server.go
@@ -0,0 +1,290 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+// Server answers callers. Set the exported fields before use.
+type Server struct {
+	Protocol Protocol
+	Lines    *dispatch.Dispatcher
+	Pool     *Pool
+	Budgets  *Budgets
+	// Table returns the routes in force, or nil while none are known.
+	Table func() *route.Table
+	// Absent is called when a target says that it does not hold what the key
+	// names, and Moved when another instance has its address.
+	Absent func(t *router.Target, key string)
+	Moved  func(t *router.Target)
+	Log    zerolog.Logger
+	// Metrics may be nil.
+	Metrics tally.Scope
+
+	stopping atomic.Bool
+	running  atomic.Int64
+}
+
+// Key names what a request needs of a target: its service and, on an engine,
+// the model or adapter.
+func Key(service, model string) string { return service + "/" + model }
+
+// Stop makes every answer from now on the last one on its connection.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Running returns how many requests are being answered.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+const (
+	// unknownRetry is when a caller is told to come back while no
+	// configuration is known: a start takes about that long.
+	unknownRetry = 500 * time.Millisecond
+	// defaultBody bounds a body while the operators say nothing.
+	defaultBody = 4 << 20
+)
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+
+	arrived := time.Now()
+
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+
+	table := s.Table()
+	if table == nil {
+		s.refuse(w, r, http.StatusServiceUnavailable, unknownRetry, "no configuration is known yet")
+
+		return
+	}
+
+	rt := table.Match(r.Host, r.URL.EscapedPath())
+	if rt == nil {
+		s.refuse(w, r, http.StatusNotFound, 0, "no route")
+
+		return
+	}
+
+	ask, err := s.Protocol.Parse(r.Header)
+	if err != nil {
+		s.refuse(w, r, http.StatusBadRequest, 0, err.Error())
+
+		return
+	}
+
+	left := rt.Timeout
+	if ask.Left > 0 && (left == 0 || ask.Left < left) {
+		left = ask.Left
+	}
+
+	d := &delivery{Server: s, w: w, r: r, route: rt, ask: ask, arrived: arrived, deadline: arrived.Add(left), version: table.Config.Version}
+	d.service = rt.Pick(rand.Float64()) //nolint:gosec // No secret.
+
+	if err := d.readBody(table.Config.Limits); err != nil {
+		status := http.StatusBadRequest
+
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			status = http.StatusRequestEntityTooLarge
+		}
+
+		s.refuse(w, r, status, 0, err.Error())
+
+		return
+	}
+
+	d.serve(table.Config.Services[d.service])
+}
+
+// refuse answers a request that was never sent to a target.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, retry time.Duration, why string) {
+	if retry > 0 {
+		w.Header().Set("Retry-After", seconds(retry))
+	}
+
+	s.Log.Info().Str("path", r.URL.Path).Int("status", status).Str("why", why).Msg("request refused")
+	w.WriteHeader(status)
+}
+
+// delivery is one caller's request on its way.
+type delivery struct {
+	*Server
+
+	w        http.ResponseWriter
+	r        *http.Request
+	route    *route.Route
+	ask      Ask
+	arrived  time.Time
+	deadline time.Time
+	// version is that of the configuration that the request is handled under.
+	version uint64
+	service string
+	ranked  bool
+	body    []byte
+	req     *request.Request
+	trail   request.Trail
+	// ran counts the targets that may have run the request.
+	ran     int
+	suspect bool
+	exclude []string
+	// begun says that the answer's head has gone to the caller; last is then
+	// the id of the last event that went.
+	begun bool
+	last  string
+	cold  bool
+	first time.Duration
+	// fallback is a target's own failure, which the caller gets if no other
+	// target does better.
+	fallback *whole
+}
+
+func (d *delivery) readBody(limits route.Limits) error {
+	if d.r.ContentLength == 0 {
+		return nil
+	}
+
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+
+	rc := http.NewResponseController(d.w)
+	_ = rc.SetReadDeadline(d.deadline) // A connection without deadlines is one of a test.
+
+	body, err := io.ReadAll(http.MaxBytesReader(d.w, d.r.Body, limit))
+	if err != nil {
+		return err
+	}
+
+	d.body = body
+	_ = rc.SetReadDeadline(time.Time{})
+
+	return nil
+}
+
+func (d *delivery) serve(service route.Service) {
+	model := ""
+	if service.Engine != nil {
+		model, d.ranked = d.ask.Model, true
+	}
+
+	d.req = &request.Request{
+		ID:       d.ask.ID,
+		EngineID: d.ask.ID,
+		Customer: d.route.Name,
+		Model:    Key(d.service, model),
+		Prompt:   d.digest(),
+		Priority: max(0, maxWeight-d.route.Priority),
+		Deadline: d.deadline,
+		Arrived:  d.arrived,
+	}
+
+	ctx, cancel := context.WithDeadline(d.r.Context(), d.deadline)
+	defer cancel()
+
+	if wait, stopped := d.Lines.Stopped(d.req.Fingerprint()); stopped {
+		d.end(request.Refuse(request.Poisoned, wait, "this request has crashed the targets that ran it"))
+
+		return
+	}
+
+	d.suspect = d.Lines.Suspect(d.req.Fingerprint())
+	d.end(d.run(ctx))
+}
+
+// maxWeight is the weight of the most urgent route's requests in line.
+const maxWeight = 9
+
+// digest identifies what the caller asks for, whatever the attempt.
+func (d *delivery) digest() string {
+	h := xxhash.New()
+	for _, s := range []string{d.r.Method, d.r.Host, d.r.RequestURI, d.ask.Prompt} {
+		_, _ = h.WriteString(s)
+		_, _ = h.WriteString("\x00")
+	}
+
+	_, _ = h.Write(d.body)
+
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// end gives the request its final answer if it has none, and says so.
+func (d *delivery) end(err error) {
+	line := d.Log.Info().Str("id", d.ask.ID).Str("route", d.route.Name).Uint64("config", d.version).
+		Str("key", d.req.Model).Int("sends", d.trail.Sends()).Bool("cold", d.cold).
+		Dur("first", d.first).Dur("took", time.Since(d.arrived))
+
+	switch {
+	case err == nil:
+		line.Msg("request answered")
+
+		return
+	case d.r.Context().Err() != nil:
+		line.Err(err).Msg("caller left")
+
+		return
+	case d.begun:
+		line.Err(err).Msg("answer broken off")
+		// Only a closed connection tells the caller that the rest is missing.
+		panic(http.ErrAbortHandler)
+	case d.fallback != nil:
+		line.Err(err).Int("status", d.fallback.status).Msg("failure of a target passed on")
+		d.fallback.write(d)
+
+		return
+	}
+
+	status, retry := d.verdict(err)
+	line.Err(err).Int("status", status).Dur("retryAfter", retry).Msg("request refused")
+
+	if retry > 0 {
+		d.w.Header().Set("Retry-After", seconds(retry))
+	}
+
+	d.w.WriteHeader(status)
+}
+
+// verdict returns the status that says no more than is proved. Only 503
+// promises that the request has not run.
+func (d *delivery) verdict(err error) (int, time.Duration) {
+	run := d.trail.Verdict()
+	late := errors.Is(err, context.DeadlineExceeded)
+
+	switch {
+	case run != request.NotRun && late:
+		return http.StatusGatewayTimeout, 0
+	case run != request.NotRun:
+		return http.StatusBadGateway, 0
+	}
+
+	retry := minRetry
+
+	var refusal *request.Refusal
+	if errors.As(err, &refusal) && refusal.RetryAfter > 0 {
+		retry = refusal.RetryAfter
+	}
+
+	return http.StatusServiceUnavailable, retry
+}
+
+// minRetry is what a caller is told when nothing is known of when it would be
+// served.
+const minRetry = 250 * time.Millisecond
--- a/internal/wire/peer/codec.go
+++ b/internal/wire/frame/frame.go
@@ -1,8 +1,8 @@
-// Package peer is the protocol between this program's own processes: net/rpc
-// over TCP, each message a length-prefixed frame of CBOR. The codecs of
+// Package frame carries net/rpc between this program's own processes: over
+// TCP, each message a length-prefixed frame of CBOR. The codecs of
 // net/rpc bound neither a frame's size nor tell versions apart, so this
 // package frames messages itself and leaves their encoding to the library.
-package peer
+package frame
 
 import (
 	"bufio"
@@ -36,14 +36,14 @@
 type FrameSizeError struct{ Size uint64 }
 
 func (e *FrameSizeError) Error() string {
-	return fmt.Sprintf("peer: frame of %d bytes, %d allowed", e.Size, MaxFrame)
+	return fmt.Sprintf("frame: frame of %d bytes, %d allowed", e.Size, MaxFrame)
 }
 
 // VersionError says that the other process speaks another version.
 type VersionError struct{ Got int }
 
 func (e *VersionError) Error() string {
-	return fmt.Sprintf("peer: version %d, want %d", e.Got, Version)
+	return fmt.Sprintf("frame: version %d, want %d", e.Got, Version)
 }
 
 // header precedes every message body.
--- /dev/null
+++ b/internal/wire/news/news.go
@@ -0,0 +1,210 @@
+// Package news is the protocol between the entries of the users' platform:
+// what the holder tells, what entries ask for, and what all must know at once.
+package news
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
+	"github.com/fulmarcross/fulmarcross/internal/wire/peer"
+)
+
+// Greeting is what entries tell each other to be known.
+type Greeting struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name    string
+	Address string
+	Process string
+	// Leaving says that the process is about to end.
+	Leaving bool
+	// Known are the other entries that the sender knows, as name, address and
+	// process.
+	Known [][3]string
+}
+
+// Handler is what an entry does for its peers.
+type Handler interface {
+	// Greet takes in a peer and returns this entry's own greeting.
+	Greet(g Greeting) Greeting
+	// Hear takes in a holder's news.
+	Hear(n holder.News)
+	// Report takes in an entry's demand.
+	Report(r demand.Report, missing []holder.Missing) error
+	// Block takes in a request that crashes the targets that run it.
+	Block(fp request.Fingerprint)
+}
+
+const serviceName = "Entry"
+
+// empty is the answer of calls that return nothing.
+type empty struct{}
+
+type service struct{ h Handler }
+
+// Greet is the remote call.
+func (s service) Greet(in Greeting, out *Greeting) error {
+	*out = s.h.Greet(in)
+
+	return nil
+}
+
+// Hear is the remote call.
+func (s service) Hear(in newsMessage, _ *empty) error {
+	s.h.Hear(toNews(in, time.Now()))
+
+	return nil
+}
+
+type reportMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Report  peer.Report
+	Missing [][2]string
+}
+
+// Report is the remote call.
+func (s service) Report(in reportMessage, _ *empty) error {
+	missing := make([]holder.Missing, len(in.Missing))
+	for i, m := range in.Missing {
+		missing[i] = holder.Missing{Target: instance.ID(m[0]), Key: m[1]}
+	}
+
+	return s.h.Report(peer.ToReport(in.Report, time.Now()), missing)
+}
+
+// Block is the remote call.
+func (s service) Block(in uint64, _ *empty) error {
+	s.h.Block(request.Fingerprint(in))
+
+	return nil
+}
+
+// Serve answers peers on l until l is closed.
+func Serve(ctx context.Context, l net.Listener, h Handler) error {
+	return frame.Serve(ctx, l, serviceName, service{h})
+}
+
+// Client calls one entry.
+type Client struct{ frame.Caller }
+
+// Greet exchanges greetings.
+func (c *Client) Greet(ctx context.Context, g Greeting) (Greeting, error) {
+	var out Greeting
+
+	err := c.Call(ctx, serviceName+".Greet", g, &out)
+
+	return out, err
+}
+
+// Hear sends news.
+func (c *Client) Hear(ctx context.Context, n holder.News) error {
+	return c.Call(ctx, serviceName+".Hear", fromNews(n, time.Now()), &empty{})
+}
+
+// Report sends an entry's demand.
+func (c *Client) Report(ctx context.Context, r demand.Report, missing []holder.Missing) error {
+	in := reportMessage{Report: peer.FromReport(r, time.Now())}
+	for _, m := range missing {
+		in.Missing = append(in.Missing, [2]string{string(m.Target), m.Key})
+	}
+
+	return c.Call(ctx, serviceName+".Report", in, &empty{})
+}
+
+// Block sends a request that crashes targets.
+func (c *Client) Block(ctx context.Context, fp request.Fingerprint) error {
+	return c.Call(ctx, serviceName+".Block", uint64(fp), &empty{})
+}
+
+type newsMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Holder, Process, Successor  string
+	Token, Number, LeaseVersion uint64
+	Stations                    []stationMessage
+}
+
+type stationMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target   string
+	Born     int64
+	Sequence uint64
+	Running  int
+	Held     []heldMessage
+}
+
+// heldMessage and adapterMessage say how long until what they name is ready,
+// so that no clocks are compared.
+type heldMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Model    string
+	LeftMs   int64
+	Adapters []adapterMessage
+}
+
+type adapterMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name   string
+	LeftMs int64
+}
+
+func leftMs(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
+
+func fromNews(n holder.News, now time.Time) newsMessage {
+	out := newsMessage{
+		Holder: string(n.Holder), Process: n.Process, Successor: string(n.Successor),
+		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion,
+	}
+
+	for _, s := range n.Stations {
+		st := stationMessage{Target: string(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
+
+		for _, held := range s.Held {
+			h := heldMessage{Model: held.Model, LeftMs: leftMs(held.Ready, now)}
+			for _, a := range held.Adapters {
+				h.Adapters = append(h.Adapters, adapterMessage{Name: a.Name, LeftMs: leftMs(a.Ready, now)})
+			}
+
+			st.Held = append(st.Held, h)
+		}
+
+		out.Stations = append(out.Stations, st)
+	}
+
+	return out
+}
+
+func toNews(n newsMessage, now time.Time) holder.News {
+	at := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	out := holder.News{
+		Holder: instance.ID(n.Holder), Process: n.Process, Successor: instance.ID(n.Successor),
+		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion,
+	}
+
+	for _, s := range n.Stations {
+		st := holder.Station{Target: instance.ID(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
+
+		for _, held := range s.Held {
+			h := holder.Held{Model: held.Model, Ready: at(held.LeftMs)}
+			for _, a := range held.Adapters {
+				h.Adapters = append(h.Adapters, holder.Adapter{Name: a.Name, Ready: at(a.LeftMs)})
+			}
+
+			st.Held = append(st.Held, h)
+		}
+
+		out.Stations = append(out.Stations, st)
+	}
+
+	return out
+}
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -2,12 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"errors"
-	"net"
-	"net/netip"
-	"net/rpc"
-	"sync"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
@@ -18,118 +12,18 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 	"github.com/fulmarcross/fulmarcross/internal/wire/record"
 )
 
-// Times of the client.
-const (
-	dialTimeout = time.Second
-	callTimeout = 2 * time.Second
-)
-
-// Client calls one peer over one connection, which it dials when needed and
-// dials again after any call without an answer in time: a connection may have
-// gone silent for good while new ones work.
-type Client struct {
-	Address netip.AddrPort
-	// TLS is nil for plain TCP.
-	TLS *tls.Config
-
-	mu     sync.Mutex
-	client *rpc.Client
-}
-
-// TimeoutError says that the peer did not answer in time.
-type TimeoutError struct{ Method string }
-
-func (e *TimeoutError) Error() string { return "peer: " + e.Method + ": no answer in time" }
-
-func (c *Client) connect() (*rpc.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.client != nil {
-		return c.client, nil
-	}
-
-	conn, err := c.dial()
-	if err != nil {
-		return nil, err
-	}
-
-	c.client = rpc.NewClientWithCodec(clientCodec{newFrames(conn)})
-
-	return c.client, nil
-}
-
-func (c *Client) dial() (net.Conn, error) {
-	d := &net.Dialer{Timeout: dialTimeout}
-	if c.TLS == nil {
-		return d.Dial("tcp", c.Address.String())
-	}
-
-	return tls.DialWithDialer(d, "tcp", c.Address.String(), c.TLS)
-}
-
-// drop closes the connection, so that the next call dials anew.
-func (c *Client) drop(client *rpc.Client) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.client == client {
-		c.client = nil
-	}
-
-	_ = client.Close()
-}
-
-// Close ends the connection.
-func (c *Client) Close() {
-	c.mu.Lock()
-	client := c.client
-	c.mu.Unlock()
-
-	if client != nil {
-		c.drop(client)
-	}
-}
-
-// call makes one call. After an error out must not be read: a late answer may
-// still be written to it.
-func (c *Client) call(ctx context.Context, method string, in, out any) error {
-	client, err := c.connect()
-	if err != nil {
-		return err
-	}
-
-	t := time.NewTimer(callTimeout)
-	defer t.Stop()
-
-	call := client.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		c.drop(client)
-
-		return &TimeoutError{Method: method}
-	case <-call.Done:
-	}
-
-	var answered rpc.ServerError
-	if call.Error != nil && !errors.As(call.Error, &answered) {
-		c.drop(client)
-	}
-
-	return call.Error
-}
+// Client calls one peer.
+type Client struct{ frame.Caller }
 
 // Heartbeat exchanges statuses.
 func (c *Client) Heartbeat(ctx context.Context, s peer.Status) (peer.Status, error) {
 	var out Status
 
-	if err := c.call(ctx, "Heartbeat", FromStatus(s), &out); err != nil {
+	if err := c.Call(ctx, serviceName+".Heartbeat", FromStatus(s), &out); err != nil {
 		return peer.Status{}, err
 	}
 
@@ -138,14 +32,14 @@
 
 // Report sends an entry's demand.
 func (c *Client) Report(ctx context.Context, r demand.Report) error {
-	return c.call(ctx, "Report", FromReport(r, time.Now()), &Empty{})
+	return c.Call(ctx, serviceName+".Report", FromReport(r, time.Now()), &Empty{})
 }
 
 // Snapshot sends routing.
 func (c *Client) Snapshot(ctx context.Context, s *router.Snapshot) (bool, error) {
 	var applied bool
 
-	if err := c.call(ctx, "Snapshot", FromSnapshot(s), &applied); err != nil {
+	if err := c.Call(ctx, serviceName+".Snapshot", FromSnapshot(s), &applied); err != nil {
 		return false, err
 	}
 
@@ -163,19 +57,19 @@
 		in.Dead = append(in.Dead, [2]string{string(d.Target), d.Incarnation})
 	}
 
-	return c.call(ctx, "Notify", in, &Empty{})
+	return c.Call(ctx, serviceName+".Notify", in, &Empty{})
 }
 
 // Nudge says that a lease was released to the peer.
 func (c *Client) Nudge(ctx context.Context, cell int) error {
-	return c.call(ctx, "Nudge", cell, &Empty{})
+	return c.Call(ctx, serviceName+".Nudge", cell, &Empty{})
 }
 
 // Ask asks for a grant.
 func (c *Client) Ask(ctx context.Context, a limit.Ask) (limit.Grant, error) {
 	var out Grant
 
-	if err := c.call(ctx, "Ask", FromAsk(a), &out); err != nil {
+	if err := c.Call(ctx, serviceName+".Ask", FromAsk(a), &out); err != nil {
 		return limit.Grant{}, err
 	}
 
@@ -186,7 +80,7 @@
 func (c *Client) GrantShare(ctx context.Context, a share.Ask) (share.Amount, error) {
 	var out ShareGrant
 
-	err := c.call(ctx, "GrantShare", ShareAsk{
+	err := c.Call(ctx, serviceName+".GrantShare", ShareAsk{
 		Cell: a.Cell, WantModels: a.Want.Models, WantAdapters: a.Want.Adapters,
 		UsingModels: a.Using.Models, UsingAdapters: a.Using.Adapters,
 	}, &out)
@@ -202,7 +96,7 @@
 	var ok bool
 
 	in := Reservation{Target: string(id), Holder: holder, ForMs: lasting.Milliseconds()}
-	if err := c.call(ctx, "Reserve", in, &ok); err != nil {
+	if err := c.Call(ctx, serviceName+".Reserve", in, &ok); err != nil {
 		return false, err
 	}
 
@@ -211,7 +105,7 @@
 
 // Unreserve ends a reservation.
 func (c *Client) Unreserve(ctx context.Context, id instance.ID, holder string) error {
-	return c.call(ctx, "Unreserve", Reservation{Target: string(id), Holder: holder}, &Empty{})
+	return c.Call(ctx, serviceName+".Unreserve", Reservation{Target: string(id), Holder: holder}, &Empty{})
 }
 
 // Edits sends edits of the lists and returns the version in force there.
@@ -223,7 +117,7 @@
 
 	var version uint64
 
-	if err := c.call(ctx, "Edits", in, &version); err != nil {
+	if err := c.Call(ctx, serviceName+".Edits", in, &version); err != nil {
 		return 0, err
 	}
 
@@ -233,7 +127,7 @@
 // EditsAfter fetches the edits after a version.
 func (c *Client) EditsAfter(ctx context.Context, version uint64) ([]plan.Edit, bool, error) {
 	var out EditsReply
-	if err := c.call(ctx, "EditsAfter", version, &out); err != nil {
+	if err := c.Call(ctx, serviceName+".EditsAfter", version, &out); err != nil {
 		return nil, false, err
 	}
 
@@ -245,7 +139,7 @@
 // Lists fetches the whole lists.
 func (c *Client) Lists(ctx context.Context) (plan.State, error) {
 	var out ListsReply
-	if err := c.call(ctx, "Lists", Empty{}, &out); err != nil {
+	if err := c.Call(ctx, serviceName+".Lists", Empty{}, &out); err != nil {
 		return plan.State{}, err
 	}
 
@@ -271,7 +165,7 @@
 	var out []Event
 
 	in := Filter{Request: f.Request, Model: f.Model, Since: uint64(f.Since)}
-	if err := c.call(ctx, "Events", in, &out); err != nil {
+	if err := c.Call(ctx, serviceName+".Events", in, &out); err != nil {
 		return nil, err
 	}
 
@@ -280,10 +174,10 @@
 
 // KeepEvents sends copies of events.
 func (c *Client) KeepEvents(ctx context.Context, events []timeline.Event) error {
-	return c.call(ctx, "KeepEvents", FromEvents(events), &Empty{})
+	return c.Call(ctx, serviceName+".KeepEvents", FromEvents(events), &Empty{})
 }
 
 // Board sends a published board.
 func (c *Client) Board(ctx context.Context, number uint64, data []byte) error {
-	return c.call(ctx, "Board", BoardMessage{Number: number, Data: data}, &Empty{})
+	return c.Call(ctx, serviceName+".Board", BoardMessage{Number: number, Data: data}, &Empty{})
 }
--- a/internal/wire/peer/messages.go
+++ b/internal/wire/peer/messages.go
@@ -222,10 +222,12 @@
 
 	for _, d := range r.Waiting {
 		out.Waiting = append(out.Waiting, Demand{
-			Model:      d.Model,
-			Plan:       d.Plan,
-			Waiting:    d.Waiting,
-			DeadlineMs: d.Deadline.UnixMilli(),
+			Model:   d.Model,
+			Plan:    d.Plan,
+			Waiting: d.Waiting,
+			// Counted on the steady clock, so that a jump of the time of day
+			// between does not move it.
+			DeadlineMs: now.UnixMilli() + d.Deadline.Sub(now).Milliseconds(),
 			Priority:   d.Priority,
 		})
 	}
--- a/internal/wire/peer/service.go
+++ b/internal/wire/peer/service.go
@@ -1,9 +1,10 @@
+// Package peer is the protocol between entries: what they say to each other,
+// over net/rpc in the frames of package frame.
 package peer
 
 import (
 	"context"
 	"net"
-	"net/rpc"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
@@ -16,6 +17,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 	"github.com/fulmarcross/fulmarcross/internal/wire/record"
 )
 
@@ -285,22 +287,5 @@
 
 // Serve answers peers on l until l is closed. Connections end with ctx.
 func Serve(ctx context.Context, l net.Listener, h Handler) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, service{h}); err != nil {
-		return err
-	}
-
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
-		}
-
-		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-
-		go func() {
-			server.ServeCodec(serverCodec{newFrames(conn)})
-			stop()
-		}()
-	}
+	return frame.Serve(ctx, l, serviceName, service{h})
 }
