fix: news and reports reach the other entries, a decided load counts at once

Cause: net/rpc leaves out methods whose argument types are not exported, without a word, so no entry ever heard the holder and only requests on the holder's own entry got a load. A test now holds that every call arrives. Besides, a model was ordered on several targets, since it was booked only once its order was accepted.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -127,6 +127,10 @@
 		}
 	}
 
+	if now.Before(h.mayOrder.Add(takeStock)) && h.unknown() {
+		return
+	}
+
 	wants := h.wants()
 
 	for name, service := range routes.Services {
@@ -139,6 +143,22 @@
 	}
 }
 
+// takeStock is how long a new holder waits until all engines have said what
+// they hold. Without it the first few that answer would be given loads of
+// models that others have.
+const takeStock = 800 * time.Millisecond
+
+// unknown reports whether some engine has not said what it holds.
+func (h *Holder) unknown() bool {
+	for _, s := range h.stations {
+		if !s.known && !s.target.Leaving {
+			return true
+		}
+	}
+
+	return false
+}
+
 // wants returns what is asked for, by key.
 func (h *Holder) wants() []want {
 	var out []want
@@ -177,10 +197,26 @@
 		s := h.stations[m.Target]
 		h.cfg.Log.Info().Str("target", string(m.Target)).Str("load", m.Load).Strs("unload", m.Unload).Int("tier", int(m.From)).
 			Dur("takes", m.Takes).Str("for", string(m.For)).Uint64("token", h.held.Token).Uint64("sequence", s.sequence).Msg("swap decided")
+		h.reserve(s, m, now)
 		h.begin(s, func() { h.swap(ctx, s, m) })
 	}
 }
 
+// reserve books a swap before its orders are sent, so that the next round
+// counts with it and entries stop sending to what makes way.
+func (h *Holder) reserve(s *station, m swap.Move, now time.Time) {
+	for _, model := range m.Unload {
+		delete(s.held, model)
+	}
+
+	s.held[m.Load] = &residence{ready: now.Add(m.Takes + unordered), used: now, adapters: make(map[string]*placed)}
+	h.published = false
+}
+
+// unordered is how much later than its own time a load is expected to end
+// while its order has not been accepted.
+const unordered = 300 * time.Millisecond
+
 // byModel sums the wants of a service's models and their adapters.
 func byModel(service string, wants []want) []swap.Want {
 	sums := make(map[string]*swap.Want)
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -31,9 +31,6 @@
 // swap unloads what makes way and loads the model.
 func (h *Holder) swap(ctx context.Context, s *station, m swap.Move) {
 	for _, model := range m.Unload {
-		// Entries stop sending to the model before its unload is ordered.
-		h.forget(s, model)
-
 		if !h.send(ctx, s, Order{Unload: true, Model: model}) {
 			return
 		}
@@ -49,21 +46,16 @@
 	now := clock.Now()
 	s.loading = now.Add(m.Takes + foretold)
 	s.fromStore = m.From == target.TierRemote
-	s.held[m.Load] = &residence{ready: s.loading, used: now, adapters: make(map[string]*placed)}
+
+	if res := s.held[m.Load]; res != nil {
+		res.ready, res.used = s.loading, now
+	}
+
 	// A load leaves copies in memory and on disk.
 	s.atHand[m.Load] = target.TierMemory
 	h.published = false
 }
 
-// forget takes a model out of what entries are told.
-func (h *Holder) forget(s *station, model string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	delete(s.held, model)
-	h.publish(clock.Now())
-}
-
 // loadAdapter loads an adapter, after an idle one was given up if need be.
 func (h *Holder) loadAdapter(ctx context.Context, s *station, model, adapter, idle string) {
 	if idle != "" {
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -43,8 +43,8 @@
 
 const serviceName = "Entry"
 
-// empty is the answer of calls that return nothing.
-type empty struct{}
+// Empty is the answer of calls that return nothing.
+type Empty struct{}
 
 type service struct{ h Handler }
 
@@ -56,13 +56,14 @@
 }
 
 // Hear is the remote call.
-func (s service) Hear(in newsMessage, _ *empty) error {
+func (s service) Hear(in Message, _ *Empty) error {
 	s.h.Hear(toNews(in, time.Now()))
 
 	return nil
 }
 
-type reportMessage struct {
+// ReportMessage is an entry's demand on the wire.
+type ReportMessage struct {
 	_ struct{} `cbor:",toarray"`
 
 	Report  peer.Report
@@ -70,7 +71,7 @@
 }
 
 // Report is the remote call.
-func (s service) Report(in reportMessage, _ *empty) error {
+func (s service) Report(in ReportMessage, _ *Empty) error {
 	missing := make([]holder.Missing, len(in.Missing))
 	for i, m := range in.Missing {
 		missing[i] = holder.Missing{Target: instance.ID(m[0]), Key: m[1]}
@@ -80,7 +81,7 @@
 }
 
 // Block is the remote call.
-func (s service) Block(in uint64, _ *empty) error {
+func (s service) Block(in uint64, _ *Empty) error {
 	s.h.Block(request.Fingerprint(in))
 
 	return nil
@@ -105,53 +106,56 @@
 
 // Hear sends news.
 func (c *Client) Hear(ctx context.Context, n holder.News) error {
-	return c.Call(ctx, serviceName+".Hear", fromNews(n, time.Now()), &empty{})
+	return c.Call(ctx, serviceName+".Hear", fromNews(n, time.Now()), &Empty{})
 }
 
 // Report sends an entry's demand.
 func (c *Client) Report(ctx context.Context, r demand.Report, missing []holder.Missing) error {
-	in := reportMessage{Report: peer.FromReport(r, time.Now())}
+	in := ReportMessage{Report: peer.FromReport(r, time.Now())}
 	for _, m := range missing {
 		in.Missing = append(in.Missing, [2]string{string(m.Target), m.Key})
 	}
 
-	return c.Call(ctx, serviceName+".Report", in, &empty{})
+	return c.Call(ctx, serviceName+".Report", in, &Empty{})
 }
 
 // Block sends a request that crashes targets.
 func (c *Client) Block(ctx context.Context, fp request.Fingerprint) error {
-	return c.Call(ctx, serviceName+".Block", uint64(fp), &empty{})
+	return c.Call(ctx, serviceName+".Block", uint64(fp), &Empty{})
 }
 
-type newsMessage struct {
+// Message is a holder's news on the wire.
+type Message struct {
 	_ struct{} `cbor:",toarray"`
 
 	Holder, Process, Successor  string
 	Token, Number, LeaseVersion uint64
-	Stations                    []stationMessage
+	Stations                    []StationMessage
 }
 
-type stationMessage struct {
+// StationMessage is a holder.Station on the wire.
+type StationMessage struct {
 	_ struct{} `cbor:",toarray"`
 
 	Target   string
 	Born     int64
 	Sequence uint64
 	Running  int
-	Held     []heldMessage
+	Held     []HeldMessage
 }
 
-// heldMessage and adapterMessage say how long until what they name is ready,
-// so that no clocks are compared.
-type heldMessage struct {
+// HeldMessage is a holder.Held on the wire. It says how long until the model is
+// ready, so that no clocks are compared.
+type HeldMessage struct {
 	_ struct{} `cbor:",toarray"`
 
 	Model    string
 	LeftMs   int64
-	Adapters []adapterMessage
+	Adapters []AdapterMessage
 }
 
-type adapterMessage struct {
+// AdapterMessage is a holder.Adapter on the wire.
+type AdapterMessage struct {
 	_ struct{} `cbor:",toarray"`
 
 	Name   string
@@ -160,19 +164,19 @@
 
 func leftMs(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
-func fromNews(n holder.News, now time.Time) newsMessage {
-	out := newsMessage{
+func fromNews(n holder.News, now time.Time) Message {
+	out := Message{
 		Holder: string(n.Holder), Process: n.Process, Successor: string(n.Successor),
 		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion,
 	}
 
 	for _, s := range n.Stations {
-		st := stationMessage{Target: string(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
+		st := StationMessage{Target: string(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
 
 		for _, held := range s.Held {
-			h := heldMessage{Model: held.Model, LeftMs: leftMs(held.Ready, now)}
+			h := HeldMessage{Model: held.Model, LeftMs: leftMs(held.Ready, now)}
 			for _, a := range held.Adapters {
-				h.Adapters = append(h.Adapters, adapterMessage{Name: a.Name, LeftMs: leftMs(a.Ready, now)})
+				h.Adapters = append(h.Adapters, AdapterMessage{Name: a.Name, LeftMs: leftMs(a.Ready, now)})
 			}
 
 			st.Held = append(st.Held, h)
@@ -184,7 +188,7 @@
 	return out
 }
 
-func toNews(n newsMessage, now time.Time) holder.News {
+func toNews(n Message, now time.Time) holder.News {
 	at := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	out := holder.News{
 		Holder: instance.ID(n.Holder), Process: n.Process, Successor: instance.ID(n.Successor),
--- /dev/null
+++ b/internal/wire/news/news_test.go
@@ -0,0 +1,94 @@
+package news
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
+)
+
+// echo keeps what it gets.
+type echo struct {
+	greeting Greeting
+	news     holder.News
+	report   demand.Report
+	missing  []holder.Missing
+	blocked  request.Fingerprint
+}
+
+func (e *echo) Greet(g Greeting) Greeting {
+	e.greeting = g
+
+	return Greeting{Name: "other"}
+}
+
+func (e *echo) Hear(n holder.News) { e.news = n }
+
+func (e *echo) Report(r demand.Report, missing []holder.Missing) error {
+	e.report, e.missing = r, missing
+
+	return nil
+}
+
+func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
+
+// TestCallsArrive holds that every call reaches the handler with all that it
+// carries. A call whose types net/rpc does not take is left out without a
+// word, and then no entry ever hears the holder.
+func TestCallsArrive(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	var got echo
+
+	go func() { _ = Serve(t.Context(), l, &got) }()
+	defer l.Close()
+
+	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
+	defer c.Close()
+
+	g, err := c.Greet(t.Context(), Greeting{Name: "a", Address: "b", Process: "c", Leaving: true, Known: [][3]string{{"x", "y", "z"}}})
+	assert.NilError(t, err)
+	assert.Equal(t, g.Name, "other")
+	assert.Equal(t, got.greeting.Known[0][2], "z")
+	assert.Assert(t, got.greeting.Leaving)
+
+	now := time.Now()
+	sent := holder.News{
+		Holder: "h", Process: "p", Successor: "s", Token: 3, Number: 4, LeaseVersion: 5,
+		Stations: []holder.Station{{Target: "t", Born: 6, Sequence: 7, Running: 8, Held: []holder.Held{{
+			Model: "m", Ready: now.Add(time.Second), Adapters: []holder.Adapter{{Name: "a", Ready: now.Add(-time.Second)}},
+		}}}},
+	}
+	assert.NilError(t, c.Hear(t.Context(), sent))
+	assert.Equal(t, got.news.Successor, instance.ID("s"))
+	assert.Equal(t, got.news.LeaseVersion, uint64(5))
+
+	station := got.news.Stations[0]
+	assert.Equal(t, station.Sequence, uint64(7))
+	assert.Equal(t, station.Running, 8)
+	assert.Assert(t, time.Until(station.Held[0].Ready) > 900*time.Millisecond)
+	assert.Assert(t, !station.Held[0].Adapters[0].Ready.After(time.Now()))
+
+	r := demand.Report{
+		Entry: "e", Waiting: []replica.Demand{{Model: "s/m", Waiting: 2, Deadline: now.Add(3 * time.Second)}},
+		Uses: []demand.Use{{Key: ledger.Key{Target: "t", Model: "s/m"}, Running: 1, Served: 2}},
+	}
+	assert.NilError(t, c.Report(t.Context(), r, []holder.Missing{{Target: "t", Key: "s/m"}}))
+	assert.Equal(t, got.report.Waiting[0].Waiting, 2)
+	assert.Equal(t, got.report.Uses[0].Served, 2)
+	assert.DeepEqual(t, got.missing, []holder.Missing{{Target: "t", Key: "s/m"}})
+
+	assert.NilError(t, c.Block(t.Context(), 9))
+	assert.Equal(t, got.blocked, request.Fingerprint(9))
+}
