fix: end a stop within its grace time and refuse what could not end in time

Cause: a stop waited for the store to take the released lease, so with a silent store the listeners never closed and the process was killed under its requests; streams that came or waited late in the grace time were cut off. Ruled out: clients that crossed the close (all were read before it).

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -181,7 +181,7 @@
 	_ = ready.Close()
 	_ = peerListener.Close()
 	cancel()
-	wg.Wait()
+	waitAtMost(&wg, stopMargin/2) //nolint:mnd // The rest is for the process to end.
 	n.cfg.Log.Info().Msg("stopped")
 
 	return nil
@@ -208,6 +208,9 @@
 	// open: the platform needs two checks, one a second, to send no more
 	// callers, and a request may be on its way.
 	crossing = 2300 * time.Millisecond
+	// streamTime is how long before the end of the grace a stream must have
+	// begun: nine in ten end within four seconds.
+	streamTime = 4 * time.Second
 	// stopMargin is how long before the end of the grace the process is done.
 	stopMargin = 500 * time.Millisecond
 )
@@ -218,24 +221,53 @@
 	began := time.Now()
 
 	n.stopping.Store(true)
-	n.relay.Stop()
+	n.relay.Enter(relay.Stopping)
 	n.cfg.Log.Info().Int("running", n.relay.Running()).Msg("stopping")
 
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Grace-stopMargin)
 	defer cancel()
 
-	n.holder.Release(ctx)
-	n.peers.leave(ctx)
+	// Neither must hold up the stop: the store may be silent, and the lease
+	// then lapses by itself.
+	var leave sync.WaitGroup
 
-	if clock.Sleep(ctx, crossing-time.Since(began)) != nil {
-		return
-	}
+	leave.Go(func() { n.holder.Release(ctx) })
+	leave.Go(func() { n.peers.leave(ctx) })
+
+	_ = clock.Sleep(ctx, crossing-time.Since(began)) // It ends early only at the end of the grace.
+
+	n.relay.Enter(relay.Closing)
+
+	ending := time.AfterFunc(n.cfg.Grace-streamTime-time.Since(began), func() { n.relay.Enter(relay.Ending) })
+	defer ending.Stop()
 
 	if err := front.Shutdown(ctx); err != nil {
 		n.cfg.Log.Warn().Err(err).Int("running", n.relay.Running()).Msg("requests broken off at the end of the grace time")
 	}
 
 	_ = front.Close()
+
+	// What is left of it has had the whole grace time.
+	waitAtMost(&leave, stopMargin/2) //nolint:mnd // See Run.
+}
+
+// waitAtMost waits for wg, but not for longer than d: a call to a silent store
+// must not keep a process past its grace time.
+func waitAtMost(wg *sync.WaitGroup, d time.Duration) {
+	done := make(chan struct{})
+
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-done:
+	case <-t.C:
+	}
 }
 
 // checks answers the platform's readiness checks.
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -338,8 +338,12 @@
 		return
 	}
 
-	// Orders in hand end by their own timeouts.
-	h.orders.Wait()
+	// An order in hand must be settled before another entry sends its own.
+	if !h.settled(ctx) {
+		h.cfg.Log.Warn().Msg("lease not released, orders are in hand")
+
+		return
+	}
 
 	peers := h.cfg.Peers()
 	if len(peers) == 0 {
@@ -391,6 +395,23 @@
 	return nil
 }
 
+// settled waits until no order is in hand.
+func (h *Holder) settled(ctx context.Context) bool {
+	done := make(chan struct{})
+
+	go func() {
+		h.orders.Wait()
+		close(done)
+	}()
+
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Hear takes in another holder's news. It reports whether they are newer than
 // what was known.
 func (h *Holder) Hear(n News) bool {
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -136,7 +136,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if !h.held.Valid(clock.Now(), h.cfg.Terms) || h.stations[s.target.ID] != s {
+	if h.draining || !h.held.Valid(clock.Now(), h.cfg.Terms) || h.stations[s.target.ID] != s {
 		s.known = false
 
 		return false
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -113,7 +113,7 @@
 // mayGoOn reports whether the request may be sent once more after err.
 func (d *delivery) mayGoOn(ctx context.Context, err error) bool {
 	var caller *callerError
-	if errors.As(err, &caller) || ctx.Err() != nil || d.trail.Sends() >= maxSends {
+	if errors.As(err, &caller) || ctx.Err() != nil || d.trail.Sends() >= maxSends || d.in(Ending) && !d.begun {
 		return false
 	}
 
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -36,16 +36,51 @@
 	// Metrics may be nil.
 	Metrics tally.Scope
 
-	stopping atomic.Bool
-	running  atomic.Int64
+	phase   atomic.Int32
+	running atomic.Int64
 }
 
 // Key names what a request needs of a target: its service and, on an engine,
 // the model or adapter.
 func Key(service, model string) string { return service + "/" + model }
 
-// Stop makes every answer from now on the last one on its connection.
-func (s *Server) Stop() { s.stopping.Store(true) }
+// Phase is how far an entry has come in stopping. It only grows.
+type Phase int32
+
+// The phases of a stop.
+const (
+	// Open takes everything.
+	Open Phase = iota
+	// Stopping makes every answer the last one on its connection.
+	Stopping
+	// Closing refuses streams that still come: one that is taken late would be
+	// cut off with the process, while its caller has time to go elsewhere.
+	Closing
+	// Ending refuses streams that were taken and have not begun.
+	Ending
+)
+
+// Enter goes on to a phase.
+//
+// It guards against a stop whose grace time ends under a stream: nothing that
+// could not end in time is begun, and its caller is told at once.
+func (s *Server) Enter(p Phase) {
+	s.phase.Store(int32(p))
+
+	if p < Ending {
+		return
+	}
+
+	s.Lines.RefuseWaiting(func(*request.Request) *request.Refusal {
+		return request.Refuse(request.ShuttingDown, elsewhereRetry, "this instance is stopping")
+	})
+}
+
+func (s *Server) in(p Phase) bool { return Phase(s.phase.Load()) >= p }
+
+// elsewhereRetry is when a caller is told to come back who is only to go to
+// another entry.
+const elsewhereRetry = 50 * time.Millisecond
 
 // Running returns how many requests are being answered.
 func (s *Server) Running() int { return int(s.running.Load()) }
@@ -65,7 +100,7 @@
 
 	arrived := time.Now()
 
-	if s.stopping.Load() {
+	if s.in(Stopping) {
 		w.Header().Set("Connection", "close")
 	}
 
@@ -206,6 +241,12 @@
 		return
 	}
 
+	if d.in(Closing) && d.route.Kind == route.Stream {
+		d.end(request.Refuse(request.ShuttingDown, elsewhereRetry, "this instance is stopping"))
+
+		return
+	}
+
 	d.suspect = d.Lines.Suspect(d.req.Fingerprint())
 	d.end(d.run(ctx))
 }
