feat: learn from peers while the store turns an entry away; seeds

An entry that the store serves tells the others its newest configuration text and list of targets; versions never go back. Seeds find the first peers without the store.

--- a/internal/cli/member/settings.go
+++ b/internal/cli/member/settings.go
@@ -18,21 +18,23 @@
 	DataCentre                         instance.DataCentre
 	Callers, Readiness, Peers, Metrics netip.AddrPort
 	Store                              netip.AddrPort
-	Grace, TurnPause                   time.Duration
-	Allowance                          relay.Allowance
+	// Seeds are entries that may be asked for the others. Some may be gone.
+	Seeds            []netip.AddrPort
+	Grace, TurnPause time.Duration
+	Allowance        relay.Allowance
 }
 
 // document is the settings file.
 type document struct {
-	Name        string `json:"name"`
-	DataCentre  string `json:"dataCentre"`
-	Host        string `json:"host"`
-	Callers     string `json:"callers"`
-	Readiness   string `json:"readiness"`
-	PeerPort    uint16 `json:"peerPort"`
-	MetricsPort uint16 `json:"metricsPort"`
-	Store       string `json:"store"`
-	Bounds      struct {
+	Name       string   `json:"name"`
+	DataCentre string   `json:"dataCentre"`
+	Callers    string   `json:"callers"`
+	Readiness  string   `json:"readiness"`
+	Peers      string   `json:"peers"`
+	Metrics    string   `json:"metrics"`
+	Seeds      []string `json:"seeds"`
+	Store      string   `json:"store"`
+	Bounds     struct {
 		GraceSeconds        float64 `json:"graceSeconds"`
 		TurnPauseMs         float64 `json:"turnPauseMs"`
 		RepeatRatio         float64 `json:"repeatRatio"`
@@ -105,6 +107,8 @@
 		DataCentre: instance.DataCentre(c.text("dataCentre", d.DataCentre)),
 		Callers:    c.address("callers", d.Callers),
 		Readiness:  c.address("readiness", d.Readiness),
+		Peers:      c.address("peers", d.Peers),
+		Metrics:    c.address("metrics", d.Metrics),
 		Store:      c.address("store", d.Store),
 		Grace:      c.span("bounds.graceSeconds", d.Bounds.GraceSeconds, time.Second),
 		TurnPause:  c.span("bounds.turnPauseMs", d.Bounds.TurnPauseMs, time.Millisecond),
@@ -118,17 +122,10 @@
 		c.fail("bounds", "repeatRatio and repeatBurst must not be below zero")
 	}
 
-	host, err := netip.ParseAddr(c.text("host", d.Host))
-	if err != nil && d.Host != "" {
-		c.fail("host", err.Error())
+	for i, seed := range d.Seeds {
+		s.Seeds = append(s.Seeds, c.address(fmt.Sprintf("seeds.%d", i), seed))
 	}
 
-	if d.PeerPort == 0 || d.MetricsPort == 0 || d.PeerPort == d.MetricsPort {
-		c.fail("peerPort", "peerPort and metricsPort must be two ports")
-	}
-
-	s.Peers, s.Metrics = netip.AddrPortFrom(host, d.PeerPort), netip.AddrPortFrom(host, d.MetricsPort)
-
 	if len(c.errs) > 0 {
 		return nil, errors.Join(c.errs...)
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -36,6 +36,8 @@
 	ConfigurationAfter(ctx context.Context, after uint64, wait time.Duration) (*route.Config, uint64, error)
 	Targets(ctx context.Context) ([]inventory.Change, uint64, error)
 	TargetsAfter(ctx context.Context, after uint64, wait time.Duration) ([]inventory.Change, uint64, error)
+	// Decode reads a configuration's text.
+	Decode(text []byte) (*route.Config, error)
 }
 
 // Config is what an entry works with.
@@ -44,6 +46,8 @@
 	DataCentre instance.DataCentre
 	// Callers, Readiness, Peers and Metrics are the addresses to listen on.
 	Callers, Readiness, Peers, Metrics netip.AddrPort
+	// Seeds are entries that may be asked for the others.
+	Seeds []netip.AddrPort
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	Source    Source
@@ -79,6 +83,11 @@
 
 	mu   sync.Mutex
 	book inventory.Book
+	// list is the store's version at which the list of targets was last read,
+	// here or by the peer that told of it.
+	list uint64
+	// lostConfig and lostTargets say that the store does not answer.
+	lostConfig, lostTargets atomic.Bool
 	// known is a copy of the book's targets that nobody changes.
 	known map[instance.ID]inventory.Target
 	news  holder.News
@@ -170,7 +179,7 @@
 	wg.Go(func() { n.served("readiness", ready.Serve(checks)) })
 	wg.Go(func() { n.served("peers", news.Serve(work, peerListener, n)) })
 
-	for _, loop := range []func(context.Context){n.watchConfig, n.watchTargets, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep} {
+	for _, loop := range []func(context.Context){n.watchConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep} {
 		wg.Go(func() { loop(work) })
 	}
 
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -67,6 +67,8 @@
 
 	written := false
 
+	p.askSeeds(ctx)
+
 	for ctx.Err() == nil {
 		if !written {
 			written = p.write(ctx) == nil
@@ -89,6 +91,30 @@
 	}
 }
 
+// askSeeds finds the first peers without the store, which may turn this entry
+// away.
+func (p *peers) askSeeds(ctx context.Context) {
+	for _, address := range p.node.cfg.Seeds {
+		if address == p.node.cfg.Peers {
+			continue
+		}
+
+		go func() {
+			c := &news.Client{Caller: frame.Caller{Address: address}}
+			defer c.Close()
+
+			g, err := c.Greet(ctx, p.greeting(false))
+			if err != nil {
+				p.node.cfg.Log.Info().Err(err).Stringer("seed", address).Msg("seed not reached")
+
+				return
+			}
+
+			p.node.Greet(g)
+		}()
+	}
+}
+
 // write puts this entry's row into the store, whatever stands there.
 func (p *peers) write(ctx context.Context) error {
 	value, err := json.Marshal(entryRow{Address: p.node.cfg.Peers.String(), Process: p.node.process})
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -33,6 +33,7 @@
 	for ctx.Err() == nil {
 		c, version, err := n.nextConfig(ctx, after)
 		link.note(n, "configuration", err)
+		n.lostConfig.Store(link.lost)
 
 		if err != nil {
 			after = restart(err, after)
@@ -87,6 +88,7 @@
 	for ctx.Err() == nil {
 		changes, version, err := n.nextTargets(ctx, after)
 		link.note(n, "targets", err)
+		n.lostTargets.Store(link.lost)
 
 		if err != nil {
 			after = restart(err, after)
@@ -95,9 +97,13 @@
 			continue
 		}
 
-		n.takeTargets(changes, after == 0)
+		// A peer may have told of a newer list meanwhile.
+		if n.takeTargets(changes, after == 0, version) {
+			after = version
+		} else {
+			after = 0
+		}
 
-		after = version
 		_ = clock.Sleep(ctx, jitter(targetsPause))
 	}
 }
@@ -121,12 +127,22 @@
 	return after
 }
 
-func (n *Node) takeTargets(changes []inventory.Change, whole bool) {
+// takeTargets takes in what the store says of the targets as of a version. It
+// reports false, and changes nothing, when a newer list is known.
+func (n *Node) takeTargets(changes []inventory.Change, whole bool, version uint64) bool {
 	now := time.Now()
 
 	n.mu.Lock()
 	n.book.Heard(now)
 
+	if version < n.list {
+		n.mu.Unlock()
+
+		return false
+	}
+
+	n.list = version
+
 	if whole {
 		n.book.Replace(changes, now)
 	} else {
@@ -145,6 +161,8 @@
 		poke(n.changed)
 		n.holder.Wake()
 	}
+
+	return true
 }
 
 func (n *Node) logChange(c inventory.Change) {
--- a/internal/serving/route/route.go
+++ b/internal/serving/route/route.go
@@ -121,6 +121,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Text is what the configuration was decoded from, for peers that cannot
+	// read it themselves.
+	Text []byte
 }
 
 // Table finds the route of a request. The zero value has none.
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -37,6 +37,8 @@
 	Hear(n holder.News)
 	// Report takes in an entry's demand.
 	Report(r demand.Report, missing []holder.Missing) error
+	// View returns what is newer here than what the peer has.
+	View(have Versions) View
 	// Block takes in a request that crashes the targets that run it.
 	Block(fp request.Fingerprint)
 }
@@ -80,6 +82,13 @@
 	return s.h.Report(peer.ToReport(in.Report, time.Now()), missing)
 }
 
+// View is the remote call.
+func (s service) View(in Versions, out *ViewMessage) error {
+	*out = fromView(s.h.View(in))
+
+	return nil
+}
+
 // Block is the remote call.
 func (s service) Block(in uint64, _ *Empty) error {
 	s.h.Block(request.Fingerprint(in))
@@ -119,6 +128,17 @@
 	return c.Call(ctx, serviceName+".Report", in, &Empty{})
 }
 
+// View fetches what is newer at the peer.
+func (c *Client) View(ctx context.Context, have Versions) (View, error) {
+	var out ViewMessage
+
+	if err := c.Call(ctx, serviceName+".View", have, &out); err != nil {
+		return View{}, err
+	}
+
+	return toView(out)
+}
+
 // Block sends a request that crashes targets.
 func (c *Client) Block(ctx context.Context, fp request.Fingerprint) error {
 	return c.Call(ctx, serviceName+".Block", uint64(fp), &Empty{})
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
@@ -40,6 +41,12 @@
 	return nil
 }
 
+func (e *echo) View(have Versions) View {
+	return View{Config: []byte("c"), List: have.List + 1, Targets: []inventory.Target{{
+		ID: "t", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 3, Held: []inventory.Held{{Model: "m", Adapters: []string{"a"}}},
+	}}}
+}
+
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
 
 // TestCallsArrive holds that every call reaches the handler with all that it
@@ -89,6 +96,12 @@
 	assert.Equal(t, got.report.Uses[0].Served, 2)
 	assert.DeepEqual(t, got.missing, []holder.Missing{{Target: "t", Key: "s/m"}})
 
+	v, err := c.View(t.Context(), Versions{Config: 1, List: 2})
+	assert.NilError(t, err)
+	assert.Equal(t, v.List, uint64(3))
+	assert.Equal(t, v.Targets[0].Slots, 3)
+	assert.Equal(t, v.Targets[0].Held[0].Adapters[0], "a")
+
 	assert.NilError(t, c.Block(t.Context(), 9))
 	assert.Equal(t, got.blocked, request.Fingerprint(9))
 }
--- /dev/null
+++ b/internal/wire/news/view.go
@@ -0,0 +1,100 @@
+package news
+
+import (
+	"net/netip"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+)
+
+// Versions are how far an entry has followed the store.
+type Versions struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Config is the configuration's version, and List the store's at which
+	// the list of targets was last read.
+	Config, List uint64
+}
+
+// View is what an entry learnt from the store, for a peer that the store turns
+// away.
+type View struct {
+	// Config is the configuration's text, if it is newer than the peer's.
+	Config []byte
+	// List is the version of Targets. Zero means that the peer's list is as
+	// new.
+	List    uint64
+	Targets []inventory.Target
+}
+
+// ViewMessage is a View on the wire.
+type ViewMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Config  []byte
+	List    uint64
+	Targets []TargetMessage
+}
+
+// TargetMessage is an inventory.Target on the wire.
+type TargetMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID, Service, Address, DataCentre string
+	Slots                            int
+	Leaving                          bool
+	Born                             int64
+	Sequence, Version                uint64
+	Held                             []HeldOnList
+	InMemory, OnDisk                 []string
+}
+
+// HeldOnList is an inventory.Held on the wire.
+type HeldOnList struct {
+	_ struct{} `cbor:",toarray"`
+
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+func fromView(v View) ViewMessage {
+	out := ViewMessage{Config: v.Config, List: v.List}
+
+	for _, t := range v.Targets {
+		m := TargetMessage{
+			ID: string(t.ID), Service: t.Service, Address: t.Address.String(), DataCentre: string(t.DataCentre), Slots: t.Slots,
+			Leaving: t.Leaving, Born: t.Born, Sequence: t.Sequence, Version: t.Version, InMemory: t.InMemory, OnDisk: t.OnDisk,
+		}
+		for _, h := range t.Held {
+			m.Held = append(m.Held, HeldOnList{Model: h.Model, Version: h.Version, Adapters: h.Adapters})
+		}
+
+		out.Targets = append(out.Targets, m)
+	}
+
+	return out
+}
+
+func toView(m ViewMessage) (View, error) {
+	out := View{Config: m.Config, List: m.List}
+
+	for _, t := range m.Targets {
+		address, err := netip.ParseAddrPort(t.Address)
+		if err != nil {
+			return View{}, err
+		}
+
+		in := inventory.Target{
+			ID: instance.ID(t.ID), Service: t.Service, Address: address, DataCentre: instance.DataCentre(t.DataCentre), Slots: t.Slots,
+			Leaving: t.Leaving, Born: t.Born, Sequence: t.Sequence, Version: t.Version, InMemory: t.InMemory, OnDisk: t.OnDisk,
+		}
+		for _, h := range t.Held {
+			in.Held = append(in.Held, inventory.Held{Model: h.Model, Version: h.Version, Adapters: h.Adapters})
+		}
+
+		out.Targets = append(out.Targets, in)
+	}
+
+	return out, nil
+}
