--- /dev/null
+++ b/internal/fleet/inventory/inventory_test.go
@@ -0,0 +1,95 @@
+package inventory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+func at(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+
+func listed(ids ...instance.ID) []Change {
+	var out []Change
+	for _, id := range ids {
+		out = append(out, Change{ID: id, Target: Target{ID: id}})
+	}
+
+	return out
+}
+
+// TestRemoval holds when a target whose entry vanished is dropped. While the
+// store is away nobody can write a heartbeat, so right after its return the
+// entries of living targets are missing for up to two seconds, and dropping
+// them all would refuse every request.
+func TestRemoval(t *testing.T) {
+	cases := map[string]struct {
+		// heard are the times at which the store answered before the removal
+		// is read at 10000.
+		heard   []int
+		leaving bool
+		// kept is for how long the target is still known.
+		kept time.Duration
+	}{
+		"in calm":                        {[]int{8000, 9000, 10000}, false, 0},
+		"right after an outage":          {[]int{2000, 10000}, false, returnGrace},
+		"a second after an outage":       {[]int{2000, 9000, 10000}, false, returnGrace - time.Second},
+		"long after an outage":           {[]int{2000, 6000, 7000, 8000, 9000, 10000}, false, 0},
+		"leaving, right after an outage": {[]int{2000, 10000}, true, 0},
+		"at the first look":              {[]int{10000}, false, 0},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var b Book
+
+			first := listed("a", "b")
+			first[0].Target.Leaving = c.leaving
+			b.Apply(first, at(0))
+
+			for _, ms := range c.heard {
+				b.Heard(at(ms))
+			}
+
+			b.Replace(listed("b"), at(10000))
+
+			_, known := b.Targets()["a"]
+			assert.Equal(t, known, c.kept > 0)
+
+			b.Expire(at(10000).Add(c.kept - time.Millisecond))
+			_, known = b.Targets()["a"]
+			assert.Equal(t, known, c.kept > 0)
+
+			b.Expire(at(10000).Add(c.kept))
+			_, known = b.Targets()["a"]
+			assert.Assert(t, !known)
+			assert.Equal(t, len(b.Targets()), 1)
+		})
+	}
+}
+
+// TestReturn: an entry that was missing after an outage comes back in time and
+// stays.
+func TestReturn(t *testing.T) {
+	var b Book
+
+	b.Apply(listed("a"), at(0))
+	b.Heard(at(0))
+	b.Heard(at(5000))
+	b.Apply([]Change{{ID: "a", Removed: true}}, at(5000))
+	b.Apply(listed("a"), at(6000))
+	b.Expire(at(9000))
+	assert.Equal(t, len(b.Targets()), 1)
+}
+
+// TestBadRow: a row that anybody wrote over a target's names no target any
+// more, and the others hold.
+func TestBadRow(t *testing.T) {
+	var b Book
+
+	b.Apply(listed("a", "b"), at(0))
+	b.Apply([]Change{{ID: "a", Err: &RowError{ID: "a", Reason: "no service"}}}, at(1))
+	assert.Equal(t, len(b.Targets()), 1)
+}
--- /dev/null
+++ b/internal/serving/relay/budget_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestBudgetsKeepTheBound: targets fail in numbers and every entry repeats as
+// much as it may. In no window do all of them together repeat more than the
+// operators allow.
+func TestBudgetsKeepTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+
+		allowed := Allowance{
+			Ratio: rapid.Float64Range(0, 0.5).Draw(t, "ratio"), Burst: rapid.Float64Range(20, 100).Draw(t, "burst"), Window: window,
+		}
+		entries := rapid.IntRange(1, 8).Draw(t, "entries")
+		all := make([]Budgets, entries)
+
+		for i := range all {
+			all[i].Allowance = allowed
+			all[i].Share(entries)
+		}
+
+		var requests, repeats []time.Time
+
+		now := time.Unix(0, 0)
+
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gapMs")) * time.Millisecond)
+			b := &all[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+
+			b.Earn("s", now)
+
+			requests = append(requests, now)
+
+			for b.Take("s", now) {
+				repeats = append(repeats, now)
+			}
+		}
+
+		for i, from := range repeats {
+			n := 0
+			for n < len(repeats)-i && repeats[i+n].Sub(from) < window {
+				n++
+			}
+
+			// Requests are counted in the window and the one before it.
+			asked := 0
+
+			for _, at := range requests {
+				if at.After(from.Add(-window)) && at.Before(from.Add(window)) {
+					asked++
+				}
+			}
+
+			assert.Assert(t, float64(n) <= allowed.Ratio*float64(asked)+allowed.Burst, "%d repeats for %d requests", n, asked)
+		}
+	})
+}
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -80,6 +80,12 @@
 			return nil
 		}
 
+		if ctx.Err() != nil {
+			// The connection was closed because the time is up or the caller
+			// left, which is what the answer goes by.
+			err = errors.Join(ctx.Err(), err)
+		}
+
 		d.Log.Info().Str("id", d.ask.ID).Str("target", string(t.ID)).Int("send", d.trail.Sends()).Err(err).Msg("attempt failed")
 
 		if !d.mayGoOn(ctx, err) {
--- /dev/null
+++ b/internal/serving/relay/relay_test.go
@@ -0,0 +1,626 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+// testProtocol has headers of its own, so that these tests need no platform.
+type testProtocol struct{}
+
+func (testProtocol) Parse(h http.Header) (Ask, error) {
+	if h.Get("Id") == "" {
+		return Ask{}, &BadRequestError{Reason: "no id"}
+	}
+
+	ms, _ := strconv.Atoi(h.Get("Left"))
+
+	return Ask{ID: h.Get("Id"), Left: time.Duration(ms) * time.Millisecond, Model: h.Get("Model"), After: h.Get("After")}, nil
+}
+
+func (testProtocol) Outgoing(in http.Header, s Sending) http.Header {
+	out := in.Clone()
+	out.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
+	out.Set("Target", string(s.Target))
+
+	if s.After != "" {
+		out.Set("After", s.After)
+	}
+
+	return out
+}
+
+func (testProtocol) Incoming(in http.Header) http.Header {
+	out := in.Clone()
+	out.Del("Content-Length")
+	out.Del("Transfer-Encoding")
+
+	return out
+}
+
+func (testProtocol) Answer(status int, h http.Header) Mark {
+	return Mark{
+		ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
+		Misdirected: status == http.StatusMisdirectedRequest, KeepAlive: time.Minute,
+	}
+}
+
+// call is a request as a target got it.
+type call struct {
+	target instance.ID
+	header http.Header
+	body   string
+	// on counts the requests on this connection.
+	on int
+	at time.Time
+}
+
+// script is what the targets do with the nth request that reaches any of them.
+type script func(n int, c call, w io.Writer, conn net.Conn)
+
+// world has targets a and b behind a relay, on pipes.
+type world struct {
+	t       *testing.T
+	server  *Server
+	config  *route.Config
+	table   *route.Table
+	targets *router.Table
+	act     script
+
+	mu    sync.Mutex
+	calls []call
+	// closed is when the relay closed a connection under a request.
+	closed time.Time
+	down   map[instance.ID]bool
+}
+
+func newWorld(t *testing.T, act script, r route.Route) *world {
+	t.Helper()
+
+	if r.Attempts == 0 {
+		r.Attempts = 2
+	}
+
+	r.Name, r.Host, r.Prefix = "r", "host", "/p/"
+	r.Splits = []route.Split{{Service: "s", Weight: 1}}
+
+	w := &world{t: t, act: act, down: make(map[instance.ID]bool), config: &route.Config{
+		Version: 1, Routes: []route.Route{r}, Services: map[string]route.Service{"s": {Name: "s"}},
+	}}
+	w.table = route.NewTable(w.config)
+
+	targets := &router.Table{}
+	w.server = &Server{
+		Protocol: testProtocol{}, Pool: &Pool{Dial: w.dial}, Table: func() *route.Table { return w.table },
+		Budgets: &Budgets{Allowance: Allowance{Ratio: 0.2, Burst: 100, Window: 10 * time.Second}},
+		Lines: dispatch.New(dispatch.Config{
+			Table: targets, Entries: func() int { return 1 }, CellOf: func(string) int { return 0 },
+			Demanded: func(string) {}, Noticed: func(dispatch.Notice) {},
+		}),
+		Absent: func(*router.Target, string) {}, Moved: func(*router.Target) {}, Log: zerolog.Nop(),
+	}
+	w.server.Budgets.Share(1)
+	w.targets = targets
+	w.list(1)
+
+	return w
+}
+
+// list makes both targets known, as new processes for each number.
+func (w *world) list(number uint64) {
+	s := &router.Snapshot{Token: 1, Number: number}
+	for i, id := range []instance.ID{"a", "b"} {
+		s.Targets = append(s.Targets, router.TargetInfo{
+			ID: id, Slots: 4, Speed: 1, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1+i)), Incarnation: strconv.FormatUint(number, 10),
+		})
+		s.Added = append(s.Added, router.Replica{Target: id, Model: "s/"})
+	}
+
+	w.targets.Apply(s, time.Now())
+}
+
+func (w *world) dial(_ context.Context, address netip.AddrPort) (net.Conn, error) {
+	id := instance.ID("a")
+	if address.Port() == 2 {
+		id = "b"
+	}
+
+	w.mu.Lock()
+	down := w.down[id]
+	w.mu.Unlock()
+
+	if down {
+		return nil, errors.New("refused")
+	}
+
+	near, far := net.Pipe()
+
+	go w.target(id, far)
+
+	return near, nil
+}
+
+// target serves one connection.
+func (w *world) target(id instance.ID, conn net.Conn) {
+	r := bufio.NewReader(conn)
+
+	for on := 1; ; on++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			w.mu.Lock()
+			w.closed = time.Now()
+			w.mu.Unlock()
+
+			return
+		}
+
+		body, _ := io.ReadAll(req.Body)
+
+		w.mu.Lock()
+		c := call{target: id, header: req.Header, body: string(body), on: on, at: time.Now()}
+		w.calls = append(w.calls, c)
+		n := len(w.calls)
+		w.mu.Unlock()
+
+		w.act(n, c, conn, conn)
+	}
+}
+
+// recorder is a ResponseWriter that allows read deadlines, as a connection
+// does.
+type recorder struct{ *httptest.ResponseRecorder }
+
+func (recorder) SetReadDeadline(time.Time) error { return nil }
+
+// do sends a request and returns its answer; aborted says that the connection
+// was closed under it.
+func (w *world) do(ctx context.Context, body string, header ...string) (rec *httptest.ResponseRecorder, aborted bool) {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://host/p/x?q=1", strings.NewReader(body))
+	req.RequestURI = "/p/x?q=1"
+	req.Header.Set("Id", "one")
+	req.Header.Set("Left", "10000")
+
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+
+	rec = httptest.NewRecorder()
+
+	defer func() {
+		if v := recover(); v != nil {
+			assert.Equal(w.t, v, http.ErrAbortHandler)
+
+			aborted = true
+		}
+	}()
+
+	w.server.ServeHTTP(recorder{rec}, req)
+
+	return rec, false
+}
+
+// got returns what has reached the targets.
+func (w *world) got() []call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.calls
+}
+
+func (w *world) sends() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return len(w.calls)
+}
+
+const head = "HTTP/1.1 %s\r\nSigned: x\r\nId: one\r\n"
+
+func say(w io.Writer, status, extra, body string) {
+	fmt.Fprintf(w, head+"%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+
+// stream sends events from one id to another, and the end if whole.
+func stream(w io.Writer, from, to int, whole bool) {
+	fmt.Fprintf(w, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "200 OK")
+
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "%x\r\n%s\r\n", len(event(i)), event(i))
+	}
+
+	if whole {
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}
+}
+
+// TestOutcomes holds what callers get for what targets do, and how often a
+// request is sent.
+func TestOutcomes(t *testing.T) {
+	once := route.Route{Kind: route.Once, Timeout: 5 * time.Second}
+	idempotent := route.Route{Kind: route.Idempotent, Timeout: 5 * time.Second}
+	stepwise := route.Route{Kind: route.Stream, Timeout: 5 * time.Second}
+	resumable := route.Route{Kind: route.Stream, Resumable: true, Timeout: 5 * time.Second}
+	cut := func(_ int, _ call, _ io.Writer, conn net.Conn) { conn.Close() }
+	ok := func(w io.Writer) { say(w, "200 OK", "", "done") }
+
+	cases := map[string]struct {
+		route route.Route
+		act   script
+		// status and body are what the caller gets, aborted that its
+		// connection is closed.
+		status  int
+		body    string
+		aborted bool
+		sends   int
+		retry   bool
+	}{
+		"a whole answer":                    {once, func(_ int, _ call, w io.Writer, _ net.Conn) { ok(w) }, 200, "done", false, 1, false},
+		"a target's own failure":            {once, func(_ int, _ call, w io.Writer, _ net.Conn) { say(w, "500 No", "", "why") }, 500, "why", false, 1, false},
+		"no answer to what runs once":       {once, cut, 502, "", false, 1, false},
+		"no answer to what may be repeated": {idempotent, cut, 502, "", false, 2, false},
+		"one answer lost": {idempotent, func(n int, c call, w io.Writer, conn net.Conn) {
+			if n == 1 {
+				cut(n, c, w, conn)
+			}
+			ok(w)
+		}, 200, "done", false, 2, false},
+		"a failure, then a success": {idempotent, func(n int, _ call, w io.Writer, _ net.Conn) {
+			if n == 1 {
+				say(w, "500 No", "", "why")
+
+				return
+			}
+			ok(w)
+		}, 200, "done", false, 2, false},
+		"rejected, then run": {once, func(n int, _ call, w io.Writer, _ net.Conn) {
+			if n == 1 {
+				say(w, "503 Full", "Not-Run: 1\r\n", "")
+
+				return
+			}
+			ok(w)
+		}, 200, "done", false, 2, false},
+		"rejected by all": {once, func(_ int, _ call, w io.Writer, _ net.Conn) { say(w, "503 Full", "Not-Run: 1\r\n", "") }, 503, "", false, maxSends, true},
+		"an answer that is not signed": {once, func(_ int, _ call, w io.Writer, _ net.Conn) {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhm")
+		}, 502, "", false, 1, false},
+		"bytes that are no answer": {once, func(_ int, _ call, w io.Writer, _ net.Conn) {
+			_, _ = io.WriteString(w, "what?\r\n\r\n")
+		}, 502, "", false, 1, false},
+		"an answer cut short": {once, func(_ int, _ call, w io.Writer, conn net.Conn) {
+			fmt.Fprintf(w, head+"Content-Length: 9\r\n\r\nhalf", "200 OK")
+			conn.Close()
+		}, 502, "", false, 1, false},
+		"an answer for somebody else": {once, func(_ int, _ call, w io.Writer, _ net.Conn) {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: two\r\nContent-Length: 0\r\n\r\n")
+		}, 502, "", false, 1, false},
+		"an answer that ends with its connection": {once, func(_ int, _ call, w io.Writer, conn net.Conn) {
+			fmt.Fprintf(w, head+"\r\nall of it", "200 OK")
+			conn.Close()
+		}, 200, "all of it", false, 1, false},
+		"an interim answer": {once, func(_ int, _ call, w io.Writer, _ net.Conn) {
+			_, _ = io.WriteString(w, "HTTP/1.1 102 Wait\r\n\r\n")
+			ok(w)
+		}, 200, "done", false, 1, false},
+		"a stream": {stepwise, func(_ int, _ call, w io.Writer, _ net.Conn) { stream(w, 1, 3, true) }, 200, event(1) + event(2) + event(3), false, 1, false},
+		"a stream cut": {stepwise, func(_ int, _ call, w io.Writer, conn net.Conn) {
+			stream(w, 1, 2, false)
+			conn.Close()
+		}, 200, event(1) + event(2), true, 1, false},
+		"a stream cut in an event": {stepwise, func(_ int, _ call, w io.Writer, conn net.Conn) {
+			stream(w, 1, 2, false)
+			_, _ = io.WriteString(w, "6\r\nid: 3\n\r\n")
+			conn.Close()
+		}, 200, event(1) + event(2), true, 1, false},
+		"a resumed stream": {resumable, func(n int, c call, w io.Writer, conn net.Conn) {
+			if n == 1 {
+				stream(w, 1, 2, false)
+				conn.Close()
+
+				return
+			}
+			// This target goes on one event too early.
+			assert.Equal(t, c.header.Get("After"), "2")
+			stream(w, 2, 4, true)
+		}, 200, event(1) + event(2) + event(3) + event(4), false, 2, false},
+		"a stream that falls silent": {resumable, func(n int, _ call, w io.Writer, _ net.Conn) {
+			if n == 1 {
+				stream(w, 1, 2, false)
+				time.Sleep(time.Minute)
+
+				return
+			}
+			stream(w, 3, 3, true)
+		}, 200, event(1) + event(2) + event(3), false, 2, false},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, c.act, c.route)
+				rec, aborted := w.do(t.Context(), "body")
+
+				assert.Equal(t, rec.Code, c.status)
+				assert.Equal(t, rec.Body.String(), c.body)
+				assert.Equal(t, aborted, c.aborted)
+				assert.Equal(t, w.sends(), c.sends)
+				assert.Equal(t, rec.Header().Get("Retry-After") != "", c.retry)
+
+				if c.status == http.StatusOK {
+					assert.Equal(t, rec.Header().Get("Signed"), "x")
+				}
+
+				for _, got := range w.got() {
+					assert.Equal(t, got.body, "body")
+				}
+
+				w.end()
+			})
+		})
+	}
+}
+
+// end lets the targets' goroutines go, so that the bubble ends.
+func (w *world) end() {
+	time.Sleep(2 * time.Minute)
+	w.server.Pool.Sweep(time.Now())
+	synctest.Wait()
+}
+
+// TestSecondAnswerIsPassedOver: a target answers a request twice. The second
+// answer arrives where the next one is expected, on a connection that is kept,
+// and the next caller would get somebody else's booking.
+func TestSecondAnswerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(n int, c call, w io.Writer, _ net.Conn) {
+			id := c.header.Get("Id")
+
+			if c.on > 1 {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: one\r\nContent-Length: 5\r\n\r\nagain")
+			}
+
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: %s\r\nContent-Length: 3\r\n\r\n%s", id, id)
+		}, route.Route{Kind: route.Idempotent, Timeout: time.Second})
+		w.down["b"] = true
+
+		for _, id := range []string{"one", "two"} {
+			rec, _ := w.do(t.Context(), "", "Id", id)
+			assert.Equal(t, rec.Body.String(), id)
+		}
+
+		assert.Equal(t, w.got()[1].on, 2, "the connection was not kept, so nothing was shown")
+		w.end()
+	})
+}
+
+// TestOnceUsesNewConnections: what must not run twice never follows another
+// request on a connection, where a late answer to that could be taken for its
+// own.
+func TestOnceUsesNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(_ int, _ call, w io.Writer, _ net.Conn) { say(w, "200 OK", "", "") },
+			route.Route{Kind: route.Once, Timeout: time.Second})
+
+		for range 3 {
+			w.do(t.Context(), "")
+		}
+
+		for _, c := range w.got() {
+			assert.Equal(t, c.on, 1)
+		}
+
+		w.end()
+	})
+}
+
+// TestEarlyAnswer: a target refuses a long body before it has read it, and
+// would read on later. The rest of the connection must not be used, or it
+// takes the next request for the rest of the body.
+func TestEarlyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w *world
+
+		w = newWorld(t, nil, route.Route{Kind: route.Idempotent, Timeout: time.Second})
+		w.server.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+			near, far := net.Pipe()
+
+			go func() {
+				r := bufio.NewReader(far)
+				line, _ := r.ReadString('\n')
+				assert.Assert(t, strings.HasPrefix(line, "POST "))
+
+				for line != "\r\n" {
+					line, _ = r.ReadString('\n')
+				}
+
+				say(far, "413 Long", "", "too long")
+				_, _ = io.Copy(io.Discard, r)
+				w.mu.Lock()
+				w.closed = time.Now()
+				w.mu.Unlock()
+			}()
+
+			return near, nil
+		}
+
+		rec, _ := w.do(t.Context(), strings.Repeat("x", 10*writeInline))
+		assert.Equal(t, rec.Code, http.StatusRequestEntityTooLarge)
+		synctest.Wait()
+		assert.Assert(t, !w.closed.IsZero(), "the connection was kept")
+		w.end()
+	})
+}
+
+// TestCallerLeaves: the caller closes its connection while a target works for
+// it. The target must stop at once, and nothing is sent any more.
+func TestCallerLeaves(t *testing.T) {
+	for _, kind := range []route.Kind{route.Once, route.Idempotent, route.Stream} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, func(int, call, io.Writer, net.Conn) {}, route.Route{Kind: kind, Timeout: 9 * time.Second})
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+
+			defer cancel()
+
+			began := time.Now()
+			w.do(ctx, "")
+			synctest.Wait()
+			assert.Equal(t, w.closed.Sub(began), time.Second)
+			assert.Equal(t, w.sends(), 1)
+			w.end()
+		})
+	}
+}
+
+// TestTimeouts holds when a caller is answered whom no target answers, and how
+// long targets are told that they have.
+func TestTimeouts(t *testing.T) {
+	cases := map[string]struct {
+		timeout time.Duration
+		left    string
+		want    time.Duration
+	}{
+		"the route's":  {2 * time.Second, "10000", 2 * time.Second},
+		"the caller's": {20 * time.Second, "3000", 3 * time.Second},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, func(int, call, io.Writer, net.Conn) {}, route.Route{Kind: route.Once, Timeout: c.timeout})
+				began := time.Now()
+				rec, _ := w.do(t.Context(), "", "Left", c.left)
+
+				assert.Equal(t, rec.Code, http.StatusGatewayTimeout)
+				assert.Equal(t, time.Since(began), c.want)
+				assert.Equal(t, w.got()[0].header.Get("Left"), strconv.FormatInt(c.want.Milliseconds(), 10))
+				w.end()
+			})
+		})
+	}
+}
+
+// TestStop holds what a stopping entry takes: short requests to the end, with
+// their connections closed, and no stream that could not end in time.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		act := func(_ int, _ call, w io.Writer, _ net.Conn) { say(w, "200 OK", "", "done") }
+		w := newWorld(t, act, route.Route{Kind: route.Once, Timeout: time.Second})
+		w.server.Enter(Closing)
+
+		rec, _ := w.do(t.Context(), "")
+		assert.Equal(t, rec.Code, http.StatusOK)
+		assert.Equal(t, rec.Header().Get("Connection"), "close")
+
+		w.config.Routes[0].Kind = route.Stream
+		rec, _ = w.do(t.Context(), "")
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.sends(), 1)
+		w.end()
+	})
+}
+
+// TestWaitingStreamIsRefusedAtTheEnd: a stream waits for a model while its
+// entry stops. It must be told in time to go elsewhere, or it is cut off with
+// the process.
+func TestWaitingStreamIsRefusedAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil, route.Route{Kind: route.Stream, Timeout: time.Minute})
+		w.config.Services["s"] = route.Service{Name: "s", Engine: &route.Engine{}}
+		time.AfterFunc(time.Second, func() { w.server.Enter(Ending) })
+
+		began := time.Now()
+		rec, _ := w.do(t.Context(), "", "Model", "cold")
+
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, rec.Header().Get("Retry-After") != "")
+		assert.Assert(t, time.Since(began) <= 1100*time.Millisecond)
+		w.end()
+	})
+}
+
+// TestProper holds the answers to requests that no target sees.
+func TestProper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nil, route.Route{Kind: route.Once, Timeout: time.Second})
+
+		rec, _ := w.do(t.Context(), "", "Id", "")
+		assert.Equal(t, rec.Code, http.StatusBadRequest)
+
+		w.config.Limits.BodyBytes = 4
+		rec, _ = w.do(t.Context(), "too long")
+		assert.Equal(t, rec.Code, http.StatusRequestEntityTooLarge)
+
+		w.table = route.NewTable(&route.Config{})
+		rec, _ = w.do(t.Context(), "")
+		assert.Equal(t, rec.Code, http.StatusNotFound)
+
+		w.table = nil
+		rec, _ = w.do(t.Context(), "")
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.sends(), 0)
+	})
+}
+
+// TestCrashingRequest: a request crashes each target that runs it, and its
+// caller sends it again and again. After two targets it reaches no more, and
+// whoever shares a target with a lost answer is not blamed.
+func TestCrashingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w *world
+
+		w = newWorld(t, func(_ int, c call, _ io.Writer, conn net.Conn) {
+			w.mu.Lock()
+			w.down[c.target] = c.body == "poison"
+			w.mu.Unlock()
+			conn.Close()
+		}, route.Route{Kind: route.Idempotent, Timeout: time.Second})
+
+		for i := range 4 {
+			rec, _ := w.do(t.Context(), "poison")
+			assert.Assert(t, rec.Code >= 500)
+
+			// The targets are back as new processes.
+			synctest.Wait()
+			clear(w.down)
+			w.list(uint64(2 + i))
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, w.sends(), 2)
+
+		w.mu.Lock()
+		w.calls = nil
+		w.mu.Unlock()
+
+		for range 4 {
+			w.do(t.Context(), "unlucky")
+			time.Sleep(5 * time.Second)
+		}
+
+		assert.Assert(t, w.sends() >= 4, "a request whose answers were lost was blocked")
+		w.end()
+	})
+}
