test: orders and swaps under late and lost orders, pauses, deaths and restarts

The race detector found order goroutines reading a station's newest row; they now go by the target as it was when the station was made.

--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -18,6 +18,9 @@
 	// on its model.
 	busyAgain = 70 * time.Millisecond
 	busyMost  = 4 * time.Second
+	// busyTries is after how many tries an engine is asked whether it is busy
+	// or has another sequence: longer than its report may be old.
+	busyTries = 6
 	// reportLag is how old an engine's report may be.
 	reportLag = 350 * time.Millisecond
 	// reportAgain is how soon an engine that gave no clear report is asked
@@ -92,6 +95,7 @@
 // out. If not, the station is no longer known and the engine is asked.
 func (h *Holder) send(ctx context.Context, s *station, o Order) bool {
 	began := clock.Now()
+	tries := 0
 
 	for {
 		if !h.stamp(s, &o) {
@@ -102,7 +106,7 @@
 
 		switch {
 		case err != nil:
-			h.cfg.Log.Warn().Err(err).Str("target", string(s.target.ID)).Str("model", o.Model).Uint64("sequence", o.Sequence).Msg("order without answer")
+			h.cfg.Log.Warn().Err(err).Str("target", string(s.origin.ID)).Str("model", o.Model).Uint64("sequence", o.Sequence).Msg("order without answer")
 
 			switch h.settle(ctx, s, o) {
 			case carriedOut:
@@ -117,7 +121,9 @@
 
 			return true
 		case out == Busy && clock.Now().Sub(began) < busyMost:
-			if clock.Sleep(ctx, busyAgain) != nil {
+			tries++
+
+			if clock.Sleep(ctx, busyAgain) != nil || tries%busyTries == 0 && h.outOfStep(ctx, s, o) {
 				return h.lose(s, o, out)
 			}
 		default:
@@ -126,6 +132,14 @@
 	}
 }
 
+// outOfStep reports whether an engine that declines an order is not busy but
+// has accepted orders that this holder does not know of.
+func (h *Holder) outOfStep(ctx context.Context, s *station, o Order) bool {
+	r, err := h.report(ctx, s)
+
+	return err == nil && !r.Busy && r.Sequence != o.Sequence
+}
+
 // stamp puts the lease's token and the engine's sequence on an order. It
 // reports false when the lease no longer allows one.
 //
@@ -136,7 +150,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	if h.draining || !h.held.Valid(clock.Now(), h.cfg.Terms) || h.stations[s.target.ID] != s {
+	if h.draining || !h.held.Valid(clock.Now(), h.cfg.Terms) || h.stations[s.origin.ID] != s {
 		s.known = false
 
 		return false
@@ -151,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 
-	return h.cfg.Engines.Order(ctx, s.target, o)
+	return h.cfg.Engines.Order(ctx, s.origin, o)
 }
 
 // accepted counts an order. An order that already holds is not counted by the
@@ -170,7 +184,7 @@
 	s.known = false
 	h.mu.Unlock()
 
-	h.cfg.Log.Info().Str("target", string(s.target.ID)).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
+	h.cfg.Log.Info().Str("target", string(s.origin.ID)).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
 		Uint64("sequence", o.Sequence).Int("outcome", int(out)).Msg("order not carried out")
 
 	return false
@@ -218,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 
-	return h.cfg.Engines.Report(ctx, s.target)
+	return h.cfg.Engines.Report(ctx, s.origin)
 }
 
 // inquire asks an engine what it holds.
@@ -229,7 +243,7 @@
 	defer h.mu.Unlock()
 
 	if err != nil {
-		h.cfg.Log.Warn().Err(err).Str("target", string(s.target.ID)).Msg("engine gave no report")
+		h.cfg.Log.Warn().Err(err).Str("target", string(s.origin.ID)).Msg("engine gave no report")
 
 		return
 	}
@@ -240,6 +254,6 @@
 	}
 
 	s.take(r, clock.Now())
-	h.cfg.Log.Info().Str("target", string(s.target.ID)).Uint64("sequence", r.Sequence).Int("models", len(r.Held)).Bool("busy", r.Busy).Msg("engine reported")
+	h.cfg.Log.Info().Str("target", string(s.origin.ID)).Uint64("sequence", r.Sequence).Int("models", len(r.Held)).Bool("busy", r.Busy).Msg("engine reported")
 	h.published = false
 }
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -18,6 +18,10 @@
 // decided on wrong knowledge, or that is carried out seconds late, is refused
 // by the engine, and memory is never overcommitted.
 type station struct {
+	// origin is the target as it was when the station was made, to which
+	// orders are addressed. It does not change.
+	origin inventory.Target
+	// target is the newest row of the list.
 	target inventory.Target
 	// known says that sequence and held are the engine's.
 	known    bool
@@ -68,7 +72,7 @@
 
 		s := h.stations[id]
 		if s == nil || s.target.Born != t.Born || s.target.Address != t.Address {
-			s = &station{target: t, held: make(map[string]*residence)}
+			s = &station{origin: t, target: t, held: make(map[string]*residence)}
 			s.takeAtHand(t)
 			h.stations[id] = s
 			h.published = false
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -115,14 +115,18 @@
 	wants map[string]Want
 	// copies is on how many serving targets a model is, or comes.
 	copies map[string]int
-	store  int
+	// comes are the models of which a copy is on its way.
+	comes map[string]bool
+	// room is a target's memory without what is kept for adapters.
+	room  float64
+	store int
 }
 
 // Plan returns the loads to begin now, the most urgent first.
 func Plan(v *View) []Move {
 	p := &planner{
 		View: v, busy: make(map[instance.ID]bool), wants: make(map[string]Want, len(v.Wants)),
-		copies: make(map[string]int), store: v.StoreLoads,
+		copies: make(map[string]int), comes: make(map[string]bool), room: v.Engine.MemoryMB - Reserve(v.Engine), store: v.StoreLoads,
 	}
 
 	for _, w := range v.Wants {
@@ -136,6 +140,7 @@
 
 		for _, r := range v.Targets[i].Held {
 			p.copies[r.Model]++
+			p.comes[r.Model] = p.comes[r.Model] || r.Coming
 		}
 	}
 
@@ -170,24 +175,11 @@
 	switch n := p.copies[w.Model]; {
 	case n == 0 && w.Waiting > 0:
 		p.place(m, w, ForWaiting)
-	case n > 0 && w.Waiting+w.Running > crowded*n && !p.coming(w.Model):
+	case n > 0 && w.Waiting+w.Running > crowded*n && !p.comes[w.Model]:
 		p.place(m, w, ForLoad)
 	}
 }
 
-// coming reports whether a replica of the model is on its way.
-func (p *planner) coming(model string) bool {
-	for i := range p.Targets {
-		for _, r := range p.Targets[i].Held {
-			if r.Model == model && r.Coming {
-				return true
-			}
-		}
-	}
-
-	return false
-}
-
 // choice is a target with what a load there would cost.
 type choice struct {
 	move Move
@@ -287,7 +279,7 @@
 // makeRoom returns what must be unloaded so that the model fits, what that
 // costs others and how long it takes.
 func (p *planner) makeRoom(t *Target, m route.Model, w Want) (models []string, loss float64, wait time.Duration, ok bool) {
-	free := p.Engine.MemoryMB - Reserve(p.Engine)
+	free := p.room
 	for _, r := range t.Held {
 		free -= p.Engine.Models[r.Model].MB
 	}
--- /dev/null
+++ b/internal/placement/swap/swap_test.go
@@ -0,0 +1,220 @@
+package swap
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+var now = time.Unix(1000, 0)
+
+func engine(models int) *route.Engine {
+	e := &route.Engine{MemoryMB: 30, AdapterSlots: 0, Models: make(map[string]route.Model)}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = route.Model{
+			Name: name, MB: 10, FromStore: 6 * time.Second, FromDisk: 1600 * time.Millisecond, FromMemory: 1200 * time.Millisecond,
+		}
+	}
+
+	return e
+}
+
+// on returns a target that holds models, all used long ago.
+func on(id instance.ID, models ...string) Target {
+	t := Target{ID: id, Free: true, Serving: true, AtHand: map[string]target.Tier{}}
+	for _, m := range models {
+		t.Held = append(t.Held, Resident{Model: m, Used: now.Add(-time.Minute)})
+	}
+
+	return t
+}
+
+func (t Target) disk(models ...string) Target {
+	for _, m := range models {
+		t.AtHand[m] = target.TierDisk
+	}
+
+	return t
+}
+
+func waiting(model string) Want {
+	return Want{Model: model, Waiting: 1, Deadline: now.Add(10 * time.Second)}
+}
+
+func TestPlan(t *testing.T) {
+	busy := on("a", "m0")
+	busy.Free = false
+
+	running := on("a", "m0", "m1", "m2")
+	running.Held[0].Running = 1
+
+	cases := map[string]struct {
+		targets []Target
+		wants   []Want
+		rate    map[string]float64
+		// want is the moves as target, load and unloads.
+		want []string
+	}{
+		"from disk rather than the store":           {[]Target{on("a"), on("b").disk("m3")}, []Want{waiting("m3")}, nil, []string{"b m3 []"}},
+		"from the store when it is nowhere else":    {[]Target{on("a")}, []Want{waiting("m3")}, nil, []string{"a m3 []"}},
+		"nothing for what is there":                 {[]Target{on("a", "m3")}, []Want{waiting("m3")}, nil, nil},
+		"nothing on a target with an order in hand": {[]Target{busy.disk("m3")}, []Want{waiting("m3")}, nil, nil},
+		"the idle one makes way":                    {[]Target{running.disk("m3")}, []Want{waiting("m3")}, nil, []string{"a m3 [m1]"}},
+		"the one used least makes way": {
+			[]Target{on("a", "m0", "m1", "m2").disk("m3")}, []Want{waiting("m3")}, map[string]float64{"m0": 1, "m1": 0.5, "m2": 2}, []string{"a m3 [m1]"},
+		},
+		"a copy of what is elsewhere makes way": {
+			[]Target{on("a", "m0", "m1", "m2").disk("m3"), on("b", "m2", "m4", "m5")}, []Want{waiting("m3")},
+			map[string]float64{"m0": 1, "m1": 1, "m2": 1}, []string{"a m3 [m2]"},
+		},
+		"what others wait for stays": {
+			[]Target{on("a", "m0", "m1", "m2").disk("m3")}, []Want{waiting("m0"), waiting("m1"), waiting("m2"), waiting("m3")}, nil, nil,
+		},
+		"two models on two targets": {
+			[]Target{on("a").disk("m3", "m4"), on("b").disk("m3", "m4")}, []Want{waiting("m3"), waiting("m4")}, nil, []string{"a m3 []", "b m4 []"},
+		},
+		"another copy of what is crowded": {
+			[]Target{on("a", "m0"), on("b").disk("m0")}, []Want{{Model: "m0", Running: crowded + 1}}, nil, []string{"b m0 []"},
+		},
+		"no model that the operators do not have": {[]Target{on("a")}, []Want{waiting("other")}, nil, nil},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			moves := Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, Wants: c.wants, Rate: c.rate, StoreLoads: 1})
+
+			var got []string
+			for _, m := range moves {
+				got = append(got, fmt.Sprintf("%s %s %v", m.Target, m.Load, m.Unload))
+			}
+
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// TestPlanKeepsTheBounds holds for any state: no target is given more than
+// fits or two moves, nothing that is wanted makes way, no model is ordered
+// where it is, and the weight store carries no more than it may.
+func TestPlanKeepsTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := engine(12)
+		models := rapid.SampledFrom(slices.Sorted(func(yield func(string) bool) {
+			for name := range e.Models {
+				if !yield(name) {
+					return
+				}
+			}
+		}))
+		v := &View{Now: now, Engine: e, Rate: map[string]float64{}, StoreLoads: rapid.IntRange(0, 3).Draw(t, "store")}
+
+		for i := range rapid.IntRange(1, 6).Draw(t, "targets") {
+			held := rapid.SliceOfNDistinct(models, 0, 3, rapid.ID).Draw(t, "held")
+			one := on(instance.ID(fmt.Sprintf("t%d", i)), held...).disk(rapid.SliceOfN(models, 0, 5).Draw(t, "disk")...)
+			one.Free = rapid.Bool().Draw(t, "free")
+
+			for j := range one.Held {
+				one.Held[j].Running = rapid.IntRange(0, 2).Draw(t, "running")
+				one.Held[j].Coming = rapid.Bool().Draw(t, "coming") && !one.Free
+			}
+
+			v.Targets = append(v.Targets, one)
+		}
+
+		for _, m := range rapid.SliceOfNDistinct(models, 0, 12, rapid.ID).Draw(t, "wanted") {
+			v.Wants = append(v.Wants, waiting(m))
+			v.Rate[m] = rapid.Float64Range(0, 5).Draw(t, "rate")
+		}
+
+		seen := make(map[instance.ID]bool)
+		store := 0
+
+		for _, m := range Plan(v) {
+			i := slices.IndexFunc(v.Targets, func(t Target) bool { return t.ID == m.Target })
+			at := v.Targets[i]
+
+			assert.Assert(t, at.Free && !seen[m.Target])
+			seen[m.Target] = true
+
+			assert.Assert(t, !holds(&at, m.Load))
+			assert.Assert(t, len(at.Held)-len(m.Unload)+1 <= 3)
+
+			for _, u := range m.Unload {
+				assert.Assert(t, holds(&at, u))
+				assert.Assert(t, !slices.ContainsFunc(v.Wants, func(w Want) bool { return w.Model == u }))
+			}
+
+			if m.From == target.TierRemote {
+				store++
+			}
+		}
+
+		assert.Assert(t, store <= v.StoreLoads)
+	})
+}
+
+func TestPlaceAdapter(t *testing.T) {
+	old := now.Add(-time.Minute)
+	full := []AdapterOn{{Name: "m/a", Used: old.Add(time.Second)}, {Name: "m/b", Used: old}}
+	inUse := []AdapterOn{{Name: "m/a", Running: 1}, {Name: "m/b", Used: now}}
+
+	cases := map[string]struct {
+		sites []Site
+		want  AdapterMove
+		ok    bool
+	}{
+		"a free place":            {[]Site{{ID: "a", Adapters: full}, {ID: "b", Running: 9}}, AdapterMove{Target: "b"}, true},
+		"the less busy target":    {[]Site{{ID: "a", Running: 2}, {ID: "b", Running: 1}}, AdapterMove{Target: "b"}, true},
+		"the oldest idle one":     {[]Site{{ID: "a", Adapters: full}}, AdapterMove{Target: "a", Unload: "m/b"}, true},
+		"nothing that is in use":  {[]Site{{ID: "a", Adapters: inUse}}, AdapterMove{}, false},
+		"no target has the model": {nil, AdapterMove{}, false},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, ok := PlaceAdapter(c.sites, 2, now)
+			assert.Equal(t, ok, c.ok)
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+// BenchmarkPlan measures a round with a tenth of the models waiting. At 18
+// targets and 101 models it is to stay under 5 ms.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ targets, models int }{{18, 101}, {60, 195}, {140, 431}, {1000, 4000}} {
+		b.Run(fmt.Sprintf("%dx%d", size.targets, size.models), func(b *testing.B) {
+			v := &View{Now: now, Engine: engine(size.models), StoreLoads: 4, Rate: map[string]float64{}}
+
+			for i := range size.targets {
+				one := on(instance.ID(fmt.Sprintf("t%04d", i)))
+				for j := range 3 {
+					one.Held = append(one.Held, Resident{Model: fmt.Sprintf("m%d", (i*3+j)%size.models), Used: now.Add(-time.Minute)})
+				}
+
+				for j := range 20 {
+					one = one.disk(fmt.Sprintf("m%d", (i*7+j)%size.models))
+				}
+
+				v.Targets = append(v.Targets, one)
+			}
+
+			for i := 0; i < size.models; i += 10 {
+				v.Wants = append(v.Wants, waiting(fmt.Sprintf("m%d", i)))
+			}
+
+			for b.Loop() {
+				Plan(v)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,386 @@
+// Package worker is a small stand-in of a model worker of the users' platform:
+// it takes orders under their sequence, loads from three tiers, runs requests
+// and keeps a book of what was asked of it, from which tests judge.
+package worker
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+// Worker is one model worker. Set the exported fields before use.
+type Worker struct {
+	Engine *route.Engine
+	// Holding are the models that are loaded from the start.
+	Holding []string
+	// OnDisk are the models whose weights are at hand.
+	OnDisk []string
+
+	mu       sync.Mutex
+	once     sync.Once
+	sequence uint64
+	held     map[string]*model
+	disk     map[string]bool
+	memory   map[string]bool
+	busy     bool
+	orders   []Ordered
+	runs     map[string]int
+	broken   []string
+	faults   Faults
+}
+
+// model is one loaded model, or one on its way.
+type model struct {
+	ready    bool
+	running  int
+	adapters map[string]bool
+}
+
+// Ordered is an order as it arrived.
+type Ordered struct {
+	holder.Order
+
+	At      time.Time
+	Outcome holder.Outcome
+}
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	// LateOrders is how many of the next orders are not answered, and carried
+	// out after Late.
+	LateOrders int
+	Late       time.Duration
+	// LostOrders is how many of the next orders are carried out and not
+	// answered.
+	LostOrders int
+	// LostAnswers is how many of the next requests run and are not answered,
+	// and SecondAnswers how many are answered twice.
+	LostAnswers, SecondAnswers int
+}
+
+// SetFaults replaces the switches.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.faults = f
+}
+
+func (w *Worker) start() {
+	w.once.Do(func() {
+		w.held = make(map[string]*model)
+		w.disk, w.memory, w.runs = make(map[string]bool), make(map[string]bool), make(map[string]int)
+
+		for _, name := range w.Holding {
+			w.held[name] = &model{ready: true, adapters: make(map[string]bool)}
+			w.disk[name] = true
+		}
+
+		for _, name := range w.OnDisk {
+			w.disk[name] = true
+		}
+	})
+}
+
+// Order takes an order. It reports false when no answer is to be given.
+func (w *Worker) Order(o holder.Order) (holder.Outcome, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.start()
+
+	switch {
+	case w.faults.LateOrders > 0:
+		w.faults.LateOrders--
+
+		time.AfterFunc(w.faults.Late, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+
+			w.take(o)
+		})
+
+		return holder.Rejected, false
+	case w.faults.LostOrders > 0:
+		w.faults.LostOrders--
+		w.take(o)
+
+		return holder.Rejected, false
+	}
+
+	return w.take(o), true
+}
+
+func (w *Worker) take(o holder.Order) holder.Outcome {
+	out := w.decide(o)
+	w.orders = append(w.orders, Ordered{Order: o, At: time.Now(), Outcome: out})
+
+	return out
+}
+
+func (w *Worker) decide(o holder.Order) holder.Outcome {
+	m := w.held[o.Model]
+
+	switch {
+	case o.Sequence != w.sequence || w.busy:
+		return holder.Busy
+	case o.Adapter != "":
+		return w.orderAdapter(o, m)
+	case o.Unload && m == nil, !o.Unload && m != nil:
+		return holder.Holds
+	case o.Unload:
+		w.unload(o.Model, m)
+	default:
+		w.load(o.Model)
+	}
+
+	w.sequence++
+
+	return holder.Accepted
+}
+
+func (w *Worker) orderAdapter(o holder.Order, m *model) holder.Outcome {
+	switch {
+	case m == nil || !m.ready:
+		return holder.Rejected
+	case m.adapters[o.Adapter] != o.Unload:
+		return holder.Holds
+	case o.Unload:
+		delete(m.adapters, o.Adapter)
+		w.sequence++
+
+		return holder.Holds
+	}
+
+	m.adapters[o.Adapter] = true
+	w.sequence++
+
+	if n := w.adapters(); n > w.Engine.AdapterSlots {
+		w.broken = append(w.broken, "too many adapters")
+	}
+
+	return holder.Accepted
+}
+
+func (w *Worker) adapters() int {
+	n := 0
+	for _, m := range w.held {
+		n += len(m.adapters)
+	}
+
+	return n
+}
+
+func (w *Worker) load(name string) {
+	total := w.Engine.Models[name].MB
+	for held := range w.held {
+		total += w.Engine.Models[held].MB
+	}
+
+	if total > w.Engine.MemoryMB {
+		w.broken = append(w.broken, "memory overcommitted by "+name)
+	}
+
+	takes := w.Engine.Models[name].FromStore
+
+	switch {
+	case w.memory[name]:
+		takes = w.Engine.Models[name].FromMemory
+	case w.disk[name]:
+		takes = w.Engine.Models[name].FromDisk
+	}
+
+	m := &model{adapters: make(map[string]bool)}
+	w.held[name], w.busy = m, true
+
+	time.AfterFunc(takes, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		m.ready, w.busy = true, false
+		w.disk[name], w.memory[name] = true, true
+	})
+}
+
+// unloadCheck is how often an unload looks whether its model's runs have
+// ended.
+const unloadCheck = 20 * time.Millisecond
+
+func (w *Worker) unload(name string, m *model) {
+	m.ready, w.busy = false, true
+
+	var end func()
+
+	end = func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		if m.running > 0 {
+			time.AfterFunc(unloadCheck, end)
+
+			return
+		}
+
+		delete(w.held, name)
+		w.busy = false
+	}
+
+	time.AfterFunc(unloadCheck, end)
+}
+
+// Report says what the worker holds.
+func (w *Worker) Report() holder.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.start()
+
+	return holder.Report{Busy: w.busy, Sequence: w.sequence, Held: w.list()}
+}
+
+func (w *Worker) list() []inventory.Held {
+	var out []inventory.Held
+
+	for name, m := range w.held {
+		if !m.ready {
+			continue
+		}
+
+		h := inventory.Held{Model: name, Version: 1}
+		for a := range m.adapters {
+			h.Adapters = append(h.Adapters, a)
+		}
+
+		slices.Sort(h.Adapters)
+		out = append(out, h)
+	}
+
+	slices.SortFunc(out, func(a, b inventory.Held) int {
+		if a.Model < b.Model {
+			return -1
+		}
+
+		return 1
+	})
+
+	return out
+}
+
+// Describe returns the worker's entry on the list of targets.
+func (w *Worker) Describe(t inventory.Target) inventory.Target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.start()
+
+	t.Held, t.Sequence = w.list(), w.sequence
+
+	for name := range w.disk {
+		t.OnDisk = append(t.OnDisk, name)
+	}
+
+	for name := range w.memory {
+		t.InMemory = append(t.InMemory, name)
+	}
+
+	slices.Sort(t.OnDisk)
+	slices.Sort(t.InMemory)
+
+	return t
+}
+
+// Begin starts a request. It reports false when the worker does not hold what
+// the request is for.
+func (w *Worker) Begin(id, name, adapter string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.start()
+
+	m := w.held[name]
+	if m == nil || !m.ready || adapter != "" && !m.adapters[adapter] {
+		return false
+	}
+
+	m.running++
+	w.runs[id]++
+
+	return true
+}
+
+// End ends a request's run.
+func (w *Worker) End(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if m := w.held[name]; m != nil {
+		m.running--
+	}
+}
+
+// TakeFault reports whether the next answer is to be lost or sent twice.
+func (w *Worker) TakeFault() (lost, twice bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	switch {
+	case w.faults.LostAnswers > 0:
+		w.faults.LostAnswers--
+
+		return true, false
+	case w.faults.SecondAnswers > 0:
+		w.faults.SecondAnswers--
+
+		return false, true
+	}
+
+	return false, false
+}
+
+// Orders returns the orders that have arrived, in order.
+func (w *Worker) Orders() []Ordered {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return slices.Clone(w.orders)
+}
+
+// Runs returns how often the request ran.
+func (w *Worker) Runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.runs[id]
+}
+
+// Broken returns what was ordered that must not be.
+func (w *Worker) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return slices.Clone(w.broken)
+}
+
+// Turns returns the pairs of orders from different holders that follow each
+// other within span, over all workers given.
+func Turns(span time.Duration, workers ...*Worker) []string {
+	var out []string
+
+	for _, w := range workers {
+		orders := w.Orders()
+		for i := 1; i < len(orders); i++ {
+			a, b := orders[i-1], orders[i]
+
+			if a.Holder != b.Holder && b.At.Sub(a.At) < span || b.Token < a.Token {
+				out = append(out, string(a.Holder+" then "+b.Holder)+" for "+b.Model)
+			}
+		}
+	}
+
+	return out
+}
