fix: read back whole what became of an order without an answer

An order that a former holder sent late and the first order of its successor can both be unanswered under one sequence; the successor took the former's for its own and counted a smaller model. A test shows it (memory overcommitted before, not after). An engine's report now counts only if its sequence is as old as the report may lag. Ruled out: the stand-in's own timing (the race detector is clean).

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -146,7 +146,7 @@
 // takeStock is how long a new holder waits until all engines have said what
 // they hold. Without it the first few that answer would be given loads of
 // models that others have.
-const takeStock = 800 * time.Millisecond
+const takeStock = 1200 * time.Millisecond
 
 // unknown reports whether some engine has not said what it holds.
 func (h *Holder) unknown() bool {
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -74,14 +74,19 @@
 func newWorld(t *testing.T, holders int) *world {
 	t.Helper()
 
-	e := engine()
+	return newWorldOf(t, holders, engine(), 3)
+}
+
+func newWorldOf(t *testing.T, holders int, e *route.Engine, workers int) *world {
+	t.Helper()
+
 	w := &world{
 		t: t, workers: make(map[instance.ID]*worker.Worker), holders: make(map[instance.ID]*member), cut: make(map[instance.ID]bool),
 		rows: make(map[instance.ID]inventory.Target), born: 1,
 		routes: &route.Config{Services: map[string]route.Service{"s": {Name: "s", Engine: e}}},
 	}
 
-	for i := range 3 {
+	for i := range workers {
 		w.workers[instance.ID(fmt.Sprintf("w%d", i))] = &worker.Worker{
 			Engine: e, Holding: []string{fmt.Sprintf("m%d", 2*i), fmt.Sprintf("m%d", 2*i+1)}, OnDisk: []string{"m6", "m7"},
 		}
@@ -294,17 +299,33 @@
 }
 
 // finish checks what must hold in every story and ends the bubble's
-// goroutines.
+// goroutines. Only where the lease is given up in person may its next holder
+// order at once.
 func (w *world) finish() {
+	w.t.Helper()
+
+	all := w.all()
+	assert.DeepEqual(w.t, worker.Changes(turnPause, all...), []string(nil))
+	w.finishReleased()
+}
+
+func (w *world) all() []*worker.Worker {
 	all := make([]*worker.Worker, 0, len(w.workers))
+	for _, one := range w.workers {
+		all = append(all, one)
+	}
+
+	return all
+}
+
+func (w *world) finishReleased() {
+	w.t.Helper()
 
 	for _, one := range w.workers {
 		assert.DeepEqual(w.t, one.Broken(), []string(nil))
-
-		all = append(all, one)
 	}
 
-	assert.DeepEqual(w.t, worker.Turns(turnPause, all...), []string(nil))
+	assert.DeepEqual(w.t, worker.Turns(turnPause, w.all()...), []string(nil))
 
 	for _, m := range w.holders {
 		m.gate.Open()
@@ -387,6 +408,37 @@
 	}
 }
 
+// TestTwoLateOrders: an order of a holder that stops is late, and so is the
+// first order of its successor, under the same sequence. The former's is
+// carried out first. If the successor took it for its own, it would count a
+// small model where a large one is and overcommit the memory.
+func TestTwoLateOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := engine()
+		e.MemoryMB = 44
+		e.Models["m6"] = route.Model{Name: "m6", MB: 18, FromDisk: 1500 * time.Millisecond, FromMemory: time.Second}
+		w := newWorldOf(t, 2, e, 1)
+		only := w.workers["w0"]
+
+		time.Sleep(5 * time.Second)
+
+		only.SetFaults(worker.Faults{LateOrders: 1, Late: 1700 * time.Millisecond})
+
+		old := w.holding()
+		w.ask("m6")
+		time.Sleep(100 * time.Millisecond)
+		only.SetFaults(worker.Faults{LateOrders: 1, Late: 9 * time.Second})
+		w.holders[old].Release(t.Context())
+
+		for _, model := range []string{"m7", "m5"} {
+			w.served(model, 5*time.Second)
+		}
+
+		time.Sleep(10 * time.Second)
+		w.finishReleased()
+	})
+}
+
 // TestHolderDies: the holder is killed. Another takes over within a few
 // seconds, and no two of them send orders within the pause between turns.
 func TestHolderDies(t *testing.T) {
@@ -449,7 +501,7 @@
 
 		assert.Assert(t, w.holding() != "" && w.holding() != old)
 		assert.Assert(t, w.served("m6", 3*time.Second))
-		w.finish()
+		w.finishReleased()
 	})
 }
 
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -25,7 +25,7 @@
 	reportLag = 350 * time.Millisecond
 	// reportAgain is how soon an engine that gave no clear report is asked
 	// again.
-	reportAgain = 300 * time.Millisecond
+	reportAgain = 370 * time.Millisecond
 	// foretold is added to a load's time before requests are sent, for the
 	// way of the order and the engine's own step.
 	foretold = 20 * time.Millisecond
@@ -108,12 +108,7 @@
 		case err != nil:
 			h.cfg.Log.Warn().Err(err).Str("target", string(s.origin.ID)).Str("model", o.Model).Uint64("sequence", o.Sequence).Msg("order without answer")
 
-			switch h.settle(ctx, s, o) {
-			case carriedOut:
-				return true
-			case notYet:
-				continue
-			case unclear:
+			if !h.settle(ctx, s, o) {
 				return false
 			}
 		case out == Accepted || out == Holds:
@@ -190,42 +185,26 @@
 	return false
 }
 
-// fate is what became of an order without an answer.
-type fate int
-
-const (
-	carriedOut fate = iota
-	notYet
-	unclear
-)
-
-// settle finds out what became of an order without an answer.
+// settle finds out whether an order without an answer must be sent again.
 //
 // It guards against engines that leave an order unanswered and carry it out
 // seconds later. One that was not carried out yet is sent again under the same
-// sequence, so that only one of the two can be.
-func (h *Holder) settle(ctx context.Context, s *station, o Order) fate {
-	if clock.Sleep(ctx, reportLag) != nil {
-		return unclear
+// sequence, so that only one of the two can be. One that seems to be carried
+// out may be a former holder's instead, which was as late, so the engine is
+// asked what it holds before anything else is ordered.
+func (h *Holder) settle(ctx context.Context, s *station, o Order) (again bool) {
+	if clock.Sleep(ctx, reportLag) == nil {
+		if r, err := h.report(ctx, s); err == nil && r.Sequence == o.Sequence {
+			return true
+		}
 	}
 
-	r, err := h.report(ctx, s)
-
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	switch {
-	case err == nil && r.Sequence == o.Sequence+1:
-		s.sequence = r.Sequence
-
-		return carriedOut
-	case err == nil && r.Sequence == o.Sequence:
-		return notYet
-	}
-
 	s.known = false
 
-	return unclear
+	return false
 }
 
 func (h *Holder) report(ctx context.Context, s *station) (Report, error) {
@@ -235,6 +214,21 @@
 	return h.cfg.Engines.Report(ctx, s.origin)
 }
 
+// steady reports whether an engine's sequence was the same a report's age ago.
+//
+// It guards against a report whose parts are of different age: an order of a
+// former holder would be counted in its sequence, while the model that it loads
+// is not yet among those held.
+func (s *station) steady(r Report, now time.Time) bool {
+	if s.reported.IsZero() || s.reportedSequence != r.Sequence {
+		s.reported, s.reportedSequence = now, r.Sequence
+
+		return false
+	}
+
+	return now.Sub(s.reported) >= reportLag
+}
+
 // inquire asks an engine what it holds.
 func (h *Holder) inquire(ctx context.Context, s *station) {
 	r, err := h.report(ctx, s)
@@ -248,12 +242,18 @@
 		return
 	}
 
+	now := clock.Now()
+
 	// A report that is older than the last order says nothing.
 	if r.Sequence < s.sequence {
 		return
 	}
 
-	s.take(r, clock.Now())
+	if !s.steady(r, now) {
+		return
+	}
+
+	s.take(r, now)
 	h.cfg.Log.Info().Str("target", string(s.origin.ID)).Uint64("sequence", r.Sequence).Int("models", len(r.Held)).Bool("busy", r.Busy).Msg("engine reported")
 	h.published = false
 }
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -31,6 +31,9 @@
 	atHand map[string]target.Tier
 	// working says that a goroutine sends orders or asks for a report.
 	working bool
+	// reported is when an engine first reported reportedSequence, its newest.
+	reported         time.Time
+	reportedSequence uint64
 	// doubted is when an entry last found something missing.
 	doubted time.Time
 	// loading is until when the last model load is expected to last.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -47,6 +47,8 @@
 
 	At      time.Time
 	Outcome holder.Outcome
+	// Late says that it was carried out after At, if at all.
+	Late bool
 }
 
 // Faults are the switches of the stand-in.
@@ -97,12 +99,13 @@
 	switch {
 	case w.faults.LateOrders > 0:
 		w.faults.LateOrders--
+		w.orders = append(w.orders, Ordered{Order: o, At: time.Now(), Late: true})
 
 		time.AfterFunc(w.faults.Late, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 
-			w.take(o)
+			w.decide(o)
 		})
 
 		return holder.Rejected, false
@@ -366,9 +369,9 @@
 	return slices.Clone(w.broken)
 }
 
-// Turns returns the pairs of orders from different holders that follow each
-// other within span, over all workers given.
-func Turns(span time.Duration, workers ...*Worker) []string {
+// Changes returns the changes between holders that follow an order of the
+// former one within span, and every order with an older token.
+func Changes(span time.Duration, workers ...*Worker) []string {
 	var out []string
 
 	for _, w := range workers {
@@ -384,3 +387,29 @@
 
 	return out
 }
+
+// Turns returns where a holder orders again within span of another's orders
+// that came after its own.
+func Turns(span time.Duration, workers ...*Worker) []string {
+	var out []string
+
+	for _, w := range workers {
+		orders := w.Orders()
+
+		for i, last := range orders {
+			between := false
+
+			for j := i - 1; j >= 0 && last.At.Sub(orders[j].At) < span; j-- {
+				if orders[j].Holder != last.Holder {
+					between = true
+				} else if between {
+					out = append(out, string(last.Holder)+" again for "+last.Model)
+
+					break
+				}
+			}
+		}
+	}
+
+	return out
+}
