--- /dev/null
+++ b/internal/cli/member/member_test.go
@@ -0,0 +1,68 @@
+package member
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/platform"
+)
+
+const good = `{
+  "name": "a", "dataCentre": "z", "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3",
+  "seeds": ["127.0.0.1:3", "127.0.0.1:4"], "metrics": "127.0.0.1:5", "store": "127.0.0.1:6", "unknown": {},
+  "bounds": {"graceSeconds": 8, "turnPauseMs": 3000, "repeatRatio": 0.2, "repeatBurst": 54, "repeatWindowSeconds": 10}
+}`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+
+	path := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+
+	return path
+}
+
+func TestLoad(t *testing.T) {
+	s, err := Load(write(t, good))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Grace, 8*time.Second)
+	assert.Equal(t, s.TurnPause, 3*time.Second)
+	assert.Equal(t, len(s.Seeds), 2)
+	assert.Equal(t, s.Allowance.Burst, 54.0)
+}
+
+// TestCheckNamesEveryFault holds that one message names all that is wrong, and
+// that the exit code says so.
+func TestCheckNamesEveryFault(t *testing.T) {
+	text := good
+	for _, change := range [][2]string{
+		{`"name": "a"`, `"name": ""`}, {`"127.0.0.1:1"`, `"here"`}, {`"127.0.0.1:4"`, `"nowhere"`},
+		{`"graceSeconds": 8`, `"graceSeconds": 0`}, {`"repeatBurst": 54`, `"repeatBurst": -1`}, {`"store": "127.0.0.1:6", `, ``},
+	} {
+		text = strings.Replace(text, change[0], change[1], 1)
+	}
+
+	t.Setenv(platform.SettingsVariable, write(t, text))
+
+	var out, errs bytes.Buffer
+
+	assert.Equal(t, Main([]string{"check"}, &out, &errs), 1)
+
+	for _, want := range []string{"name: missing", "callers: ", "seeds.1: ", "store: missing", "bounds.graceSeconds: ", "bounds: repeatRatio"} {
+		assert.Assert(t, strings.Contains(errs.String(), want), "%q not in %s", want, errs.String())
+	}
+
+	t.Setenv(platform.SettingsVariable, write(t, good))
+	assert.Equal(t, Main([]string{"check"}, &out, &errs), 0)
+	assert.Equal(t, out.String(), "settings: ok\n")
+
+	t.Setenv(platform.SettingsVariable, write(t, "{"))
+	assert.Equal(t, Main([]string{"check"}, &out, &errs), 1)
+	assert.Equal(t, Main([]string{"what"}, &out, &errs), 1)
+}
--- /dev/null
+++ b/internal/standin/site/caller.go
@@ -0,0 +1,56 @@
+package site
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/platform"
+)
+
+// Reply is what a caller got.
+type Reply struct {
+	Status int
+	Body   string
+	// Signed says that a target wrote it.
+	Signed bool
+	// Whole says that it came to its end.
+	Whole bool
+	// Header is the answer's.
+	Header http.Header
+	// First is the time to the answer's first bytes.
+	First time.Duration
+}
+
+// Ask sends one request to an entry, on a connection of its own.
+func Ask(ctx context.Context, e *Entry, path, body string, ask relay.Ask) (Reply, error) {
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
+	}
+
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+
+	req.Host, req.Close = Host, true
+	platform.SetAsk(req.Header, ask)
+
+	began := time.Now()
+
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+
+	r := Reply{Status: resp.StatusCode, Signed: platform.Signed(resp.Header), Header: resp.Header, First: time.Since(began)}
+	data, err := io.ReadAll(resp.Body)
+	r.Body, r.Whole = string(data), err == nil
+
+	return r, nil
+}
--- /dev/null
+++ b/internal/standin/worker/serve.go
@@ -0,0 +1,71 @@
+package worker
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/platform"
+)
+
+const (
+	// step is the time between two events of a stream, and events how many a
+	// stream has where its request does not say.
+	step   = 10 * time.Millisecond
+	events = 10
+)
+
+// Serve implements platform.Worker.
+func (w *Worker) Serve(r platform.Request, a *platform.Answer) {
+	if !w.Begin(r.ID, r.Base, r.Adapter) {
+		a.Absent()
+
+		return
+	}
+	defer w.End(r.Base)
+
+	if w.TakeFault() {
+		a.Lose()
+	}
+
+	first, _ := strconv.Atoi(r.After) // A stream that is not resumed begins at the first event.
+
+	last := events
+	if r.TokensOut > 0 {
+		last = r.TokensOut
+	}
+
+	for id := first + 1; id <= last; id++ {
+		select {
+		case <-r.Gone:
+			return
+		case <-time.After(step):
+		}
+
+		if a.Event(id) != nil {
+			return
+		}
+	}
+}
+
+// Plain is a stand-in of a target of a plain service, with a book of its runs.
+type Plain struct{ Worker }
+
+// plainWork is how long a plain service works for a request.
+const plainWork = 15 * time.Millisecond
+
+// Serve implements platform.Worker.
+func (p *Plain) Serve(r platform.Request, a *platform.Answer) {
+	p.mu.Lock()
+	p.start()
+	p.runs[r.ID]++
+	p.mu.Unlock()
+
+	time.Sleep(plainWork)
+
+	if p.TakeFault() {
+		a.Lose()
+	}
+
+	a.Whole(http.StatusOK, append([]byte("done: "), r.Body...))
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -60,9 +60,8 @@
 	// LostOrders is how many of the next orders are carried out and not
 	// answered.
 	LostOrders int
-	// LostAnswers is how many of the next requests run and are not answered,
-	// and SecondAnswers how many are answered twice.
-	LostAnswers, SecondAnswers int
+	// LostAnswers is how many of the next requests run and are not answered.
+	LostAnswers int
 }
 
 // SetFaults replaces the switches.
@@ -326,23 +325,18 @@
 	}
 }
 
-// TakeFault reports whether the next answer is to be lost or sent twice.
-func (w *Worker) TakeFault() (lost, twice bool) {
+// TakeFault reports whether the next answer is to be lost.
+func (w *Worker) TakeFault() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	switch {
-	case w.faults.LostAnswers > 0:
-		w.faults.LostAnswers--
-
-		return true, false
-	case w.faults.SecondAnswers > 0:
-		w.faults.SecondAnswers--
-
-		return false, true
+	if w.faults.LostAnswers == 0 {
+		return false
 	}
 
-	return false, false
+	w.faults.LostAnswers--
+
+	return true
 }
 
 // Orders returns the orders that have arrived, in order.
