--- a/internal/cli/command/trycmd.go
+++ b/internal/cli/command/trycmd.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
 	"github.com/fulmarcross/fulmarcross/internal/standin/trial"
 )
 
@@ -26,6 +27,8 @@
 	Cells  int           `default:"1"                                  help:"How many cells the targets are split into."`
 	Story  bool          `help:"Tell the slowest request's story."`
 	Seed   uint64        `default:"1"                                  help:"Seed of the load."`
+
+	Platform bool `help:"Play a calm day of entries on stand-ins of the users' platform."`
 }
 
 // How long requests are sent by default. With what comes before and after, a
@@ -52,7 +55,7 @@
 		opt.Progress = s.err
 	}
 
-	r, err := trial.Run(ctx, opt)
+	r, err := c.play(ctx, opt)
 	if err != nil {
 		return err
 	}
@@ -68,7 +71,7 @@
 	if c.JSON {
 		err = json.NewEncoder(s.out).Encode(fromReport(&r))
 	} else {
-		err = printReport(s.out, &r)
+		err = printReport(s.out, &r, c.Platform)
 	}
 
 	if err == nil && r.Broken() {
@@ -78,6 +81,14 @@
 	return err
 }
 
+func (c *tryCmd) play(ctx context.Context, opt trial.Options) (trial.Report, error) {
+	if c.Platform {
+		return site.Try(ctx, c.Seed, opt.For, io.Discard)
+	}
+
+	return trial.Run(ctx, opt)
+}
+
 func isTerminal(w io.Writer) bool {
 	f, ok := w.(*os.File)
 	if !ok {
@@ -149,7 +160,9 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func printReport(w io.Writer, r *trial.Report) error {
+// printReport prints the figures. A platform trial does not measure the last
+// ones.
+func printReport(w io.Writer, r *trial.Report, platform bool) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	line := func(name string, v any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, v) }
 
@@ -168,9 +181,14 @@
 	line("untrue refusals", r.UntrueRefusals)
 	line("late", r.Late)
 	line("overcommitted", r.Overcommitted)
-	line("excess replicas", r.ExcessReplicas)
 	line("cold start p99", r.ColdStartP99)
 	line("first token p95", r.FirstTokenP95)
+
+	if platform {
+		return t.Flush()
+	}
+
+	line("excess replicas", r.ExcessReplicas)
 	line("idle accelerators", r.IdleAccelerators)
 	line("added latency p50", r.AddedLatencyP50)
 	line("added latency p99", r.AddedLatencyP99)
--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -40,7 +40,7 @@
 	parser, err := kong.New(&c, kong.Name("fulmarcross-entry"), kong.Writers(stdout, stderr),
 		kong.Description("One entry of fulmarcross on the users' platform. The settings file's path stands in "+platform.SettingsVariable+"."))
 	if err != nil {
-		fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 
 		return 1
 	}
@@ -53,7 +53,7 @@
 	}
 
 	if err != nil {
-		fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 
 		return 1
 	}
@@ -109,7 +109,7 @@
 		Self: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics, Seeds: s.Seeds,
 		ReadyPath: platform.ReadyPath, Source: store, Table: store, Engines: &platform.Engines{HTTP: client()},
 		Protocol: platform.Headers{}, Entries: unknownEntries, Allowance: s.Allowance, Grace: s.Grace, TurnPause: s.TurnPause,
-		Log: log,
+		Log: log, Dropped: book.Dropped,
 	})
 
 	return n.Run(ctx)
--- a/internal/cli/member/member_test.go
+++ b/internal/cli/member/member_test.go
@@ -42,8 +42,12 @@
 func TestCheckNamesEveryFault(t *testing.T) {
 	text := good
 	for _, change := range [][2]string{
-		{`"name": "a"`, `"name": ""`}, {`"127.0.0.1:1"`, `"here"`}, {`"127.0.0.1:4"`, `"nowhere"`},
-		{`"graceSeconds": 8`, `"graceSeconds": 0`}, {`"repeatBurst": 54`, `"repeatBurst": -1`}, {`"store": "127.0.0.1:6", `, ``},
+		{`"name": "a"`, `"name": ""`},
+		{`"127.0.0.1:1"`, `"here"`},
+		{`"127.0.0.1:4"`, `"nowhere"`},
+		{`"graceSeconds": 8`, `"graceSeconds": 0`},
+		{`"repeatBurst": 54`, `"repeatBurst": -1`},
+		{`"store": "127.0.0.1:6", `, ``},
 	} {
 		text = strings.Replace(text, change[0], change[1], 1)
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -22,6 +24,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/room/metric"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
@@ -61,6 +64,8 @@
 	// no two holders may take turns.
 	Grace, TurnPause time.Duration
 	Log              zerolog.Logger
+	// Dropped returns how many log lines were not written; nil means none.
+	Dropped func() int64
 }
 
 // Node is one entry. Create it with New.
@@ -74,6 +79,10 @@
 	peers   peers
 	pool    relay.Pool
 	budgets relay.Budgets
+	page    metric.Page
+	metrics tally.Scope
+	// unscope ends the metrics' reports.
+	unscope io.Closer
 
 	routes   atomic.Pointer[route.Table]
 	listed   atomic.Bool
@@ -109,13 +118,14 @@
 	n.budgets.Share(cfg.Entries)
 	n.peers.node = n
 
+	n.metrics, n.unscope = n.page.Scope()
 	n.lines = dispatch.New(dispatch.Config{
 		Table: &n.targets, Entries: n.entries, CellOf: func(string) int { return 0 },
 		Demanded: func(string) { poke(n.asked) }, Noticed: n.noticed, MaxWaiting: maxWaiting,
 	})
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Lines: n.lines, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Log: cfg.Log,
+		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Log: cfg.Log, Metrics: n.metrics,
 	}
 	n.holder = holder.New(holder.Config{
 		Self: cfg.Self, Process: n.process, Table: cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
@@ -163,6 +173,11 @@
 		return err
 	}
 
+	metricsListener, err := listen.Listen(ctx, "tcp", n.cfg.Metrics.String())
+	if err != nil {
+		return err
+	}
+
 	// Work goes on while requests are answered after ctx has ended.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -172,11 +187,13 @@
 		ErrorLog: nil,
 	}
 	ready := &http.Server{Handler: n.checks(), ReadHeaderTimeout: headerTimeout}
+	metrics := &http.Server{Handler: &n.page, ReadHeaderTimeout: headerTimeout}
 
 	var wg sync.WaitGroup
 
 	wg.Go(func() { n.served("callers", front.Serve(callers)) })
 	wg.Go(func() { n.served("readiness", ready.Serve(checks)) })
+	wg.Go(func() { n.served("metrics", metrics.Serve(metricsListener)) })
 	wg.Go(func() { n.served("peers", news.Serve(work, peerListener, n)) })
 
 	for _, loop := range []func(context.Context){n.watchConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep} {
@@ -187,8 +204,12 @@
 
 	<-ctx.Done()
 	n.stop(front)
+
 	_ = ready.Close()
+	_ = metrics.Close()
+	_ = n.unscope.Close()
 	_ = peerListener.Close()
+
 	cancel()
 	waitAtMost(&wg, stopMargin/2) //nolint:mnd // The rest is for the process to end.
 	n.cfg.Log.Info().Msg("stopped")
@@ -313,15 +334,39 @@
 	return n.cfg.Entries
 }
 
+// gauge shows what this entry has and believes.
+func (n *Node) gauge() {
+	n.metrics.Gauge("running").Update(float64(n.relay.Running()))
+	n.metrics.Gauge("peers").Update(float64(len(n.peers.alive())))
+	n.metrics.Gauge("targets").Update(float64(len(n.knownTargets())))
+
+	holds := 0.0
+	if n.holder.Holding() {
+		holds = 1
+	}
+
+	n.metrics.Gauge("holds_lease").Update(holds)
+
+	if c := n.config(); c != nil {
+		n.metrics.Gauge("config_version").Update(float64(c.Version))
+	}
+
+	if n.cfg.Dropped != nil {
+		n.metrics.Gauge("log_lines_dropped").Update(float64(n.cfg.Dropped()))
+	}
+}
+
 const sweepEvery = 500 * time.Millisecond
 
 // sweep closes idle connections to targets and keeps the budgets' share.
 func (n *Node) sweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepEvery) == nil {
 		n.pool.Sweep(time.Now())
+		n.gauge()
 		n.budgets.Share(max(n.entries(), n.cfg.Entries))
 
 		n.mu.Lock()
+
 		expired := n.book.Expire(time.Now())
 		if expired {
 			n.known = n.book.Targets()
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -244,17 +244,15 @@
 }
 
 // ask reports to every holder that requests wait for a model, until one takes
-// it, and returns who did.
-func (w *world) ask(model string) instance.ID {
+// it.
+func (w *world) ask(model string) {
 	r := demand.Report{Entry: "e", Waiting: []replica.Demand{{Model: "s/" + model, Waiting: 1, Deadline: time.Now().Add(10 * time.Second)}}}
 
-	for id, m := range w.holders {
-		if m.Holder.Report(r, nil) == nil {
-			return id
+	for _, m := range w.holders {
+		if m.Report(r, nil) == nil {
+			return
 		}
 	}
-
-	return ""
 }
 
 // served waits until some worker runs a request for the key, and asks for it
@@ -340,9 +338,11 @@
 func TestColdModel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
+
 		time.Sleep(5 * time.Second)
 
 		began := time.Now()
+
 		assert.Assert(t, w.served("m6", 5*time.Second))
 		assert.Assert(t, time.Since(began) < 1800*time.Millisecond, "took %s", time.Since(began))
 
@@ -366,10 +366,12 @@
 func TestAdapter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
+
 		time.Sleep(5 * time.Second)
 
 		for _, key := range []string{"m0/a1", "m0/a2", "m0/a3", "m1/a1"} {
 			began := time.Now()
+
 			assert.Assert(t, w.served(key, time.Second), "%s", key)
 			assert.Assert(t, time.Since(began) < 200*time.Millisecond)
 			time.Sleep(time.Second)
@@ -393,6 +395,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, 2)
+
 				time.Sleep(5 * time.Second)
 
 				for _, one := range w.workers {
@@ -444,6 +447,7 @@
 func TestHolderDies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
+
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, w.served("m6", 5*time.Second))
 
@@ -467,6 +471,7 @@
 	for pauseMs := 500; pauseMs <= 9000; pauseMs += 850 {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, 3)
+
 			time.Sleep(5 * time.Second)
 			assert.Assert(t, w.served("m6", 5*time.Second))
 
@@ -493,6 +498,7 @@
 func TestRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
+
 		time.Sleep(5 * time.Second)
 
 		old := w.holding()
@@ -511,6 +517,7 @@
 func TestTableDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 3)
+
 		time.Sleep(5 * time.Second)
 		w.table.SetFaults(platform.Faults{TableDown: true})
 		time.Sleep(3 * time.Second)
@@ -527,6 +534,7 @@
 func TestRestartedEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
+
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, w.served("m6", 5*time.Second))
 
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -68,6 +68,7 @@
 		if res := s.held[idleModel]; res != nil {
 			delete(res.adapters, idleName)
 		}
+
 		h.publish(clock.Now())
 		h.mu.Unlock()
 
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -254,9 +254,10 @@
 		return target.TierMemory, m.FromMemory
 	case target.TierDisk:
 		return target.TierDisk, m.FromDisk
-	default:
-		return target.TierRemote, m.FromStore
+	case target.TierRemote:
 	}
+
+	return target.TierRemote, m.FromStore
 }
 
 // Reserve is the memory that is kept for adapters, in MB.
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -18,6 +18,7 @@
 
 func engine(models int) *route.Engine {
 	e := &route.Engine{MemoryMB: 30, AdapterSlots: 0, Models: make(map[string]route.Model)}
+
 	for i := range models {
 		name := fmt.Sprintf("m%d", i)
 		e.Models[name] = route.Model{
@@ -73,8 +74,10 @@
 			[]Target{on("a", "m0", "m1", "m2").disk("m3")}, []Want{waiting("m3")}, map[string]float64{"m0": 1, "m1": 0.5, "m2": 2}, []string{"a m3 [m1]"},
 		},
 		"a copy of what is elsewhere makes way": {
-			[]Target{on("a", "m0", "m1", "m2").disk("m3"), on("b", "m2", "m4", "m5")}, []Want{waiting("m3")},
-			map[string]float64{"m0": 1, "m1": 1, "m2": 1}, []string{"a m3 [m2]"},
+			[]Target{on("a", "m0", "m1", "m2").disk("m3"), on("b", "m2", "m4", "m5")},
+			[]Want{waiting("m3")},
+			map[string]float64{"m0": 1, "m1": 1, "m2": 1},
+			[]string{"a m3 [m2]"},
 		},
 		"what others wait for stays": {
 			[]Target{on("a", "m0", "m1", "m2").disk("m3")}, []Want{waiting("m0"), waiting("m1"), waiting("m2"), waiting("m3")}, nil, nil,
--- a/internal/room/logbook/logbook_test.go
+++ b/internal/room/logbook/logbook_test.go
@@ -35,11 +35,13 @@
 		var out bytes.Buffer
 
 		go func() { _, _ = io.Copy(&out, r) }()
+
 		time.Sleep(time.Second)
+
 		_, _ = b.Write([]byte("last\n"))
 		b.Close()
 		synctest.Wait()
-		w.Close()
+		assert.NilError(t, w.Close())
 		synctest.Wait()
 
 		lines := strings.Split(out.String(), "\n")
@@ -59,11 +61,13 @@
 
 		for range 3 * perSecond {
 			_, _ = b.Write([]byte("x\n"))
+
 			synctest.Wait()
 		}
 
 		assert.Equal(t, b.Dropped(), int64(2*perSecond))
 		time.Sleep(time.Second)
+
 		_, _ = b.Write([]byte("y\n"))
 		b.Close()
 		assert.Assert(t, strings.Contains(out.String(), "y\n"))
--- a/internal/serving/dispatch/lend.go
+++ b/internal/serving/dispatch/lend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -189,7 +189,7 @@
 
 	d.ran++
 
-	if err := d.deliver(ctx, t, n, a, sent); err != nil {
+	if err := d.deliver(t, n, a, sent); err != nil {
 		return d.blame(ctx, t, err)
 	}
 
@@ -314,7 +314,7 @@
 }
 
 // deliver passes a target's answer on.
-func (d *delivery) deliver(ctx context.Context, t *router.Target, n int, a *answer, sent time.Time) error {
+func (d *delivery) deliver(t *router.Target, n int, a *answer, sent time.Time) error {
 	if !a.mark.Signed || a.Header.Get("Content-Encoding") != "" {
 		a.abandon()
 
@@ -322,7 +322,7 @@
 	}
 
 	if d.route.Kind == route.Stream && a.StatusCode == http.StatusOK {
-		return d.pass(ctx, t, n, a, sent)
+		return d.pass(t, n, a, sent)
 	}
 
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBody))
@@ -356,7 +356,7 @@
 }
 
 // pass hands a stream's events to the caller as they come.
-func (d *delivery) pass(ctx context.Context, t *router.Target, n int, a *answer, sent time.Time) error {
+func (d *delivery) pass(t *router.Target, n int, a *answer, sent time.Time) error {
 	if !d.begun && !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
 		d.Log.Debug().Str("id", d.ask.ID).Str("type", a.Header.Get("Content-Type")).Msg("stream of another type")
 	}
--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -71,7 +71,7 @@
 		return nil, &DialError{Err: err}
 	}
 
-	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 
 	a, err := c.roundTrip(out, proto)
 	if err != nil {
@@ -106,7 +106,7 @@
 	}
 
 	for range maxStray + 1 {
-		resp, err := c.readHead(out.method)
+		resp, err := c.readHead(out.method) //nolint:bodyclose // The answer owns it, and the connection is closed otherwise.
 		if err != nil {
 			return nil, err
 		}
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -238,17 +238,17 @@
 const head = "HTTP/1.1 %s\r\nSigned: x\r\nId: one\r\n"
 
 func say(w io.Writer, status, extra, body string) {
-	fmt.Fprintf(w, head+"%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
+	_, _ = fmt.Fprintf(w, head+"%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
 }
 
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
 
 // stream sends events from one id to another, and the end if whole.
 func stream(w io.Writer, from, to int, whole bool) {
-	fmt.Fprintf(w, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "200 OK")
+	_, _ = fmt.Fprintf(w, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "200 OK")
 
 	for i := from; i <= to; i++ {
-		fmt.Fprintf(w, "%x\r\n%s\r\n", len(event(i)), event(i))
+		_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event(i)), event(i))
 	}
 
 	if whole {
@@ -285,6 +285,7 @@
 			if n == 1 {
 				cut(n, c, w, conn)
 			}
+
 			ok(w)
 		}, 200, "done", false, 2, false},
 		"a failure, then a success": {idempotent, func(n int, _ call, w io.Writer, _ net.Conn) {
@@ -293,6 +294,7 @@
 
 				return
 			}
+
 			ok(w)
 		}, 200, "done", false, 2, false},
 		"rejected, then run": {once, func(n int, _ call, w io.Writer, _ net.Conn) {
@@ -301,6 +303,7 @@
 
 				return
 			}
+
 			ok(w)
 		}, 200, "done", false, 2, false},
 		"rejected by all": {once, func(_ int, _ call, w io.Writer, _ net.Conn) { say(w, "503 Full", "Not-Run: 1\r\n", "") }, 503, "", false, maxSends, true},
@@ -311,14 +314,16 @@
 			_, _ = io.WriteString(w, "what?\r\n\r\n")
 		}, 502, "", false, 1, false},
 		"an answer cut short": {once, func(_ int, _ call, w io.Writer, conn net.Conn) {
-			fmt.Fprintf(w, head+"Content-Length: 9\r\n\r\nhalf", "200 OK")
+			_, _ = fmt.Fprintf(w, head+"Content-Length: 9\r\n\r\nhalf", "200 OK")
+
 			conn.Close()
 		}, 502, "", false, 1, false},
 		"an answer for somebody else": {once, func(_ int, _ call, w io.Writer, _ net.Conn) {
 			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: two\r\nContent-Length: 0\r\n\r\n")
 		}, 502, "", false, 1, false},
 		"an answer that ends with its connection": {once, func(_ int, _ call, w io.Writer, conn net.Conn) {
-			fmt.Fprintf(w, head+"\r\nall of it", "200 OK")
+			_, _ = fmt.Fprintf(w, head+"\r\nall of it", "200 OK")
+
 			conn.Close()
 		}, 200, "all of it", false, 1, false},
 		"an interim answer": {once, func(_ int, _ call, w io.Writer, _ net.Conn) {
@@ -333,6 +338,7 @@
 		"a stream cut in an event": {stepwise, func(_ int, _ call, w io.Writer, conn net.Conn) {
 			stream(w, 1, 2, false)
 			_, _ = io.WriteString(w, "6\r\nid: 3\n\r\n")
+
 			conn.Close()
 		}, 200, event(1) + event(2), true, 1, false},
 		"a resumed stream": {resumable, func(n int, c call, w io.Writer, conn net.Conn) {
@@ -353,6 +359,7 @@
 
 				return
 			}
+
 			stream(w, 3, 3, true)
 		}, 200, event(1) + event(2) + event(3), false, 2, false},
 	}
@@ -399,10 +406,10 @@
 			id := c.header.Get("Id")
 
 			if c.on > 1 {
-				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: one\r\nContent-Length: 5\r\n\r\nagain")
+				_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: one\r\nContent-Length: 5\r\n\r\nagain")
 			}
 
-			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: %s\r\nContent-Length: 3\r\n\r\n%s", id, id)
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSigned: x\r\nId: %s\r\nContent-Length: 3\r\n\r\n%s", id, id)
 		}, route.Route{Kind: route.Idempotent, Timeout: time.Second})
 		w.down["b"] = true
 
@@ -441,9 +448,7 @@
 // takes the next request for the rest of the body.
 func TestEarlyAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var w *world
-
-		w = newWorld(t, nil, route.Route{Kind: route.Idempotent, Timeout: time.Second})
+		w := newWorld(t, nil, route.Route{Kind: route.Idempotent, Timeout: time.Second})
 		w.server.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
 			near, far := net.Pipe()
 
@@ -457,7 +462,9 @@
 				}
 
 				say(far, "413 Long", "", "too long")
+
 				_, _ = io.Copy(io.Discard, r)
+
 				w.mu.Lock()
 				w.closed = time.Now()
 				w.mu.Unlock()
@@ -485,6 +492,7 @@
 			defer cancel()
 
 			began := time.Now()
+
 			w.do(ctx, "")
 			synctest.Wait()
 			assert.Equal(t, w.closed.Sub(began), time.Second)
@@ -549,6 +557,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, nil, route.Route{Kind: route.Stream, Timeout: time.Minute})
 		w.config.Services["s"] = route.Service{Name: "s", Engine: &route.Engine{}}
+
 		time.AfterFunc(time.Second, func() { w.server.Enter(Ending) })
 
 		began := time.Now()
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fulmarcross/fulmarcross/internal/room/metric"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
@@ -155,10 +156,40 @@
 		w.Header().Set("Retry-After", seconds(retry))
 	}
 
+	s.count("none", status)
 	s.Log.Info().Str("path", r.URL.Path).Int("status", status).Str("why", why).Msg("request refused")
 	w.WriteHeader(status)
 }
 
+// count counts an answer by the kind of its request and its status; zero means
+// that it was broken off or that its caller left.
+func (s *Server) count(kind string, status int) {
+	if s.Metrics != nil {
+		s.Metrics.Tagged(map[string]string{"kind": kind, "status": strconv.Itoa(status)}).Counter("answers").Inc(1)
+	}
+}
+
+// kindNames are the kinds of requests in metrics.
+var kindNames = map[route.Kind]string{route.Idempotent: "idempotent", route.Once: "once", route.Stream: "stream"}
+
+// measure records what became of the request.
+func (d *delivery) measure(status int) {
+	if d.Metrics == nil {
+		return
+	}
+
+	kind := kindNames[d.route.Kind]
+	d.count(kind, status)
+
+	if n := d.trail.Sends(); n > 1 {
+		d.Metrics.Counter("repeats").Inc(int64(n - 1))
+	}
+
+	if d.first > 0 {
+		d.Metrics.Tagged(map[string]string{"kind": kind}).Histogram("first_byte", metric.Latencies()).RecordDuration(d.first)
+	}
+}
+
 // delivery is one caller's request on its way.
 type delivery struct {
 	*Server
@@ -275,18 +306,22 @@
 
 	switch {
 	case err == nil:
+		d.measure(http.StatusOK)
 		line.Msg("request answered")
 
 		return
 	case d.r.Context().Err() != nil:
+		d.measure(0)
 		line.Err(err).Msg("caller left")
 
 		return
 	case d.begun:
+		d.measure(0)
 		line.Err(err).Msg("answer broken off")
 		// Only a closed connection tells the caller that the rest is missing.
 		panic(http.ErrAbortHandler)
 	case d.fallback != nil:
+		d.measure(d.fallback.status)
 		line.Err(err).Int("status", d.fallback.status).Msg("failure of a target passed on")
 		d.fallback.write(d)
 
@@ -294,6 +329,7 @@
 	}
 
 	status, retry := d.verdict(err)
+	d.measure(status)
 	line.Err(err).Int("status", status).Dur("retryAfter", retry).Msg("request refused")
 
 	if retry > 0 {
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -148,6 +148,7 @@
 
 		if w.Delete {
 			row.Value = nil
+
 			delete(s.tables[name], w.Key)
 		} else {
 			s.tables[name][w.Key] = row
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -21,8 +21,8 @@
 	Whole bool
 	// Header is the answer's.
 	Header http.Header
-	// First is the time to the answer's first bytes.
-	First time.Duration
+	// First and Took are the times to the answer's first and last bytes.
+	First, Took time.Duration
 }
 
 // Ask sends one request to an entry, on a connection of its own.
@@ -50,7 +50,7 @@
 
 	r := Reply{Status: resp.StatusCode, Signed: platform.Signed(resp.Header), Header: resp.Header, First: time.Since(began)}
 	data, err := io.ReadAll(resp.Body)
-	r.Body, r.Whole = string(data), err == nil
+	r.Body, r.Whole, r.Took = string(data), err == nil, time.Since(began)
 
 	return r, nil
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -276,7 +276,7 @@
 		defer close(e.done)
 
 		if err := n.Run(ctx); err != nil {
-			fmt.Fprintf(log, "%s: %v\n", e.Name, err)
+			_, _ = fmt.Fprintf(log, "%s: %v\n", e.Name, err)
 		}
 	}()
 
--- /dev/null
+++ b/internal/standin/site/try.go
@@ -0,0 +1,151 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/trial"
+)
+
+const (
+	// tryCallers send at the same time, each one request after the other.
+	tryCallers = 12
+	tryEntries = 3
+	// answerTokens is the length of a stream.
+	answerTokens = 12
+	// tryDeadline is what a caller allows.
+	tryDeadline = 5 * time.Second
+	// mostMs bounds the histograms.
+	mostMs = 60_000
+)
+
+// ledger is what the callers of a trial saw.
+type ledger struct {
+	mu     sync.Mutex
+	report trial.Report
+	first  *hdrhistogram.Histogram
+	cold   *hdrhistogram.Histogram
+}
+
+// Try plays a calm day of the length given and reports what callers and
+// targets saw.
+func Try(ctx context.Context, seed uint64, length time.Duration, log io.Writer) (trial.Report, error) {
+	s, err := Start(ctx, Options{Entries: tryEntries, Log: log})
+	if err != nil {
+		return trial.Report{}, err
+	}
+	defer s.Close()
+
+	if err := s.WaitReady(ctx); err != nil {
+		return trial.Report{}, err
+	}
+
+	l := &ledger{
+		first: hdrhistogram.New(1, mostMs, 3), cold: hdrhistogram.New(1, mostMs, 3), //nolint:mnd // Digits.
+	}
+	end := time.Now().Add(length)
+
+	var wg sync.WaitGroup
+	for i := range tryCallers {
+		wg.Go(func() { s.call(ctx, l, i, rand.New(rand.NewPCG(seed, uint64(i))), end) }) //nolint:gosec // Small numbers.
+	}
+
+	wg.Wait()
+
+	l.report.Overcommitted = int64(len(s.Broken()))
+	l.report.FirstTokenP95 = time.Duration(l.first.ValueAtQuantile(95)) * time.Millisecond //nolint:mnd // As named.
+	l.report.ColdStartP99 = time.Duration(l.cold.ValueAtQuantile(99)) * time.Millisecond   //nolint:mnd // As named.
+	l.report.ColdStarts = l.cold.TotalCount()
+
+	return l.report, ctx.Err()
+}
+
+// call is one caller's day.
+func (s *Site) call(ctx context.Context, l *ledger, caller int, draw *rand.Rand, end time.Time) {
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("try-%d-%d", caller, n)
+		path, model := "/book/x", ""
+
+		switch draw.IntN(4) { //nolint:mnd // The demo's routes.
+		case 0:
+			path = "/look/x"
+		case 1:
+			path, model = "/dossier/x", Model(draw.IntN(models))
+		case 2: //nolint:mnd // See above.
+			path, model = "/note/x", Model(draw.IntN(2)) //nolint:mnd // The busy models.
+		}
+
+		e := s.Entries[draw.IntN(len(s.Entries))]
+		r, err := Ask(ctx, e, path, "text", relay.Ask{ID: id, Left: tryDeadline, Model: model, TokensIn: 10, TokensOut: answerTokens})
+		l.note(s.Runs(id), r, err, model)
+	}
+}
+
+// note books one answer.
+func (l *ledger) note(runs int, r Reply, err error, model string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.report.Requests++
+
+	switch {
+	case err != nil:
+		l.report.Lost++
+	case r.Status == http.StatusOK && !r.Whole:
+		l.report.Truncated++
+	case r.Status == http.StatusOK:
+		l.report.Answered++
+		l.time(r, model)
+
+		if !proper(r, model) {
+			l.report.Crossed++
+		}
+
+		if r.Took > tryDeadline {
+			l.report.Late++
+		}
+	default:
+		l.report.Refused++
+
+		if r.Status == http.StatusServiceUnavailable && runs > 0 {
+			l.report.UntrueRefusals++
+		}
+	}
+
+	if runs > 1 {
+		l.report.Doubled++
+	}
+}
+
+// proper reports whether an answer is the one to its request.
+func proper(r Reply, model string) bool {
+	if model == "" {
+		return strings.HasPrefix(r.Body, "done: ")
+	}
+
+	return strings.Count(r.Body, "data: ") == answerTokens
+}
+
+// time books how long an answer took to begin.
+func (l *ledger) time(r Reply, model string) {
+	if model == "" {
+		return
+	}
+
+	// A value beyond the bound is kept at it.
+	ms := min(max(1, r.First.Milliseconds()), mostMs)
+	_ = l.first.RecordValue(ms)
+
+	if r.First >= cold/2 {
+		_ = l.cold.RecordValue(ms)
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -154,6 +154,7 @@
 		return holder.Holds
 	case o.Unload:
 		delete(m.adapters, o.Adapter)
+
 		w.sequence++
 
 		return holder.Holds
--- a/internal/wire/frame/frame.go
+++ b/internal/wire/frame/frame.go
@@ -32,10 +32,10 @@
 	return mode
 }()
 
-// FrameSizeError says that a message is larger than MaxFrame.
-type FrameSizeError struct{ Size uint64 }
+// SizeError says that a message is larger than MaxFrame.
+type SizeError struct{ Size uint64 }
 
-func (e *FrameSizeError) Error() string {
+func (e *SizeError) Error() string {
 	return fmt.Sprintf("frame: frame of %d bytes, %d allowed", e.Size, MaxFrame)
 }
 
@@ -101,7 +101,7 @@
 
 	n := binary.BigEndian.Uint32(prefix[:])
 	if n > MaxFrame {
-		return nil, &FrameSizeError{Size: uint64(n)}
+		return nil, &SizeError{Size: uint64(n)}
 	}
 
 	// The frame grows as its bytes arrive, so that a forged length alone
@@ -135,7 +135,7 @@
 	}
 
 	if len(data) > MaxFrame {
-		return &FrameSizeError{Size: uint64(len(data))}
+		return &SizeError{Size: uint64(len(data))}
 	}
 
 	var prefix [prefixLen]byte
--- a/internal/wire/frame/frame_test.go
+++ b/internal/wire/frame/frame_test.go
@@ -23,7 +23,7 @@
 
 	binary.BigEndian.PutUint32(prefix[:], MaxFrame+1)
 
-	var tooLarge *FrameSizeError
+	var tooLarge *SizeError
 
 	err := newFrames(pipe{Reader: bytes.NewReader(prefix[:])}).readHeader(&header{})
 	assert.Assert(t, errors.As(err, &tooLarge))
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -59,7 +59,8 @@
 	var got echo
 
 	go func() { _ = Serve(t.Context(), l, &got) }()
-	defer l.Close()
+
+	defer func() { _ = l.Close() }()
 
 	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
 	defer c.Close()
--- a/main_test.go
+++ b/main_test.go
@@ -39,9 +39,9 @@
 
 // decisions are the packages that decide. They take their inputs as values.
 var decisions = []string{
-	"customer/limit", "customer/plan", "fleet/instance", "placement/demand", "placement/history", "placement/lease", "placement/ledger",
-	"placement/replica", "placement/share", "room/board", "serving/crash", "serving/queue", "serving/request",
-	"serving/router", "serving/stream",
+	"customer/limit", "customer/plan", "fleet/instance", "fleet/inventory", "placement/demand", "placement/history", "placement/lease", "placement/ledger",
+	"placement/replica", "placement/share", "placement/swap", "room/board", "serving/crash", "serving/queue", "serving/request",
+	"serving/route", "serving/router", "serving/stream",
 }
 
 // doors are what packages do I/O with. Package net/netip has only values.
