test: entries of the stand-in site get ports of their own

Cause: a port drawn by the system for an outgoing connection between its choice and its use kept an entry from listening; TestHistoryForgotten then waited 20 s and failed, once.

--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -4,14 +4,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -77,7 +81,9 @@
 	// Door is the entry's way to the store.
 	Door *rows.Door
 	stop context.CancelFunc
+	// done is closed when the entry has ended, with err.
 	done chan struct{}
+	err  error
 }
 
 // Model returns the name of a model.
@@ -230,14 +236,40 @@
 	s.targets[id] = t
 }
 
+const (
+	// firstPort and ports are a range below the one from which the system
+	// draws ports for outgoing connections. One that it drew between the choice
+	// of a port and its use would keep the entry from listening.
+	firstPort = 20000
+	ports     = 12000
+)
+
+// lastPort counts the ports that were tried. It starts at another place in
+// each process.
+var lastPort = func() *atomic.Int64 {
+	var n atomic.Int64
+	n.Store(int64(os.Getpid()) * 97) //nolint:mnd // A prime, so that processes that follow each other lie apart.
+
+	return &n
+}()
+
 // free returns an address on which nobody listens.
 func free() (netip.AddrPort, error) {
-	l, at, err := listen()
-	if err != nil {
-		return at, err
-	}
+	for {
+		port := firstPort + lastPort.Add(1)%ports
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)) //nolint:gosec // Below 2^16.
+
+		l, err := net.Listen("tcp", at.String())
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 
-	return at, l.Close()
+		if err != nil {
+			return at, err
+		}
+
+		return at, l.Close()
+	}
 }
 
 func (s *Site) entry(ctx context.Context, i int, log io.Writer) error {
@@ -275,9 +307,7 @@
 	go func() {
 		defer close(e.done)
 
-		if err := n.Run(ctx); err != nil {
-			_, _ = fmt.Fprintf(log, "%s: %v\n", e.Name, err)
-		}
+		e.err = n.Run(ctx)
 	}()
 
 	s.Entries = append(s.Entries, e)
@@ -307,6 +337,8 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
+			case <-e.done:
+				return e.err
 			case <-time.After(beatEvery / 5): //nolint:mnd // Often enough.
 			}
 		}
