--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -108,9 +108,12 @@
 func (c *Client) Greet(ctx context.Context, g Greeting) (Greeting, error) {
 	var out Greeting
 
-	err := c.Call(ctx, serviceName+".Greet", g, &out)
+	// After an error a late answer may still be written to out.
+	if err := c.Call(ctx, serviceName+".Greet", g, &out); err != nil {
+		return Greeting{}, err
+	}
 
-	return out, err
+	return out, nil
 }
 
 // Hear sends news.
