feat: load models that are nowhere into free memory; refuse while callers are there

Cause: targets that replace others are empty, and each of their models then comes from the weight store at six seconds when somebody waits; requests waited until their callers had left. Free memory is now filled from disk, and from the store with what is on no disk; a stream waits for 0.7 of its caller's patience and is then told to come back.

--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -51,7 +51,7 @@
 	}
 
 	n.mu.Lock()
-	b := builder{now: now, next: now.Add(newsLast), absent: n.absent, snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
+	b := builder{now: now, next: now.Add(newsLast), absent: n.absent, coming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
 	n.number++
 	b.snapshot.Number = n.number
 
@@ -75,6 +75,7 @@
 		}
 	}
 	n.mu.Unlock()
+	b.wait()
 
 	n.targets.Apply(&b.snapshot, now)
 	n.lines.Kick()
@@ -89,6 +90,8 @@
 	next     time.Time
 	absent   map[holder.Missing]time.Time
 	snapshot router.Snapshot
+	// coming is when the first replica of a key is ready that is not yet.
+	coming map[string]time.Time
 }
 
 func (b *builder) add(t inventory.Target, service route.Service, s *holder.Station) {
@@ -170,12 +173,24 @@
 			b.next = ready
 		}
 
+		if first, ok := b.coming[key]; !ok || ready.Before(first) {
+			b.coming[key] = ready
+		}
+
 		return
 	}
 
 	b.snapshot.Added = append(b.snapshot.Added, router.Replica{Target: id, Model: key})
 }
 
+// wait says for which keys a replica is on its way, so that requests which
+// cannot wait so long are refused at once.
+func (b *builder) wait() {
+	for key, ready := range b.coming {
+		b.snapshot.Waits = append(b.snapshot.Waits, router.Wait{Model: key, Ready: ready.Sub(b.now)})
+	}
+}
+
 // foundAbsent notes that a target does not hold a key.
 func (n *Node) foundAbsent(t *router.Target, key string) {
 	m := holder.Missing{Target: t.ID, Key: key}
--- /dev/null
+++ b/internal/placement/swap/fill.go
@@ -0,0 +1,132 @@
+package swap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+const (
+	// urgentStore is how many loads from the weight store are left for
+	// requests that wait.
+	urgentStore = 1
+	// idleShare is the part of the targets that is left without an order for
+	// requests that come meanwhile.
+	idleShare = 0.5
+	// rotate is how long the order of models that are asked for equally often
+	// stays the same.
+	rotate = 10 * time.Second
+)
+
+// fill loads models that are nowhere into memory that is free.
+//
+// It answers two loads: the first minutes, in which a third of the memory is
+// empty, and the replacement of targets by empty ones, whose models all come
+// from the weight store at six seconds each. A rare model that is there already
+// is served at once, and one from the store four seconds sooner.
+func (p *planner) fill() {
+	free := p.free()
+	left := int(idleShare * float64(p.serving()))
+
+	for _, m := range p.missing() {
+		if len(free) <= left {
+			return
+		}
+
+		at := slices.IndexFunc(free, func(t *Target) bool { return p.fits(t, m) && p.near(t, m) })
+		if at < 0 {
+			continue
+		}
+
+		t := free[at]
+		tier, takes := tierOf(t, m)
+
+		if tier == target.TierRemote {
+			p.store--
+		}
+
+		p.busy[t.ID] = true
+		p.copies[m.Name]++
+		p.moves = append(p.moves, Move{Target: t.ID, Load: m.Name, Takes: takes, From: tier, For: ForLater})
+		free = slices.Delete(free, at, at+1)
+	}
+}
+
+// free returns the targets that could take an order now, those with the least
+// to do first.
+func (p *planner) free() []*Target {
+	var out []*Target
+
+	for i := range p.Targets {
+		if t := &p.Targets[i]; t.Free && t.Serving && !p.busy[t.ID] {
+			out = append(out, t)
+		}
+	}
+
+	slices.SortStableFunc(out, func(a, b *Target) int { return cmp.Compare(a.Running, b.Running) })
+
+	return out
+}
+
+func (p *planner) serving() int {
+	n := 0
+
+	for i := range p.Targets {
+		if p.Targets[i].Serving {
+			n++
+		}
+	}
+
+	return n
+}
+
+// missing returns the models that are nowhere, those asked for most first.
+func (p *planner) missing() []route.Model {
+	var out []route.Model
+
+	for _, m := range p.Engine.Models {
+		if p.copies[m.Name] == 0 {
+			out = append(out, m)
+		}
+	}
+
+	slices.SortFunc(out, func(a, b route.Model) int {
+		return cmp.Or(-cmp.Compare(p.Rate[a.Name], p.Rate[b.Name]), cmp.Compare(p.spread(a.Name), p.spread(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+
+	return out
+}
+
+// spread orders models that are asked for equally often, in another way in
+// each round, so that none is always last.
+func (p *planner) spread(model string) uint64 {
+	return instance.Score(model, instance.ID(p.Now.Truncate(rotate).String()))
+}
+
+func (p *planner) fits(t *Target, m route.Model) bool {
+	free := p.room
+	for _, r := range t.Held {
+		free -= p.Engine.Models[r.Model].MB
+	}
+
+	return free >= m.MB
+}
+
+// near reports whether the model may be loaded on the target from where its
+// weights are.
+func (p *planner) near(t *Target, m route.Model) bool {
+	if t.AtHand[m.Name] != 0 {
+		return true
+	}
+
+	return p.store > urgentStore && !p.anywhere(m.Name)
+}
+
+// anywhere reports whether the model's weights are at hand on some target.
+func (p *planner) anywhere(model string) bool {
+	return slices.ContainsFunc(p.Targets, func(t Target) bool { return t.Serving && t.AtHand[model] != 0 })
+}
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -88,6 +88,8 @@
 	ForWaiting Reason = "waiting"
 	// ForLoad means that the model's replicas are crowded.
 	ForLoad Reason = "crowded"
+	// ForLater means that nobody waits yet, but that there is room.
+	ForLater Reason = "later"
 )
 
 const (
@@ -148,6 +150,8 @@
 		p.meet(w)
 	}
 
+	p.fill()
+
 	return p.moves
 }
 
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -259,7 +259,7 @@
 		Model:    Key(d.service, model),
 		Prompt:   d.digest(),
 		Priority: max(0, maxWeight-d.route.Priority),
-		Deadline: d.deadline,
+		Deadline: d.startBy(),
 		Arrived:  d.arrived,
 	}
 
@@ -282,6 +282,25 @@
 	d.end(d.run(ctx))
 }
 
+// waitShare is the part of a caller's patience for which a stream waits in
+// line. What has not begun by then is refused while its caller is still there
+// to come back; held to the end, it would leave with nothing.
+const waitShare = 0.7
+
+// startBy returns until when the request may wait in line.
+func (d *delivery) startBy() time.Time {
+	if d.route.Kind != route.Stream {
+		return d.deadline
+	}
+
+	patience := time.Duration(waitShare * float64(d.route.Patience()))
+	if by := d.arrived.Add(patience); by.Before(d.deadline) {
+		return by
+	}
+
+	return d.deadline
+}
+
 // maxWeight is the weight of the most urgent route's requests in line.
 const maxWeight = 9
 
--- a/internal/serving/route/route.go
+++ b/internal/serving/route/route.go
@@ -33,6 +33,9 @@
 	Timeout time.Duration
 	// Goal is the time within which an answer is on time.
 	Goal time.Duration
+	// GapGoal is the longest pause between two events of a stream that is on
+	// time.
+	GapGoal time.Duration
 	// Priority is the rank among the routes; 0 is the most urgent.
 	Priority int
 	// Splits are never empty and their weights are positive.
@@ -49,6 +52,19 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// Patience returns how long a caller waits for the first event of a stream, or
+// between two, before it leaves: the platform's callers leave after two
+// seconds, four times the goal or eight times the pause, whichever is longest.
+func (r *Route) Patience() time.Duration {
+	const (
+		least = 2 * time.Second
+		goals = 4
+		gaps  = 8
+	)
+
+	return max(least, goals*r.Goal, gaps*r.GapGoal)
+}
+
 // Split is a service's share of a route.
 type Split struct {
 	Service string
