fix: a rejected request waits for its share of the repeats while it may wait

A target that does not hold a model is now asked again after 0.15 s, doubled up to 1.2 s, and a request that has not run waits for the budget as long as it may wait in line.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -101,8 +101,8 @@
 	known map[instance.ID]inventory.Target
 	news  holder.News
 	heard time.Time
-	// absent is until when a target is taken not to hold a key.
-	absent  map[holder.Missing]time.Time
+	// absent is what targets were found not to hold.
+	absent  map[holder.Missing]absence
 	missing []holder.Missing
 	number  uint64
 }
@@ -112,7 +112,7 @@
 	n := &Node{
 		cfg: cfg, process: uuid.NewString(),
 		changed: make(chan struct{}, 1), asked: make(chan struct{}, 1),
-		absent: make(map[holder.Missing]time.Time),
+		absent: make(map[holder.Missing]absence),
 	}
 	n.budgets.Allowance = cfg.Allowance
 	n.budgets.Share(cfg.Entries)
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -19,8 +19,11 @@
 	// without a holder the list is all there is.
 	newsLast = 4 * time.Second
 	// absentFor is for how long a target that said that it does not hold a
-	// model is not asked for it again.
-	absentFor = 150 * time.Millisecond
+	// model is not asked for it again, doubled up to absentMost each time.
+	absentFor  = 150 * time.Millisecond
+	absentMost = 1200 * time.Millisecond
+	// absentForget is how long after the last such word the doubling ends.
+	absentForget = 3 * time.Second
 	// requestTokens is what an ordinary request takes of an engine's memory.
 	requestTokens = 1700
 )
@@ -63,8 +66,8 @@
 		}
 	}
 
-	for key, until := range n.absent {
-		if !now.Before(until) {
+	for key, a := range n.absent {
+		if now.Sub(a.until) > absentForget {
 			delete(n.absent, key)
 		}
 	}
@@ -88,7 +91,7 @@
 	now time.Time
 	// next is when the snapshot is out of date by itself.
 	next     time.Time
-	absent   map[holder.Missing]time.Time
+	absent   map[holder.Missing]absence
 	snapshot router.Snapshot
 	// coming is when the first replica of a key is ready that is not yet.
 	coming map[string]time.Time
@@ -164,8 +167,8 @@
 
 // replica adds what is ready by now, and notes when the rest will be.
 func (b *builder) replica(id instance.ID, key string, ready time.Time) {
-	if until, ok := b.absent[holder.Missing{Target: id, Key: key}]; ok {
-		ready = latest(ready, until)
+	if a, ok := b.absent[holder.Missing{Target: id, Key: key}]; ok {
+		ready = latest(ready, a.until)
 	}
 
 	if ready.After(b.now) {
@@ -191,12 +194,28 @@
 	}
 }
 
+// absence is a target's word that it does not hold a key.
+type absence struct {
+	// until is from when the target is asked again, and pause how long that
+	// was at the last word.
+	until time.Time
+	pause time.Duration
+}
+
 // foundAbsent notes that a target does not hold a key.
 func (n *Node) foundAbsent(t *router.Target, key string) {
 	m := holder.Missing{Target: t.ID, Key: key}
 
 	n.mu.Lock()
-	n.absent[m] = time.Now().Add(absentFor)
+
+	now, a := time.Now(), n.absent[m]
+	if now.After(a.until) {
+		// Requests that were sent together count once.
+		a.pause = min(max(absentFor, 2*a.pause), absentMost)
+		a.until = now.Add(a.pause)
+		n.absent[m] = a
+	}
+
 	n.missing = append(n.missing, m)
 	n.mu.Unlock()
 	poke(n.changed)
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -94,12 +94,8 @@
 
 		d.exclude = append(d.exclude[:0], string(t.ID))
 
-		if !d.Budgets.Take(d.service, time.Now()) {
-			return err
-		}
-
-		if err := d.backOff(ctx, err); err != nil {
-			return err
+		if again := d.backOff(ctx, err); again != nil {
+			return errors.Join(again, err)
 		}
 	}
 }
@@ -146,16 +142,46 @@
 	return errors.As(err, &dial) || errors.As(err, &rejected)
 }
 
-// backOff waits before the same targets are asked again.
+// OverBudgetError says that a request may not be sent once more.
+type OverBudgetError struct{ Service string }
+
+func (e *OverBudgetError) Error() string { return "no repeat left for service " + e.Service }
+
+// backOff waits until the request may be sent once more. One that was rejected
+// gives its target a moment, and waits for its share of the repeats as long as
+// it may wait in line; for any other the share must be there now.
 func (d *delivery) backOff(ctx context.Context, err error) error {
 	var rejected *RejectedError
 	if !errors.As(err, &rejected) {
-		return nil
+		if d.Budgets.Take(d.service, time.Now()) {
+			return nil
+		}
+
+		return &OverBudgetError{Service: d.service}
+	}
+
+	if err := clock.Sleep(ctx, sendAgain<<min(d.trail.Sends()-1, 3)); err != nil { //nolint:mnd // At most eightfold.
+		return err
+	}
+
+	for !d.Budgets.Take(d.service, time.Now()) {
+		if !time.Now().Add(budgetPause).Before(d.req.Deadline) {
+			return &OverBudgetError{Service: d.service}
+		}
+
+		if err := clock.Sleep(ctx, budgetPause); err != nil {
+			return err
+		}
 	}
 
-	return clock.Sleep(ctx, sendAgain<<min(d.trail.Sends()-1, 3)) //nolint:mnd // At most eightfold.
+	return nil
 }
 
+// budgetPause is how often a rejected request asks for its share of the
+// repeats: an entry's share of the burst flows back at about one in three
+// seconds, and its requests earn more.
+const budgetPause = 250 * time.Millisecond
+
 // attempt sends the request to the target and passes its answer on.
 func (d *delivery) attempt(ctx context.Context, t *router.Target) error {
 	n := d.trail.Send()
