fix: wait a second for a disk rather than six for the weight store

The plan now counts how long an order in hand still takes, and begins nothing where waiting is cheaper.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -217,6 +217,10 @@
 // while its order has not been accepted.
 const unordered = 300 * time.Millisecond
 
+// orderTime is what an order in hand takes of which no load is known yet: an
+// unload, or a report.
+const orderTime = 300 * time.Millisecond
+
 // byModel sums the wants of a service's models and their adapters.
 func byModel(service string, wants []want) []swap.Want {
 	sums := make(map[string]*swap.Want)
@@ -280,6 +284,10 @@
 		Serving: !s.target.Leaving, AtHand: s.atHand, Running: running,
 	}
 
+	if !t.Free {
+		t.FreeIn = max(orderTime, s.loading.Sub(now))
+	}
+
 	for model, res := range s.held {
 		t.Held = append(t.Held, swap.Resident{
 			Model: model, Running: uses[model], Used: res.used, Coming: now.Before(res.ready),
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -35,6 +35,8 @@
 	ID instance.ID
 	// Free says that no order is in hand there and that it takes new ones.
 	Free bool
+	// FreeIn is how long the order in hand is expected to take yet.
+	FreeIn time.Duration
 	// Serving says that entries send requests there.
 	Serving bool
 	Held    []Resident
@@ -97,6 +99,8 @@
 	// loaded. A batch of a dozen still reads a prompt of 1,500 tokens within
 	// the 600 ms that callers of the busiest route allow.
 	crowded = 8
+	// mostAtOnce is how many replicas of one model a round adds.
+	mostAtOnce = 3
 	// unloadTime is what an unload takes when nothing runs on the model.
 	unloadTime = 150 * time.Millisecond
 	// runTime is how long a run on a model that is to make way may still
@@ -113,12 +117,12 @@
 
 	moves []Move
 	// busy are the targets that have a move in this round.
-	busy  map[instance.ID]bool
+	busy map[instance.ID]bool
+	// kept is for how long targets are taken by wants that wait for them.
+	kept  map[instance.ID]time.Duration
 	wants map[string]Want
 	// copies is on how many serving targets a model is, or comes.
 	copies map[string]int
-	// comes are the models of which a copy is on its way.
-	comes map[string]bool
 	// room is a target's memory without what is kept for adapters.
 	room  float64
 	store int
@@ -127,8 +131,8 @@
 // Plan returns the loads to begin now, the most urgent first.
 func Plan(v *View) []Move {
 	p := &planner{
-		View: v, busy: make(map[instance.ID]bool), wants: make(map[string]Want, len(v.Wants)),
-		copies: make(map[string]int), comes: make(map[string]bool), room: v.Engine.MemoryMB - Reserve(v.Engine), store: v.StoreLoads,
+		View: v, busy: make(map[instance.ID]bool), kept: make(map[instance.ID]time.Duration), wants: make(map[string]Want, len(v.Wants)),
+		copies: make(map[string]int), room: v.Engine.MemoryMB - Reserve(v.Engine), store: v.StoreLoads,
 	}
 
 	for _, w := range v.Wants {
@@ -142,7 +146,6 @@
 
 		for _, r := range v.Targets[i].Held {
 			p.copies[r.Model]++
-			p.comes[r.Model] = p.comes[r.Model] || r.Coming
 		}
 	}
 
@@ -179,7 +182,18 @@
 	switch n := p.copies[w.Model]; {
 	case n == 0 && w.Waiting > 0:
 		p.place(m, w, ForWaiting)
-	case n > 0 && w.Waiting+w.Running > crowded*n && !p.comes[w.Model]:
+	case n > 0:
+		p.spreadOut(m, w)
+	}
+}
+
+// spreadOut adds replicas of a crowded model, several at once: when the demand
+// moves to another model its requests pile up on one replica within a second,
+// and one load after the other would let them wait for all the loads before.
+func (p *planner) spreadOut(m route.Model, w Want) {
+	enough := (w.Waiting + w.Running + crowded - 1) / crowded
+
+	for range min(enough-p.copies[m.Name], mostAtOnce) {
 		p.place(m, w, ForLoad)
 	}
 }
@@ -188,16 +202,24 @@
 type choice struct {
 	move Move
 	cost float64
+	// free says that the target could begin now.
+	free bool
 }
 
 // place finds the target on which the model would serve soonest at the least
-// loss to others.
+// loss to others. Where that is one with an order in hand, nothing is begun
+// yet.
+//
+// It guards against loads from the weight store while the targets that have
+// the weights on disk are busy for a second: each takes six seconds, in which
+// its target takes no other order, so that a few of them make the next models
+// come from the store as well.
 func (p *planner) place(m route.Model, w Want, why Reason) {
 	var best *choice
 
 	for i := range p.Targets {
 		t := &p.Targets[i]
-		if !t.Free || !t.Serving || p.busy[t.ID] || holds(t, m.Name) {
+		if !t.Serving || p.busy[t.ID] || holds(t, m.Name) || !t.Free && why == ForLoad {
 			continue
 		}
 
@@ -210,6 +232,12 @@
 		return
 	}
 
+	if !best.free {
+		p.kept[best.move.Target] += best.move.Takes
+
+		return
+	}
+
 	if best.move.From == target.TierRemote {
 		p.store--
 	}
@@ -246,9 +274,12 @@
 		return choice{}, false
 	}
 
+	kept := p.kept[t.ID]
+
 	return choice{
 		move: Move{Target: t.ID, Unload: victims, Load: m.Name, Takes: takes, From: tier, For: why},
-		cost: (takes + wait).Seconds() + lossWeight*loss + loadWeight*float64(t.Running),
+		cost: (t.FreeIn + kept + takes + wait).Seconds() + lossWeight*loss + loadWeight*float64(t.Running),
+		free: t.Free && kept == 0,
 	}, true
 }
 
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -52,8 +52,11 @@
 }
 
 func TestPlan(t *testing.T) {
-	busy := on("a", "m0")
-	busy.Free = false
+	busy := on("a", "m0").disk("m3")
+	busy.Free, busy.FreeIn = false, time.Second
+
+	long := busy
+	long.FreeIn = 9 * time.Second
 
 	running := on("a", "m0", "m1", "m2")
 	running.Held[0].Running = 1
@@ -65,11 +68,13 @@
 		// want is the moves as target, load and unloads.
 		want []string
 	}{
-		"from disk rather than the store":           {[]Target{on("a"), on("b").disk("m3")}, []Want{waiting("m3")}, nil, []string{"b m3 []"}},
-		"from the store when it is nowhere else":    {[]Target{on("a")}, []Want{waiting("m3")}, nil, []string{"a m3 []"}},
-		"nothing for what is there":                 {[]Target{on("a", "m3")}, []Want{waiting("m3")}, nil, nil},
-		"nothing on a target with an order in hand": {[]Target{busy.disk("m3")}, []Want{waiting("m3")}, nil, nil},
-		"the idle one makes way":                    {[]Target{running.disk("m3")}, []Want{waiting("m3")}, nil, []string{"a m3 [m1]"}},
+		"from disk rather than the store":                 {[]Target{on("a"), on("b").disk("m3")}, []Want{waiting("m3")}, nil, []string{"b m3 []"}},
+		"from the store when it is nowhere else":          {[]Target{on("a")}, []Want{waiting("m3")}, nil, []string{"a m3 []"}},
+		"nothing for what is there":                       {[]Target{on("a", "m3")}, []Want{waiting("m3")}, nil, nil},
+		"nothing on a target with an order in hand":       {[]Target{busy}, []Want{waiting("m3")}, nil, nil},
+		"wait for a disk rather than load from the store": {[]Target{busy, on("b")}, []Want{waiting("m3")}, nil, nil},
+		"from the store when the disk is busy for long":   {[]Target{long, on("b")}, []Want{waiting("m3")}, nil, []string{"b m3 []"}},
+		"the idle one makes way":                          {[]Target{running.disk("m3")}, []Want{waiting("m3")}, nil, []string{"a m3 [m1]"}},
 		"the one used least makes way": {
 			[]Target{on("a", "m0", "m1", "m2").disk("m3")}, []Want{waiting("m3")}, map[string]float64{"m0": 1, "m1": 0.5, "m2": 2}, []string{"a m3 [m1]"},
 		},
