perf: entries look at the store's list when the holder says that it changed

The holder's news now say up to which version the list changed which targets may be used and which configuration is in force; entries that hear it look at once when they are behind and otherwise every four seconds. Without fresh news they look as before.

--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -88,7 +88,7 @@
 	newer := v.List > n.list
 
 	if newer {
-		n.list = v.List
+		n.list, n.usable = v.List, v.List
 		n.book.Replace(changes, now)
 		n.known = n.book.Targets()
 	}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -87,6 +87,8 @@
 	routes   atomic.Pointer[route.Table]
 	listed   atomic.Bool
 	stopping atomic.Bool
+	// listBehind and configBehind ask for a look at the store at once.
+	listBehind, configBehind chan struct{}
 	// changed asks for the routing to be built anew, and asked for a report.
 	changed, asked chan struct{}
 
@@ -95,6 +97,9 @@
 	// list is the store's version at which the list of targets was last read,
 	// here or by the peer that told of it.
 	list uint64
+	// usable is the version of the list at the last change of which targets
+	// may be used.
+	usable uint64
 	// lostConfig and lostTargets say that the store does not answer.
 	lostConfig, lostTargets atomic.Bool
 	// known is a copy of the book's targets that nobody changes.
@@ -111,6 +116,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, process: uuid.NewString(),
+		listBehind: make(chan struct{}, 1), configBehind: make(chan struct{}, 1),
 		changed: make(chan struct{}, 1), asked: make(chan struct{}, 1),
 		absent: make(map[holder.Missing]absence),
 	}
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -345,12 +345,29 @@
 	}
 
 	n.news, n.heard = latest, time.Now()
+	behind := n.list < latest.List
 	n.mu.Unlock()
 	poke(n.changed)
+
+	if behind {
+		poke(n.listBehind)
+	}
+
+	if c := n.config(); c != nil && c.Version < latest.Config {
+		poke(n.configBehind)
+	}
 }
 
 // publish hands this holder's news to everybody.
 func (n *Node) publish(latest holder.News) {
+	if c := n.config(); c != nil {
+		latest.Config = c.Version
+	}
+
+	n.mu.Lock()
+	latest.List = n.usable
+	n.mu.Unlock()
+
 	n.takeNews(latest)
 
 	n.peers.mu.Lock()
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -14,11 +14,20 @@
 
 const (
 	// configWait is how long one call waits for a configuration. A change must
-	// be in force within 2 s, also when the connection has gone silent.
-	configWait = 1200 * time.Millisecond
+	// be in force within 2 s, also when the connection has gone silent; while
+	// the holder is heard, that tells of a change, and calls wait for longer.
+	configWait     = 1200 * time.Millisecond
+	configWaitLong = 3 * time.Second
 	// targetsPause is the time between two looks at the list of targets. A
-	// leaving target must get nothing after 2 s, and each look costs a call.
-	targetsPause = 700 * time.Millisecond
+	// leaving target must get nothing after 2 s, and each look costs a call;
+	// while the holder is heard, entries look only when it says so, and now and
+	// then.
+	targetsPause     = 600 * time.Millisecond
+	targetsPauseLong = 4 * time.Second
+	// turnCheck is how often an entry looks whether the holder is still heard,
+	// and holderFresh how old its last news may be.
+	turnCheck   = 200 * time.Millisecond
+	holderFresh = 900 * time.Millisecond
 	// failurePause is the time between two calls to a store that fails.
 	failurePause = 250 * time.Millisecond
 )
@@ -60,7 +69,71 @@
 		return n.cfg.Source.Configuration(ctx)
 	}
 
-	return n.cfg.Source.ConfigurationAfter(ctx, after, configWait)
+	if !n.led() {
+		return n.cfg.Source.ConfigurationAfter(ctx, after, configWait)
+	}
+
+	// The holder's word that there is a newer one ends the wait: the call may
+	// hang on a connection that has gone silent.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	done := make(chan struct{})
+	defer close(done)
+
+	go func() {
+		select {
+		case <-n.configBehind:
+			// An answer that is on its way comes within a few milliseconds.
+			_ = clock.Sleep(ctx, configLate)
+
+			cancel()
+		case <-done:
+		}
+	}()
+
+	c, version, err := n.cfg.Source.ConfigurationAfter(ctx, after, configWaitLong)
+	if ctx.Err() != nil {
+		return n.cfg.Source.Configuration(context.WithoutCancel(ctx))
+	}
+
+	return c, version, err
+}
+
+// configLate is how much later than the holder an entry may hear of a
+// configuration from the store.
+const configLate = 100 * time.Millisecond
+
+// led reports whether another entry holds the lease and is heard, so that it
+// tells of what changes in the store.
+func (n *Node) led() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.news.Holder != n.cfg.Self && time.Since(n.heard) < holderFresh
+}
+
+// targetsTurn waits until it is time to look at the list of targets.
+func (n *Node) targetsTurn(ctx context.Context) {
+	looked := time.Now()
+	pause, long := jitter(targetsPause), jitter(targetsPauseLong)
+	t := time.NewTicker(turnCheck)
+
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.listBehind:
+			return
+		case <-t.C:
+		}
+
+		if waited := time.Since(looked); waited >= long || waited >= pause && !n.led() {
+			return
+		}
+	}
 }
 
 // putInForce takes a configuration in, unless it is older than the one in
@@ -76,6 +149,7 @@
 	n.routes.Store(route.NewTable(c))
 	n.cfg.Log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Msg("configuration in force")
 	poke(n.changed)
+	n.holder.Announce()
 }
 
 // watchTargets keeps the list of targets up to date.
@@ -104,7 +178,7 @@
 			after = 0
 		}
 
-		_ = clock.Sleep(ctx, jitter(targetsPause))
+		n.targetsTurn(ctx)
 	}
 }
 
@@ -142,6 +216,9 @@
 	}
 
 	n.list = version
+	if n.changesUse(changes, whole) {
+		n.usable = version
+	}
 
 	if whole {
 		n.book.Replace(changes, now)
@@ -159,12 +236,29 @@
 
 	if len(changes) > 0 || whole {
 		poke(n.changed)
-		n.holder.Wake()
+		n.holder.Announce()
 	}
 
 	return true
 }
 
+// changesUse reports whether changes of the list change which targets may be
+// used, and not only what they hold. The caller holds the lock.
+func (n *Node) changesUse(changes []inventory.Change, whole bool) bool {
+	if whole {
+		return true
+	}
+
+	for _, c := range changes {
+		old, known := n.known[c.ID]
+		if c.Removed || c.Err != nil || !known || old.Leaving != c.Target.Leaving || old.Born != c.Target.Born || old.Address != c.Target.Address {
+			return true
+		}
+	}
+
+	return false
+}
+
 func (n *Node) logChange(c inventory.Change) {
 	switch {
 	case c.Err != nil:
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// Announce makes the holder publish at once, because what entries must know
+// has changed.
+func (h *Holder) Announce() {
+	h.mu.Lock()
+	h.published = false
+	h.mu.Unlock()
+	h.Wake()
+}
+
 func (h *Holder) step(ctx context.Context) time.Duration {
 	h.mu.Lock()
 	held, draining := h.held, h.draining
--- a/internal/placement/holder/news.go
+++ b/internal/placement/holder/news.go
@@ -19,6 +19,11 @@
 	// LeaseVersion is that of the lease row, so that entries see renewals
 	// without reading it.
 	LeaseVersion uint64
+	// Config is the version of the configuration that the holder has in force,
+	// and List that of the list at the last change of which targets may be
+	// used. Entries that are behind read the store at once; the others need
+	// not.
+	Config, List uint64
 	// Successor is set when the holder gave the lease up.
 	Successor instance.ID
 	Stations  []Station
