--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -88,7 +88,9 @@
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(memoryLimit)
 
-	s, err := Load(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+
+	s, err := Load(path)
 	if err != nil {
 		return err
 	}
@@ -102,8 +104,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 
-	signal.Ignore(syscall.SIGHUP)
-
 	store := &platform.Store{Address: s.Store, HTTP: client()}
 	n := node.New(node.Config{
 		Self: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics, Seeds: s.Seeds,
@@ -112,6 +112,9 @@
 		Log: log, Dropped: book.Dropped,
 	})
 
+	r := reloader{path: path, last: *s, log: log, apply: func(s *Settings) { n.Allow(s.Allowance) }}
+	go r.run(ctx)
+
 	return n.Run(ctx)
 }
 
--- a/internal/cli/member/member_test.go
+++ b/internal/cli/member/member_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/platform"
@@ -37,6 +38,25 @@
 	assert.Equal(t, s.Allowance.Burst, 54.0)
 }
 
+// TestReload: the settings file changes, then holds nonsense, then is as
+// before. Only what can be used is taken in, and once.
+func TestReload(t *testing.T) {
+	path := write(t, good)
+	first, err := Load(path)
+	assert.NilError(t, err)
+
+	var got []float64
+
+	r := reloader{path: path, last: *first, log: zerolog.Nop(), apply: func(s *Settings) { got = append(got, s.Allowance.Burst) }}
+
+	for _, text := range []string{good, strings.Replace(good, "54", "30", 1), "{", strings.Replace(good, "54", "30", 1), good} {
+		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+		r.look()
+	}
+
+	assert.DeepEqual(t, got, []float64{30, 54})
+}
+
 // TestCheckNamesEveryFault holds that one message names all that is wrong, and
 // that the exit code says so.
 func TestCheckNamesEveryFault(t *testing.T) {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -141,6 +141,9 @@
 	return n
 }
 
+// Allow replaces the allowance for sending requests once more.
+func (n *Node) Allow(a relay.Allowance) { n.budgets.Allow(a) }
+
 // maxWaiting bounds the requests that wait for one model on this entry.
 const maxWaiting = 256
 
--- a/internal/serving/relay/budget.go
+++ b/internal/serving/relay/budget.go
@@ -37,6 +37,14 @@
 	at   time.Time
 }
 
+// Allow replaces the allowance, because the settings changed.
+func (b *Budgets) Allow(a Allowance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.Allowance = a
+}
+
 // Share sets how many entries there are.
 func (b *Budgets) Share(entries int) {
 	b.mu.Lock()
