--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -310,14 +310,11 @@
 // conflict finds out whether the lease was lost, or whether an earlier renewal
 // took effect after its answer was given up.
 func (h *Holder) conflict(ctx context.Context, held lease.Held) {
-	rows, err := h.cfg.Table.Read(ctx, record.LeaseKey(cell))
+	version, own, err := h.ownRow(ctx, held.Token)
 	if err != nil {
 		return
 	}
 
-	current, err := record.DecodeLease(cell, rows[0].Value)
-	own := err == nil && current.Process == h.cfg.Process && current.Token == held.Token && !current.Released
-
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
@@ -326,12 +323,12 @@
 	}
 
 	if own {
-		h.held.Version = rows[0].Version
+		h.held.Version = version
 
 		return
 	}
 
-	h.cfg.Log.Warn().Uint64("token", held.Token).Str("holder", string(current.Holder)).Msg("lease lost")
+	h.cfg.Log.Warn().Uint64("token", held.Token).Uint64("row", version).Msg("lease lost")
 	h.held = lease.Held{}
 	h.watch = lease.Watch{}
 }
@@ -369,7 +366,7 @@
 	news := h.last
 	h.mu.Unlock()
 
-	version, err := h.writeLease(ctx, next, version)
+	version, err := h.writeRelease(ctx, next, version)
 	if err != nil {
 		h.cfg.Log.Warn().Err(err).Msg("lease not released")
 
@@ -404,6 +401,38 @@
 	return nil
 }
 
+// writeRelease writes the release over the row, also when a renewal of this
+// process that was on its way has changed it meanwhile.
+func (h *Holder) writeRelease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
+	for {
+		written, err := h.writeLease(ctx, next, version)
+		if err == nil || !table.IsConflict(err) {
+			return written, err
+		}
+
+		now, own, readErr := h.ownRow(ctx, next.Token)
+		if readErr != nil || !own {
+			return 0, err
+		}
+
+		version = now
+	}
+}
+
+// ownRow reads the lease row. It reports whether that names this process with
+// the token, and the row's version.
+func (h *Holder) ownRow(ctx context.Context, token uint64) (version uint64, own bool, err error) {
+	rows, err := h.cfg.Table.Read(ctx, record.LeaseKey(cell))
+	if err != nil {
+		return 0, false, err
+	}
+
+	current, err := record.DecodeLease(cell, rows[0].Value)
+	own = err == nil && current.Process == h.cfg.Process && current.Token == token && !current.Released
+
+	return rows[0].Version, own, nil
+}
+
 // settled waits until no order is in hand.
 func (h *Holder) settled(ctx context.Context) bool {
 	done := make(chan struct{})
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -511,6 +511,27 @@
 	})
 }
 
+// TestReleaseDuringRenewal: the table is slow and a renewal is on its way when
+// the holder stops. The renewal changes the row under the release, which must
+// not be given up for it: nobody would order until the lease lapses.
+func TestReleaseDuringRenewal(t *testing.T) {
+	for offset := range 9 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 2)
+			time.Sleep(5 * time.Second)
+			w.table.SetFaults(platform.Faults{TableDelay: 250 * time.Millisecond})
+			time.Sleep(time.Second + time.Duration(offset)*100*time.Millisecond)
+
+			old := w.holding()
+			w.holders[old].Release(t.Context())
+			time.Sleep(1300 * time.Millisecond)
+
+			assert.Assert(t, w.holding() != "" && w.holding() != old, "offset %d", offset)
+			w.finishReleased()
+		})
+	}
+}
+
 // TestTableDown: the table is down for longer than the lease. Nobody orders
 // once the lease has lapsed, and the same holder goes on when the table is
 // back.
