--- a/internal/placement/swap/fill.go
+++ b/internal/placement/swap/fill.go
@@ -32,12 +32,18 @@
 	free := p.free()
 	left := int(idleShare * float64(p.serving()))
 
+	if len(free) <= left {
+		return
+	}
+
+	somewhere := p.somewhere()
+
 	for _, m := range p.missing() {
 		if len(free) <= left {
 			return
 		}
 
-		at := slices.IndexFunc(free, func(t *Target) bool { return p.fits(t, m) && p.near(t, m) })
+		at := slices.IndexFunc(free, func(t *Target) bool { return p.fits(t, m) && p.near(t, m, somewhere) })
 		if at < 0 {
 			continue
 		}
@@ -94,8 +100,13 @@
 		}
 	}
 
+	spread := make(map[string]uint64, len(out))
+	for _, m := range out {
+		spread[m.Name] = p.spread(m.Name)
+	}
+
 	slices.SortFunc(out, func(a, b route.Model) int {
-		return cmp.Or(-cmp.Compare(p.Rate[a.Name], p.Rate[b.Name]), cmp.Compare(p.spread(a.Name), p.spread(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(-cmp.Compare(p.Rate[a.Name], p.Rate[b.Name]), cmp.Compare(spread[a.Name], spread[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 
 	return out
@@ -118,15 +129,27 @@
 
 // near reports whether the model may be loaded on the target from where its
 // weights are.
-func (p *planner) near(t *Target, m route.Model) bool {
+func (p *planner) near(t *Target, m route.Model, somewhere map[string]bool) bool {
 	if t.AtHand[m.Name] != 0 {
 		return true
 	}
 
-	return p.store > urgentStore && !p.anywhere(m.Name)
+	return p.store > urgentStore && !somewhere[m.Name]
 }
 
-// anywhere reports whether the model's weights are at hand on some target.
-func (p *planner) anywhere(model string) bool {
-	return slices.ContainsFunc(p.Targets, func(t Target) bool { return t.Serving && t.AtHand[model] != 0 })
+// somewhere returns the models whose weights are at hand on some target.
+func (p *planner) somewhere() map[string]bool {
+	out := make(map[string]bool)
+
+	for i := range p.Targets {
+		if !p.Targets[i].Serving {
+			continue
+		}
+
+		for model := range p.Targets[i].AtHand {
+			out[model] = true
+		}
+	}
+
+	return out
 }
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -110,6 +110,35 @@
 	}
 }
 
+// TestFill holds what is loaded although nobody waits: what is nowhere, into
+// free memory, from disk, or from the store if it is on no disk and the store
+// has room beside what may become urgent. Half the targets stay free.
+func TestFill(t *testing.T) {
+	cases := map[string]struct {
+		targets []Target
+		store   int
+		want    []string
+	}{
+		"from disk":                         {[]Target{on("a", "m0").disk("m1"), on("b", "m2", "m3", "m4")}, 1, []string{"a m1 false"}},
+		"half of the targets stay free":     {[]Target{on("a", "m0").disk("m1"), on("b", "m2").disk("m3")}, 1, []string{"a m1 false"}},
+		"nothing makes way":                 {[]Target{on("a", "m0", "m1", "m2").disk("m3"), on("b")}, 1, nil},
+		"from the store, beside the urgent": {[]Target{on("a"), on("b", "m0", "m1", "m2").disk("m3", "m4")}, 2, []string{"a m5 true"}},
+		"the store is left for the urgent":  {[]Target{on("a"), on("b", "m0", "m1", "m2").disk("m3", "m4")}, 1, nil},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			for _, m := range Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, StoreLoads: c.store}) {
+				got = append(got, fmt.Sprintf("%s %s %t", m.Target, m.Load, m.From == target.TierRemote))
+				assert.Equal(t, m.For, ForLater)
+			}
+
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
 // TestPlanKeepsTheBounds holds for any state: no target is given more than
 // fits or two moves, nothing that is wanted makes way, no model is ordered
 // where it is, and the weight store carries no more than it may.
