--- a/internal/fleet/inventory/inventory.go
+++ b/internal/fleet/inventory/inventory.go
@@ -23,7 +23,8 @@
 	// Born is when the target's process started, in milliseconds since 1970
 	// by the target's clock. Zero means that it did not say.
 	Born int64
-	// Sequence is how many orders the process had accepted.
+	// Sequence is the number in the target's entry. It may count heartbeats, so
+	// orders go by the engine's own report.
 	Sequence uint64
 	Held     []Held
 	// InMemory and OnDisk are the models whose weights are at hand.
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -63,7 +63,10 @@
 
 // run makes this entry known and greets the others.
 func (p *peers) run(ctx context.Context) {
-	var scanned time.Time
+	var (
+		scanned time.Time
+		link    link
+	)
 
 	written := false
 
@@ -75,9 +78,12 @@
 		}
 
 		if scanned.IsZero() || time.Since(scanned) > scanEvery {
-			if p.scan(ctx) == nil && written {
+			err := p.scan(ctx)
+			if err == nil && written {
 				scanned = time.Now()
 			}
+
+			link.note(p.node, "entries", err)
 		}
 
 		p.greetAll(ctx)
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -518,6 +518,7 @@
 	for offset := range 9 {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, 2)
+
 			time.Sleep(5 * time.Second)
 			w.table.SetFaults(platform.Faults{TableDelay: 250 * time.Millisecond})
 			time.Sleep(time.Second + time.Duration(offset)*100*time.Millisecond)
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -114,6 +114,8 @@
 			}
 		case out == Accepted || out == Holds:
 			h.accepted(s, o, out)
+			h.cfg.Log.Info().Str("target", string(s.origin.ID)).Str("model", o.Model).Str("adapter", o.Adapter).Bool("unload", o.Unload).
+				Uint64("sequence", o.Sequence).Int("tries", tries+1).Dur("took", clock.Now().Sub(began)).Msg("order accepted")
 
 			return true
 		case out == Busy && clock.Now().Sub(began) < busyMost:
