fix: a pause between two looks at the store is no outage

Cause: entries that hear the holder look at the list every four seconds, and the book of targets took a gap of two seconds for an outage of the store. An outage is now a failure that lasts, and a holder that has lost the store says so, so that the others look for themselves. Ruled out: news that came late (they were heard within 30 ms).

--- a/internal/fleet/inventory/inventory.go
+++ b/internal/fleet/inventory/inventory.go
@@ -71,9 +71,10 @@
 	// seconds; a target that left must be dropped within two, so this stays
 	// below.
 	returnGrace = 1700 * time.Millisecond
-	// outage is from how long a silence of the store on entries may have
-	// lapsed. Targets write a heartbeat each 1.2 s and lapse after three.
-	outage = 2 * time.Second
+	// outage is from how long the store must have failed for entries to have
+	// lapsed. Targets lapse after three heartbeats of 1.2 s; an entry that looks
+	// seldom notices the failure up to three seconds late.
+	outage = 500 * time.Millisecond
 )
 
 // Book is what is known of the targets. The zero value is empty. It is not
@@ -83,19 +84,27 @@
 	// missing are targets whose entries vanished around an outage, and until
 	// when they are kept.
 	missing map[instance.ID]time.Time
-	// heard is when the store last answered.
-	heard time.Time
+	// lost is when the store first failed since it last answered; zero means
+	// that it has not.
+	lost time.Time
 	// back is when the store last returned from an outage.
 	back time.Time
 }
 
 // Heard records that the store answered at now.
 func (b *Book) Heard(now time.Time) {
-	if !b.heard.IsZero() && now.Sub(b.heard) > outage {
+	if !b.lost.IsZero() && now.Sub(b.lost) > outage {
 		b.back = now
 	}
 
-	b.heard = now
+	b.lost = time.Time{}
+}
+
+// Failed records that the store did not answer at now.
+func (b *Book) Failed(now time.Time) {
+	if b.lost.IsZero() {
+		b.lost = now
+	}
 }
 
 // Apply takes in changes and returns what they changed.
--- a/internal/fleet/inventory/inventory_test.go
+++ b/internal/fleet/inventory/inventory_test.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -23,22 +24,25 @@
 // TestRemoval holds when a target whose entry vanished is dropped. While the
 // store is away nobody can write a heartbeat, so right after its return the
 // entries of living targets are missing for up to two seconds, and dropping
-// them all would refuse every request.
+// them all would refuse every request. A pause between two looks at the store
+// is no outage: a target that left would be sent to for longer than allowed.
 func TestRemoval(t *testing.T) {
 	cases := map[string]struct {
-		// heard are the times at which the store answered before the removal
-		// is read at 10000.
-		heard   []int
-		leaving bool
+		// failed and heard are the times at which the store did not answer and
+		// did, before the removal is read at 10000.
+		failed, heard []int
+		leaving       bool
 		// kept is for how long the target is still known.
 		kept time.Duration
 	}{
-		"in calm":                        {[]int{8000, 9000, 10000}, false, 0},
-		"right after an outage":          {[]int{2000, 10000}, false, returnGrace},
-		"a second after an outage":       {[]int{2000, 9000, 10000}, false, returnGrace - time.Second},
-		"long after an outage":           {[]int{2000, 6000, 7000, 8000, 9000, 10000}, false, 0},
-		"leaving, right after an outage": {[]int{2000, 10000}, true, 0},
-		"at the first look":              {[]int{10000}, false, 0},
+		"in calm":                          {nil, []int{8000, 9000, 10000}, false, 0},
+		"after a long pause between looks": {nil, []int{2000, 10000}, false, 0},
+		"after one call that failed":       {[]int{9800}, []int{2000, 10000}, false, 0},
+		"right after an outage":            {[]int{4000, 6000, 9000}, []int{2000, 10000}, false, returnGrace},
+		"a second after an outage":         {[]int{4000, 6000}, []int{2000, 9000, 10000}, false, returnGrace - time.Second},
+		"long after an outage":             {[]int{3000, 5000}, []int{2000, 6000, 7000, 8000, 9000, 10000}, false, 0},
+		"leaving, right after an outage":   {[]int{4000, 6000, 9000}, []int{2000, 10000}, true, 0},
+		"at the first look":                {nil, []int{10000}, false, 0},
 	}
 
 	for name, c := range cases {
@@ -49,8 +53,14 @@
 			first[0].Target.Leaving = c.leaving
 			b.Apply(first, at(0))
 
-			for _, ms := range c.heard {
-				b.Heard(at(ms))
+			for ms := 0; ms <= 10000; ms += 100 {
+				if slices.Contains(c.failed, ms) {
+					b.Failed(at(ms))
+				}
+
+				if slices.Contains(c.heard, ms) {
+					b.Heard(at(ms))
+				}
 			}
 
 			b.Replace(listed("b"), at(10000))
@@ -77,6 +87,7 @@
 
 	b.Apply(listed("a"), at(0))
 	b.Heard(at(0))
+	b.Failed(at(2000))
 	b.Heard(at(5000))
 	b.Apply([]Change{{ID: "a", Removed: true}}, at(5000))
 	b.Apply(listed("a"), at(6000))
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -370,6 +370,8 @@
 		latest.Config = c.Version
 	}
 
+	latest.StoreLost = n.lostTargets.Load() || n.lostConfig.Load()
+
 	n.mu.Lock()
 	latest.List = n.usable
 	n.mu.Unlock()
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -110,7 +110,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	return n.news.Holder != n.cfg.Self && time.Since(n.heard) < holderFresh
+	return n.news.Holder != n.cfg.Self && !n.news.StoreLost && time.Since(n.heard) < holderFresh
 }
 
 // targetsTurn waits until it is time to look at the list of targets.
@@ -165,6 +165,8 @@
 		n.lostTargets.Store(link.lost)
 
 		if err != nil {
+			n.noteFailure(err)
+
 			after = restart(err, after)
 			_ = clock.Sleep(ctx, jitter(failurePause))
 
@@ -182,6 +184,20 @@
 	}
 }
 
+// noteFailure records that the store did not answer, which lost history does
+// not mean.
+func (n *Node) noteFailure(err error) {
+	var gone *inventory.HistoryGoneError
+	if errors.As(err, &gone) {
+		return
+	}
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.book.Failed(time.Now())
+}
+
 func (n *Node) nextTargets(ctx context.Context, after uint64) ([]inventory.Change, uint64, error) {
 	if after == 0 {
 		return n.cfg.Source.Targets(ctx)
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -154,6 +154,7 @@
 	Holder, Process, Successor  string
 	Token, Number, LeaseVersion uint64
 	Config, List                uint64
+	StoreLost                   bool
 	Stations                    []StationMessage
 }
 
@@ -191,7 +192,7 @@
 func fromNews(n holder.News, now time.Time) Message {
 	out := Message{
 		Holder: string(n.Holder), Process: n.Process, Successor: string(n.Successor),
-		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion, Config: n.Config, List: n.List,
+		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion, Config: n.Config, List: n.List, StoreLost: n.StoreLost,
 	}
 
 	for _, s := range n.Stations {
@@ -216,7 +217,7 @@
 	at := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
 	out := holder.News{
 		Holder: instance.ID(n.Holder), Process: n.Process, Successor: instance.ID(n.Successor),
-		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion, Config: n.Config, List: n.List,
+		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion, Config: n.Config, List: n.List, StoreLost: n.StoreLost,
 	}
 
 	for _, s := range n.Stations {
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -73,7 +73,7 @@
 
 	now := time.Now()
 	sent := holder.News{
-		Holder: "h", Process: "p", Successor: "s", Token: 3, Number: 4, LeaseVersion: 5, Config: 6, List: 7,
+		Holder: "h", Process: "p", Successor: "s", Token: 3, Number: 4, LeaseVersion: 5, Config: 6, List: 7, StoreLost: true,
 		Stations: []holder.Station{{Target: "t", Born: 6, Sequence: 7, Running: 8, Held: []holder.Held{{
 			Model: "m", Ready: now.Add(time.Second), Adapters: []holder.Adapter{{Name: "a", Ready: now.Add(-time.Second)}},
 		}}}},
@@ -84,6 +84,7 @@
 
 	assert.Equal(t, got.news.Config, uint64(6))
 	assert.Equal(t, got.news.List, uint64(7))
+	assert.Assert(t, got.news.StoreLost)
 
 	station := got.news.Stations[0]
 	assert.Equal(t, station.Sequence, uint64(7))
