--- /dev/null
+++ b/internal/fleet/node/handler.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/wire/news"
+)
+
+// Greet implements news.Handler.
+func (n *Node) Greet(g news.Greeting) news.Greeting {
+	ctx := context.Background()
+	n.peers.meet(ctx, g.Name, g.Address, g.Process)
+
+	for _, k := range g.Known {
+		if n.peers.of(instance.ID(k[0])) == nil {
+			n.peers.meet(ctx, k[0], k[1], k[2])
+		}
+	}
+
+	n.peers.mu.Lock()
+	if q := n.peers.all[instance.ID(g.Name)]; q != nil && q.process == g.Process {
+		q.answered, q.leaving = time.Now(), g.Leaving
+	}
+	n.peers.mu.Unlock()
+
+	return n.peers.greeting(n.stopping.Load())
+}
+
+// Hear implements news.Handler.
+func (n *Node) Hear(latest holder.News) {
+	if !n.holder.Hear(latest) {
+		return
+	}
+
+	n.takeNews(latest)
+}
+
+func (n *Node) takeNews(latest holder.News) {
+	n.mu.Lock()
+	if n.news.Token != latest.Token {
+		n.cfg.Log.Info().Str("holder", string(latest.Holder)).Uint64("token", latest.Token).Msg("holder heard")
+	}
+
+	n.news, n.heard = latest, time.Now()
+	behind := n.list < latest.List
+	n.mu.Unlock()
+	poke(n.changed)
+
+	if behind {
+		poke(n.listBehind)
+	}
+
+	if c := n.config(); c != nil && c.Version < latest.Config {
+		poke(n.configBehind)
+	}
+}
+
+// publish hands this holder's news to everybody.
+func (n *Node) publish(latest holder.News) {
+	if c := n.config(); c != nil {
+		latest.Config = c.Version
+	}
+
+	latest.StoreLost = n.lostTargets.Load() || n.lostConfig.Load()
+
+	n.mu.Lock()
+	latest.List = n.usable
+	n.mu.Unlock()
+
+	n.takeNews(latest)
+
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+
+	for _, q := range n.peers.all {
+		q.latest = latest
+		poke(q.kick)
+	}
+}
+
+// Report implements news.Handler.
+func (n *Node) Report(r demand.Report, missing []holder.Missing) error {
+	return n.holder.Report(r, missing)
+}
+
+// Block implements news.Handler.
+func (n *Node) Block(fp request.Fingerprint) { n.lines.Block(fp) }
+
+// noticed spreads what was found on a request's path.
+func (n *Node) noticed(notice dispatch.Notice) {
+	if notice.Poisoned == 0 {
+		return
+	}
+
+	n.cfg.Log.Warn().Uint64("fingerprint", uint64(notice.Poisoned)).Msg("request crashes targets")
+
+	for _, q := range n.peers.list() {
+		go func() {
+			// A peer that does not hear it finds out by itself.
+			_ = q.client.Block(context.Background(), notice.Poisoned)
+		}()
+	}
+}
+
+const (
+	// reportEvery is how often an entry reports when nothing new waits.
+	reportEvery = 400 * time.Millisecond
+	// gather is how long a report waits for further requests.
+	gather = 3 * time.Millisecond
+)
+
+// report tells the holder what this entry's requests wait for and run on.
+func (n *Node) report(ctx context.Context) {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.asked:
+			_ = clock.Sleep(ctx, gather)
+		case <-t.C:
+		}
+
+		n.reportOnce(ctx)
+	}
+}
+
+func (n *Node) reportOnce(ctx context.Context) {
+	waiting, uses := n.lines.Report(0)
+	r := demand.Report{Entry: n.cfg.Self, Process: n.process, Waiting: waiting, Uses: uses}
+
+	n.mu.Lock()
+	missing := n.missing
+	n.missing = nil
+	n.mu.Unlock()
+
+	if n.holder.Holding() {
+		_ = n.holder.Report(r, missing) // It may just have lost the lease, then the next report goes elsewhere.
+
+		return
+	}
+
+	q := n.peers.of(n.holder.Known())
+	if q == nil {
+		return
+	}
+
+	go func() {
+		if err := q.client.Report(ctx, r, missing); err != nil && ctx.Err() == nil {
+			n.cfg.Log.Debug().Err(err).Str("holder", string(q.id)).Msg("report not taken")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/placement/holder/tenure.go
@@ -0,0 +1,292 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/wire/record"
+)
+
+// look reads the lease and takes it if it is free.
+func (h *Holder) look(ctx context.Context) {
+	h.mu.Lock()
+	h.retry = clock.Now().Add(lookEvery)
+	h.mu.Unlock()
+
+	key := record.LeaseKey(cell)
+
+	rows, err := h.cfg.Table.Read(ctx, key)
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Msg("lease not read")
+
+		return
+	}
+
+	var current lease.Record
+
+	if rows[0].Version != 0 {
+		if current, err = record.DecodeLease(cell, rows[0].Value); err != nil {
+			h.cfg.Log.Error().Err(err).Msg("lease row cannot be read")
+
+			return
+		}
+	}
+
+	now := clock.Now()
+
+	h.mu.Lock()
+	h.watch.Observe(rows[0].Version, current, now)
+	free := h.watch.Free(now, h.cfg.Terms, h.cfg.Self, h.rank())
+	h.mu.Unlock()
+
+	if free || current.Holder == h.cfg.Self && current.Process != h.cfg.Process {
+		h.take(ctx, current, rows[0].Version)
+	}
+}
+
+// rank returns this entry's place among the candidates.
+func (h *Holder) rank() int {
+	ids := append([]instance.ID{h.cfg.Self}, h.cfg.Peers()...)
+	for i, id := range instance.Rank("holder", ids) {
+		if id == h.cfg.Self {
+			return i
+		}
+	}
+
+	return 0
+}
+
+func (h *Holder) take(ctx context.Context, old lease.Record, version uint64) {
+	next := lease.Record{
+		Cell: cell, Holder: h.cfg.Self, Process: h.cfg.Process, Token: old.Token + 1, WriteID: uuid.NewString(),
+	}
+	sent := clock.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Terms.Duration/2)
+	defer cancel()
+
+	version, err := h.writeLease(ctx, next, version)
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Msg("lease not taken")
+
+		return
+	}
+
+	h.mu.Lock()
+	h.held = lease.Held{Record: next, Version: version, Fence: version, Sent: sent}
+	h.mayOrder = h.firstOrder(old, sent)
+	h.number, h.published = 0, false
+	h.adopt()
+	mayOrder := h.mayOrder
+	h.mu.Unlock()
+
+	h.cfg.Log.Info().Uint64("token", next.Token).Str("former", string(old.Holder)).Bool("released", old.Released).
+		Dur("ordersIn", mayOrder.Sub(sent)).Msg("lease taken")
+}
+
+// firstOrder returns from when on this holder may send orders. A former holder
+// that released the lease has none in hand; of any other the last may have
+// been sent right before its lease lapsed. A process that has just started may
+// follow a holder on the same instance, whose orders count as its own.
+func (h *Holder) firstOrder(old lease.Record, now time.Time) time.Time {
+	first := h.started.Add(h.cfg.TurnPause)
+	if old.Token == 0 || old.Released {
+		return first
+	}
+
+	if t := now.Add(h.cfg.TurnPause - h.cfg.Terms.Duration + clockSlack); t.After(first) {
+		return t
+	}
+
+	return first
+}
+
+// clockSlack covers what the clocks of two instances and the way of an order
+// may differ by.
+const clockSlack = 400 * time.Millisecond
+
+func (h *Holder) writeLease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
+	key := record.LeaseKey(cell)
+
+	return table.Settle(ctx, h.cfg.Table, table.Transaction{
+		Conditions: []table.Condition{{Key: key, Version: version}},
+		Writes:     []table.Write{{Key: key, Value: record.EncodeLease(next)}},
+	})
+}
+
+// renewIfDue writes the lease again in the background of the decisions.
+func (h *Holder) renewIfDue(ctx context.Context, held lease.Held) {
+	now := clock.Now()
+	if now.Before(held.Sent.Add(h.cfg.Terms.Renew)) {
+		return
+	}
+
+	h.mu.Lock()
+	again := now.Before(h.retry)
+
+	if !again {
+		h.retry = now.Add(h.cfg.Terms.Renew / 2) //nolint:mnd // Two tries in the time of one renewal.
+	}
+	h.mu.Unlock()
+
+	if !again {
+		go h.renew(ctx, held)
+	}
+}
+
+func (h *Holder) renew(ctx context.Context, held lease.Held) {
+	next := held.Record
+	next.WriteID = uuid.NewString()
+	sent := clock.Now()
+
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.Terms.Renew)
+	defer cancel()
+
+	version, err := h.writeLease(ctx, next, held.Version)
+
+	switch {
+	case err == nil:
+		h.renewed(next, version, sent)
+	case table.IsConflict(err):
+		h.conflict(ctx, held)
+	default:
+		h.cfg.Log.Warn().Err(err).Uint64("token", held.Token).Dur("leaseAge", clock.Now().Sub(held.Sent)).Msg("lease not renewed")
+	}
+}
+
+func (h *Holder) renewed(next lease.Record, version uint64, sent time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.held.Token == next.Token && sent.After(h.held.Sent) {
+		h.held.Record, h.held.Version, h.held.Sent = next, version, sent
+	}
+}
+
+// conflict finds out whether the lease was lost, or whether an earlier renewal
+// took effect after its answer was given up.
+func (h *Holder) conflict(ctx context.Context, held lease.Held) {
+	version, own, err := h.ownRow(ctx, held.Token)
+	if err != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.held.Token != held.Token {
+		return
+	}
+
+	if own {
+		h.held.Version = version
+
+		return
+	}
+
+	h.cfg.Log.Warn().Uint64("token", held.Token).Uint64("row", version).Msg("lease lost")
+	h.held = lease.Held{}
+	h.watch = lease.Watch{}
+}
+
+// Release gives the lease up to another entry, once no order is in hand.
+func (h *Holder) Release(ctx context.Context) {
+	h.mu.Lock()
+	h.draining = true
+	held := h.held
+	h.mu.Unlock()
+
+	if held.Token == 0 {
+		return
+	}
+
+	// An order in hand must be settled before another entry sends its own.
+	if !h.settled(ctx) {
+		h.cfg.Log.Warn().Msg("lease not released, orders are in hand")
+
+		return
+	}
+
+	peers := h.cfg.Peers()
+	if len(peers) == 0 {
+		return
+	}
+
+	next := held.Record
+	next.Released, next.WriteID = true, uuid.NewString()
+	next.Successor = instance.Rank("holder", peers)[0]
+
+	h.mu.Lock()
+	version := h.held.Version
+	h.held = lease.Held{}
+	news := h.last
+	h.mu.Unlock()
+
+	version, err := h.writeRelease(ctx, next, version)
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Msg("lease not released")
+
+		return
+	}
+
+	h.cfg.Log.Info().Str("successor", string(next.Successor)).Msg("lease released")
+
+	news.Number++
+	news.Successor, news.LeaseVersion = next.Successor, version
+	h.cfg.Publish(news)
+}
+
+// writeRelease writes the release over the row, also when a renewal of this
+// process that was on its way has changed it meanwhile.
+func (h *Holder) writeRelease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
+	for {
+		written, err := h.writeLease(ctx, next, version)
+		if err == nil || !table.IsConflict(err) {
+			return written, err
+		}
+
+		now, own, readErr := h.ownRow(ctx, next.Token)
+		if readErr != nil || !own {
+			return 0, err
+		}
+
+		version = now
+	}
+}
+
+// ownRow reads the lease row. It reports whether that names this process with
+// the token, and the row's version.
+func (h *Holder) ownRow(ctx context.Context, token uint64) (version uint64, own bool, err error) {
+	rows, err := h.cfg.Table.Read(ctx, record.LeaseKey(cell))
+	if err != nil {
+		return 0, false, err
+	}
+
+	current, err := record.DecodeLease(cell, rows[0].Value)
+	own = err == nil && current.Process == h.cfg.Process && current.Token == token && !current.Released
+
+	return rows[0].Version, own, nil
+}
+
+// settled waits until no order is in hand.
+func (h *Holder) settled(ctx context.Context) bool {
+	done := make(chan struct{})
+
+	go func() {
+		h.orders.Wait()
+		close(done)
+	}()
+
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
