--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -101,6 +101,10 @@
 }
 
 func (d *delivery) acquire(ctx context.Context) (*router.Target, error) {
+	if d.in(Ending) && !d.begun && d.route.Kind == route.Stream {
+		return nil, stopping()
+	}
+
 	q := router.Query{Affinity: d.req.Model + " " + d.ask.Shared, Suspect: d.suspect}
 	for _, id := range d.exclude {
 		q.Exclude = append(q.Exclude, instance.ID(id))
@@ -165,6 +169,10 @@
 	}
 
 	for !d.Budgets.Take(d.service, time.Now()) {
+		if d.in(Ending) && !d.begun {
+			return stopping()
+		}
+
 		if !time.Now().Add(budgetPause).Before(d.req.Deadline) {
 			return &OverBudgetError{Service: d.service}
 		}
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -570,6 +570,26 @@
 	})
 }
 
+// TestRejectedStreamIsRefusedAtTheEnd: a stream was rejected and waits for its
+// share of the repeats while its entry stops. It stands in no line then, and
+// would be cut off with the process instead of being told to go elsewhere.
+func TestRejectedStreamIsRefusedAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(_ int, _ call, w io.Writer, _ net.Conn) { say(w, "503 Full", "Not-Run: 1\r\n", "") },
+			route.Route{Kind: route.Stream, Timeout: time.Minute, Goal: 10 * time.Second})
+		w.server.Budgets.Allow(Allowance{Burst: 1, Window: time.Hour})
+		time.AfterFunc(time.Second, func() { w.server.Enter(Ending) })
+
+		began := time.Now()
+		rec, _ := w.do(t.Context(), "", "Left", "60000")
+
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, rec.Header().Get("Retry-After") != "")
+		assert.Assert(t, time.Since(began) <= 1500*time.Millisecond, "took %s", time.Since(began))
+		w.end()
+	})
+}
+
 // TestProper holds the answers to requests that no target sees.
 func TestProper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -72,9 +72,22 @@
 		return
 	}
 
-	s.Lines.RefuseWaiting(func(*request.Request) *request.Refusal {
-		return request.Refuse(request.ShuttingDown, elsewhereRetry, "this instance is stopping")
-	})
+	refuse := func() {
+		s.Lines.RefuseWaiting(func(*request.Request) *request.Refusal { return stopping() })
+	}
+
+	refuse()
+	// Again for those that were on their way into a line.
+	time.AfterFunc(stragglers, refuse)
+}
+
+// stragglers is how long after the phase began a request may still get into a
+// line.
+const stragglers = 100 * time.Millisecond
+
+// stopping refuses a request because this entry stops.
+func stopping() *request.Refusal {
+	return request.Refuse(request.ShuttingDown, elsewhereRetry, "this instance is stopping")
 }
 
 func (s *Server) in(p Phase) bool { return Phase(s.phase.Load()) >= p }
@@ -273,7 +286,7 @@
 	}
 
 	if d.in(Closing) && d.route.Kind == route.Stream {
-		d.end(request.Refuse(request.ShuttingDown, elsewhereRetry, "this instance is stopping"))
+		d.end(stopping())
 
 		return
 	}
