fix: leave a silent stream only for another target

The share of the repeats is now taken first. The test failed before. Ruled out: the end of the grace time (it had five seconds left).

--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -157,7 +157,7 @@
 func (d *delivery) backOff(ctx context.Context, err error) error {
 	var rejected *RejectedError
 	if !errors.As(err, &rejected) {
-		if d.Budgets.Take(d.service, time.Now()) {
+		if d.paid.Swap(false) || d.Budgets.Take(d.service, time.Now()) {
 			return nil
 		}
 
@@ -398,7 +398,7 @@
 	var (
 		buf   []byte
 		ev    = events{bufio.NewReader(a.Body)}
-		watch = time.AfterFunc(time.Hour, func() { _ = a.conn.Close() })
+		watch = time.AfterFunc(time.Hour, func() { d.leaveSilent(a) })
 	)
 
 	defer watch.Stop()
@@ -437,6 +437,21 @@
 	}
 }
 
+// leaveSilent closes the connection of a stream that has fallen silent, if the
+// stream may go on at another target.
+//
+// It guards against giving up an answer that still comes: a target under load
+// may be silent for seconds, and without a repeat left the caller would get
+// nothing more.
+func (d *delivery) leaveSilent(a *answer) {
+	if d.ran >= d.route.Attempts || d.in(Stopping) || !d.Budgets.Take(d.service, time.Now()) {
+		return
+	}
+
+	d.paid.Store(true)
+	a.conn.Close()
+}
+
 func (d *delivery) noteFirst(t *router.Target, sent time.Time) {
 	if d.first == 0 {
 		d.first = time.Since(d.arrived)
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -590,6 +590,28 @@
 	})
 }
 
+// TestSilentStreamIsKeptWithoutBudget: a target under load is silent for three
+// seconds in the middle of a stream, and no repeat is left. Closing its
+// connection would break off an answer that still comes.
+func TestSilentStreamIsKeptWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(_ int, _ call, w io.Writer, _ net.Conn) {
+			stream(w, 1, 2, false)
+			time.Sleep(3 * time.Second)
+
+			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n0\r\n\r\n", len(event(3)), event(3))
+		}, route.Route{Kind: route.Stream, Resumable: true, Timeout: 9 * time.Second})
+		w.server.Budgets.Allow(Allowance{Burst: 1, Window: time.Hour})
+		assert.Assert(t, w.server.Budgets.Take("s", time.Now()))
+
+		rec, aborted := w.do(t.Context(), "")
+		assert.Assert(t, !aborted)
+		assert.Equal(t, rec.Body.String(), event(1)+event(2)+event(3))
+		assert.Equal(t, w.sends(), 1)
+		w.end()
+	})
+}
+
 // TestProper holds the answers to requests that no target sees.
 func TestProper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -230,6 +230,8 @@
 	last  string
 	cold  bool
 	first time.Duration
+	// paid says that the next sending has its share of the repeats already.
+	paid atomic.Bool
 	// fallback is a target's own failure, which the caller gets if no other
 	// target does better.
 	fallback *whole
