--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -130,9 +129,7 @@
 // client returns a client whose connections find out when their other end is
 // silent.
 func client() *http.Client {
-	d := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: relay.KeepAlive(), Control: relay.Control}
-
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true,
+		DialContext: relay.Dialer(connectTimeout).DialContext, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTime, DisableCompression: true,
 	}}
 }
--- a/internal/fleet/clock/clock.go
+++ b/internal/fleet/clock/clock.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -18,3 +19,21 @@
 		return nil
 	}
 }
+
+// Wait waits for wg. It returns the context's error if that ends first; wg is
+// waited for on.
+func Wait(ctx context.Context, wg *sync.WaitGroup) error {
+	done := make(chan struct{})
+
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -293,20 +293,10 @@
 // waitAtMost waits for wg, but not for longer than d: a call to a silent store
 // must not keep a process past its grace time.
 func waitAtMost(wg *sync.WaitGroup, d time.Duration) {
-	done := make(chan struct{})
-
-	go func() {
-		wg.Wait()
-		close(done)
-	}()
-
-	t := time.NewTimer(d)
-	defer t.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
 
-	select {
-	case <-done:
-	case <-t.C:
-	}
+	_ = clock.Wait(ctx, wg) // What is late ends with the process.
 }
 
 // checks answers the platform's readiness checks.
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -131,15 +131,15 @@
 		return
 	}
 
-	wants := h.wants()
+	wants, used := h.wants(), h.usage()
 
 	for name, service := range routes.Services {
 		if service.Engine == nil {
 			continue
 		}
 
-		h.orderModels(ctx, name, service.Engine, wants, now)
-		h.orderAdapters(ctx, name, service.Engine, wants, now)
+		h.orderModels(ctx, name, service.Engine, wants, used, now)
+		h.orderAdapters(ctx, name, service.Engine, wants, used, now)
 	}
 }
 
@@ -172,13 +172,10 @@
 	return out
 }
 
-func (h *Holder) orderModels(ctx context.Context, service string, e *route.Engine, wants []want, now time.Time) {
+func (h *Holder) orderModels(ctx context.Context, service string, e *route.Engine, wants []want, used usage, now time.Time) {
 	v := &swap.View{
 		Now: now, Engine: e, Wants: byModel(service, wants), Rate: h.rates.perSecond, StoreLoads: storeLoads,
 	}
-	running := h.running()
-	uses := h.usesByModel()
-
 	for id, s := range h.stations {
 		if s.target.Service != service {
 			continue
@@ -188,7 +185,7 @@
 			v.StoreLoads--
 		}
 
-		v.Targets = append(v.Targets, s.view(now, running[id], uses[id]))
+		v.Targets = append(v.Targets, s.view(now, used.running[id], used.byModel[id]))
 	}
 
 	slices.SortFunc(v.Targets, func(a, b swap.Target) int { return cmp.Compare(a.ID, b.ID) })
@@ -256,21 +253,30 @@
 	return out
 }
 
-// usesByModel returns how many requests run on each model of each target.
-func (h *Holder) usesByModel() map[instance.ID]map[string]int {
-	out := make(map[instance.ID]map[string]int)
+// usage is how many requests run, over all entries.
+type usage struct {
+	// running counts them by target, and byModel by the target's models and
+	// adapters, an adapter's name behind its model's with a slash between.
+	running map[instance.ID]int
+	byModel map[instance.ID]map[string]int
+}
+
+// usage counts what the entries reported. The caller holds the lock.
+func (h *Holder) usage() usage {
+	out := usage{running: make(map[instance.ID]int), byModel: make(map[instance.ID]map[string]int)}
 
 	for _, u := range h.asks.Uses() {
 		_, model, adapter := splitKey(u.Model)
+		out.running[u.Target] += u.Running
 
-		if out[u.Target] == nil {
-			out[u.Target] = make(map[string]int)
+		if out.byModel[u.Target] == nil {
+			out.byModel[u.Target] = make(map[string]int)
 		}
 
-		out[u.Target][model] += u.Running
+		out.byModel[u.Target][model] += u.Running
 
 		if adapter != "" {
-			out[u.Target][model+"/"+adapter] += u.Running
+			out.byModel[u.Target][model+"/"+adapter] += u.Running
 		}
 	}
 
@@ -297,10 +303,7 @@
 	return t
 }
 
-func (h *Holder) orderAdapters(ctx context.Context, service string, e *route.Engine, wants []want, now time.Time) {
-	running := h.running()
-	uses := h.usesByModel()
-
+func (h *Holder) orderAdapters(ctx context.Context, service string, e *route.Engine, wants []want, used usage, now time.Time) {
 	for _, w := range wants {
 		if w.service != service || w.adapter == "" || w.Waiting == 0 || h.adapterPlaced(w) {
 			continue
@@ -310,7 +313,7 @@
 
 		for id, s := range h.stations {
 			if s.target.Service == service && s.takesAdapter(w.model, now) {
-				sites = append(sites, s.site(id, running[id], uses[id]))
+				sites = append(sites, s.site(id, used.running[id], used.byModel[id]))
 			}
 		}
 
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -214,7 +214,7 @@
 		Holder: h.cfg.Self, Process: h.cfg.Process, Token: h.held.Token, Number: h.number, LeaseVersion: h.held.Version,
 	}
 
-	running := h.running()
+	running := h.usage().running
 
 	for id, s := range h.stations {
 		st := Station{Target: id, Born: s.target.Born, Sequence: s.sequence, Running: running[id]}
@@ -238,13 +238,3 @@
 
 	return n
 }
-
-// running returns how many requests run on each target.
-func (h *Holder) running() map[instance.ID]int {
-	out := make(map[instance.ID]int)
-	for _, u := range h.asks.Uses() {
-		out[u.Target] += u.Running
-	}
-
-	return out
-}
--- a/internal/placement/holder/tenure.go
+++ b/internal/placement/holder/tenure.go
@@ -207,7 +207,7 @@
 	}
 
 	// An order in hand must be settled before another entry sends its own.
-	if !h.settled(ctx) {
+	if clock.Wait(ctx, &h.orders) != nil {
 		h.cfg.Log.Warn().Msg("lease not released, orders are in hand")
 
 		return
@@ -273,20 +273,3 @@
 
 	return rows[0].Version, own, nil
 }
-
-// settled waits until no order is in hand.
-func (h *Holder) settled(ctx context.Context) bool {
-	done := make(chan struct{})
-
-	go func() {
-		h.orders.Wait()
-		close(done)
-	}()
-
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/serving/relay/conn.go
+++ b/internal/serving/relay/conn.go
@@ -217,9 +217,13 @@
 	return errors.Join(err, failed)
 }
 
-// Dial opens a connection that finds out when its other end is silent.
-func Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: KeepAlive(), Control: Control}
+// Dialer returns a dialer whose connections find out when their other end is
+// silent.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: Control}
+}
 
-	return d.DialContext(ctx, "tcp", address.String())
+// Dial opens a connection to a target.
+func Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return Dialer(dialTimeout).DialContext(ctx, "tcp", address.String())
 }
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -92,7 +92,7 @@
 			return err
 		}
 
-		d.exclude = append(d.exclude[:0], string(t.ID))
+		d.exclude = append(d.exclude[:0], t.ID)
 
 		if again := d.backOff(ctx, err); again != nil {
 			return errors.Join(again, err)
@@ -105,10 +105,7 @@
 		return nil, stopping()
 	}
 
-	q := router.Query{Affinity: d.req.Model + " " + d.ask.Shared, Suspect: d.suspect}
-	for _, id := range d.exclude {
-		q.Exclude = append(q.Exclude, instance.ID(id))
-	}
+	q := router.Query{Affinity: d.req.Model + " " + d.ask.Shared, Suspect: d.suspect, Exclude: d.exclude}
 
 	t, cold, err := d.Lines.Acquire(ctx, d.req, q)
 	d.cold = d.cold || cold
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/room/metric"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -223,7 +224,7 @@
 	// ran counts the targets that may have run the request.
 	ran     int
 	suspect bool
-	exclude []string
+	exclude []instance.ID
 	// begun says that the answer's head has gone to the caller; last is then
 	// the id of the last event that went.
 	begun bool
