feat: explain tells one request's story from the logs of all processes

Cause: an on-call engineer had to grep an id over all logs and know what to look for.

Ruled out: a line at arrival alone; it says nothing of what decided.

Now a line for each choice of a target with what it rested on, one for each wait of over 50 ms with how many targets were full, leaving, dead or failing, the time that the caller gave, events and silence of a stream, and a steady stamp on every line, by which explain corrects clocks that were set.

--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -37,6 +37,7 @@
 	List     listCmd     `cmd:""         help:"Read and edit the two lists: plans and allowances."`
 	Status   statusCmd   `cmd:""         help:"Show the room's board in the terminal."`
 	Timeline timelineCmd `cmd:""         help:"Tell what happened, over all processes."`
+	Explain  explainCmd  `cmd:""         help:"Tell from logs what became of one request, and why."`
 	Standin  standinCmd  `cmd:""         help:"Run a small stand-in of the platform, an engine or a service."`
 	Measure  measureCmd  `cmd:""         help:"Reproduce the figures of the documents."`
 	Try      tryCmd      `cmd:""         help:"Run the whole path in one process on loopback, under load, and report."`
--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -98,7 +98,7 @@
 	defer book.Close()
 
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(book).With().Timestamp().Str("node", string(s.Name)).Logger()
+	log := zerolog.New(book).Hook(uptime{started: time.Now()}).With().Timestamp().Str("node", string(s.Name)).Logger()
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -117,6 +117,18 @@
 	return n.Run(ctx)
 }
 
+// uptime stamps each line with the milliseconds since the process started, by
+// the steady clock.
+//
+// It guards against a time of day that is set while a process runs: without it
+// the process's lines stand seconds away from what they caused elsewhere.
+type uptime struct{ started time.Time }
+
+// Run implements zerolog.Hook.
+func (u uptime) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Int64("up", time.Since(u.started).Milliseconds())
+}
+
 const (
 	// idleConns and idleTime bound the connections that are kept to the store
 	// and to each engine. Engines close theirs after a few seconds.
--- /dev/null
+++ b/internal/room/story/story.go
@@ -0,0 +1,201 @@
+package story
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The messages of the lines that end a request.
+const (
+	answered  = "request answered"
+	refused   = "request refused"
+	left      = "caller left"
+	brokenOff = "answer broken off"
+	failed    = "failure of a target passed on"
+)
+
+// The messages of other lines that a story rests on.
+const (
+	waits         = "request waits"
+	attemptFailed = "attempt failed"
+	swapDecided   = "swap decided"
+	adapterTold   = "adapter decided"
+	orderAccepted = "order accepted"
+	leaseTaken    = "lease taken"
+	leaseLost     = "lease lost"
+	leaseReleased = "lease released"
+	// The lease then lapses by itself.
+	leaseNotReleased = "lease not released"
+	leaseNotRenewed  = "lease not renewed"
+	targetDied       = "target died under a request"
+	stopMessage      = "stopping"
+	linesDropped     = "log lines dropped"
+)
+
+// Story is what became of one request.
+type Story struct {
+	Request string
+	// Lines are those about the request and those about what it met, in the
+	// order in which they happened.
+	Lines []Line
+	// Cause says in one sentence why the request ended as it did.
+	Cause string
+	// Missing says which part of the logs is not there.
+	Missing []string
+}
+
+const (
+	// before is for how long before a request's arrival lines still bear on
+	// it: a load from the weight store takes six seconds and longer.
+	before = 10 * time.Second
+	// after is for how long after its end they do: a death is found then.
+	after = time.Second
+)
+
+// facts are what the lines say of a request.
+type facts struct {
+	own     []Line
+	end     *Line
+	node    string
+	arrived time.Time
+	ended   time.Time
+	// model and adapter are what it needed, if it needed an engine.
+	model, adapter string
+	targets        []string
+	// around are the lines about what it met.
+	around []Line
+}
+
+// Tell finds the story of a request among the lines of all processes.
+func Tell(lines []Line, request string) Story {
+	lines = inOrder(lines)
+	f := gather(lines, request)
+	s := Story{Request: request}
+
+	if len(f.own) == 0 {
+		s.Cause = "no line names this request"
+		s.Missing = append(s.Missing, "the log of the instance that took it, or it never arrived")
+
+		return s
+	}
+
+	s.Lines = append(slices.Clone(f.own), f.around...)
+	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	s.Cause = f.cause()
+	s.Missing = f.missing(lines)
+
+	return s
+}
+
+func gather(lines []Line, request string) *facts {
+	f := &facts{}
+
+	for i := range lines {
+		l := &lines[i]
+		if l.Request != request {
+			continue
+		}
+
+		f.own = append(f.own, *l)
+		f.node = l.Node
+
+		if l.Key != "" {
+			_, rest, _ := strings.Cut(l.Key, "/")
+			f.model, f.adapter, _ = strings.Cut(rest, "/")
+		}
+
+		if l.Target != "" && !slices.Contains(f.targets, l.Target) {
+			f.targets = append(f.targets, l.Target)
+		}
+
+		switch l.Message {
+		case answered, refused, left, brokenOff, failed:
+			f.end = l
+		}
+	}
+
+	if len(f.own) == 0 {
+		return f
+	}
+
+	f.arrived, f.ended = f.own[0].At, f.own[len(f.own)-1].At
+	if f.end != nil {
+		f.arrived = f.end.At.Add(-f.end.Took)
+	}
+
+	for _, l := range lines {
+		if l.Request != request && l.At.After(f.arrived.Add(-before)) && l.At.Before(f.ended.Add(after)) && f.concerns(&l) {
+			f.around = append(f.around, l)
+		}
+	}
+
+	return f
+}
+
+// concerns reports whether a line bears on the request.
+func (f *facts) concerns(l *Line) bool {
+	switch l.Message {
+	case leaseTaken, leaseLost, leaseReleased, leaseNotRenewed, leaseNotReleased:
+		return f.model != ""
+	case "configuration in force", "store lost", "store regained", startMessage, stopMessage, "stopped", linesDropped, "targets learnt from a peer":
+		return l.Node == f.node
+	case targetDied, "target not reached", "target leaving", "target gone from the list", "address belongs to another target":
+		return l.Node == f.node && slices.Contains(f.targets, l.Target)
+	}
+
+	if l.Request != "" || f.model == "" {
+		return false
+	}
+
+	if l.Adapter != "" && l.Adapter != f.adapter {
+		return false
+	}
+
+	return l.Load == f.model || l.Model == f.model || slices.Contains(l.Unload, f.model)
+}
+
+// missing says what the logs should hold and do not.
+func (f *facts) missing(lines []Line) []string {
+	var out []string
+
+	dropped := 0
+
+	for _, l := range f.around {
+		dropped += l.Dropped
+	}
+
+	if dropped > 0 {
+		out = append(out, fmt.Sprintf("%s wrote %d lines too many, which were dropped", f.node, dropped))
+	}
+
+	logged := make(map[string]bool)
+	for _, l := range lines {
+		logged[l.Node] = true
+	}
+
+	for _, l := range f.around {
+		if l.Message != leaseTaken {
+			continue
+		}
+
+		if former := fieldOf(l.Details, "former"); former != "" && !logged[former] {
+			out = append(out, "the log of "+former+", which held the lease before "+l.Node)
+		}
+	}
+
+	return out
+}
+
+// fieldOf returns the text of a field among a line's details.
+func fieldOf(details, name string) string {
+	_, rest, found := strings.Cut(" "+details, " "+name+"=\"")
+	if !found {
+		return ""
+	}
+
+	value, _, _ := strings.Cut(rest, "\"")
+
+	return value
+}
--- a/internal/serving/dispatch/lend.go
+++ b/internal/serving/dispatch/lend.go
@@ -24,6 +24,11 @@
 	return t, cold, err
 }
 
+// Standing says why the targets that hold a model do not take a request.
+func (d *Dispatcher) Standing(model string) router.Standing {
+	return router.Stand(d.cfg.Table.Targets(model), &router.Query{Entries: d.cfg.Entries(), Now: time.Now()})
+}
+
 // Return ends a request's use of a target.
 func (d *Dispatcher) Return(t *router.Target, req *request.Request, suspect bool) {
 	u := d.useOf(t, req.Model)
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -107,12 +107,41 @@
 
 	q := router.Query{Affinity: d.req.Model + " " + d.ask.Shared, Suspect: d.suspect, Exclude: d.exclude}
 
+	asked := time.Now()
+	late := time.AfterFunc(noteWait, func() { d.noteWaits() })
 	t, cold, err := d.Lines.Acquire(ctx, d.req, q)
+
+	late.Stop()
+
 	d.cold = d.cold || cold
+	d.waited += time.Since(asked)
+
+	if err == nil {
+		d.noteChoice(t)
+	}
 
 	return t, err
 }
 
+// noteWait is how long a request has no target before a line says so: most
+// have one at once, and the line that ends a request tells of short waits.
+const noteWait = 50 * time.Millisecond
+
+// noteWaits says that a request waits, and what the targets that hold its
+// model cannot take it for.
+func (d *delivery) noteWaits() {
+	s := d.Lines.Standing(d.req.Model)
+	d.Log.Info().Str("id", d.ask.ID).Str("key", d.req.Model).Int("holders", s.Holders).Int("full", s.Full).
+		Int("leaving", s.Leaving).Int("dead", s.Dead).Int("ejected", s.Ejected).Msg("request waits")
+}
+
+// noteChoice says which target was chosen, and by what.
+func (d *delivery) noteChoice(t *router.Target) {
+	info := t.Info()
+	d.Log.Info().Str("id", d.ask.ID).Str("key", d.req.Model).Str("target", string(t.ID)).Int("own", t.Own()).
+		Int("running", info.Running).Int("slots", info.Slots).Dur("age", t.ReportAge(time.Now())).Msg("target chosen")
+}
+
 // mayGoOn reports whether the request may be sent once more after err.
 func (d *delivery) mayGoOn(ctx context.Context, err error) bool {
 	var caller *callerError
@@ -496,5 +525,8 @@
 		return &callerError{err}
 	}
 
+	d.events++
+	d.heard = time.Now()
+
 	return nil
 }
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -231,6 +231,12 @@
 	last  string
 	cold  bool
 	first time.Duration
+	// waited is how long the request had no target, over all sendings.
+	waited time.Duration
+	// events counts the stream's events that went to the caller, the last one
+	// at heard.
+	events int
+	heard  time.Time
 	// paid says that the next sending has its share of the repeats already.
 	paid atomic.Bool
 	// fallback is a target's own failure, which the caller gets if no other
@@ -337,7 +343,11 @@
 func (d *delivery) end(err error) {
 	line := d.Log.Info().Str("id", d.ask.ID).Str("route", d.route.Name).Uint64("config", d.version).
 		Str("key", d.req.Model).Int("sends", d.trail.Sends()).Bool("cold", d.cold).
-		Dur("first", d.first).Dur("took", time.Since(d.arrived))
+		Dur("left", d.deadline.Sub(d.arrived)).Dur("waited", d.waited).Dur("first", d.first).Dur("took", time.Since(d.arrived))
+
+	if d.events > 0 {
+		line = line.Int("events", d.events).Dur("quiet", time.Since(d.heard))
+	}
 
 	switch {
 	case err == nil:
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -158,6 +158,39 @@
 	return t.own.Load() < t.window(info, q.Entries)
 }
 
+// Standing counts the targets that hold a model, and those that take no
+// request by the reason.
+type Standing struct {
+	Holders, Full, Leaving, Dead, Ejected int
+}
+
+// Stand says why targets do not take a request.
+func Stand(targets []*Target, q *Query) Standing {
+	s := Standing{Holders: len(targets)}
+
+	for _, t := range targets {
+		info := t.info.Load()
+
+		switch {
+		case t.leaving.Load():
+			s.Leaving++
+		case info == nil || info.Down || t.isDead(info):
+			s.Dead++
+		case t.ejectedUntil.Load() > q.Now.UnixNano():
+			s.Ejected++
+		case !t.takes(q, false):
+			s.Full++
+		}
+	}
+
+	return s
+}
+
+// ReportAge returns how old what was published of the target is.
+func (t *Target) ReportAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, t.reportedAt.Load()))
+}
+
 func excluded(id instance.ID, ids []instance.ID) bool {
 	return slices.Contains(ids, id)
 }
