perf: entries greet a few others a round and send digests

Now a round greets four of the entries one, two, four ... places further on the list once there are more than twelve, with a hash of the list and the members' beats; whole lists go only to entries whose list differs. A beat reaches 90 and 300 entries within the rounds that a test plays. Up to twelve everybody is still greeted. The lease goes to the strong instances first.

Ruled out: longer pauses between greetings of all; the bytes still grow with the square of the entries.

--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -105,7 +105,7 @@
 
 	store := &platform.Store{Address: s.Store, HTTP: client()}
 	n := node.New(node.Config{
-		Self: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics, Seeds: s.Seeds,
+		Self: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Readiness: s.Readiness, Peers: s.Peers, Metrics: s.Metrics, Seeds: s.Seeds, Strength: s.Strength,
 		ReadyPath: platform.ReadyPath, Source: store, Table: store, Engines: &platform.Engines{HTTP: client()},
 		Protocol: platform.Headers{}, Entries: unknownEntries, Allowance: s.Allowance, Grace: s.Grace, TurnPause: s.TurnPause,
 		Log: log, Dropped: book.Dropped,
--- a/internal/cli/member/settings.go
+++ b/internal/cli/member/settings.go
@@ -21,7 +21,10 @@
 	// Seeds are entries that may be asked for the others. Some may be gone.
 	Seeds            []netip.AddrPort
 	Grace, TurnPause time.Duration
-	Allowance        relay.Allowance
+	// Strength is the share of a processor that this instance has; zero means
+	// unknown.
+	Strength  float64
+	Allowance relay.Allowance
 }
 
 // document is the settings file.
@@ -34,6 +37,7 @@
 	Metrics    string   `json:"metrics"`
 	Seeds      []string `json:"seeds"`
 	Store      string   `json:"store"`
+	Strength   float64  `json:"strength"`
 	Bounds     struct {
 		GraceSeconds        float64 `json:"graceSeconds"`
 		TurnPauseMs         float64 `json:"turnPauseMs"`
@@ -110,6 +114,7 @@
 		Peers:      c.address("peers", d.Peers),
 		Metrics:    c.address("metrics", d.Metrics),
 		Store:      c.address("store", d.Store),
+		Strength:   d.Strength,
 		Grace:      c.span("bounds.graceSeconds", d.Bounds.GraceSeconds, time.Second),
 		TurnPause:  c.span("bounds.turnPauseMs", d.Bounds.TurnPauseMs, time.Millisecond),
 		Allowance: relay.Allowance{
@@ -122,6 +127,10 @@
 		c.fail("bounds", "repeatRatio and repeatBurst must not be below zero")
 	}
 
+	if d.Strength < 0 {
+		c.fail("strength", "must not be below zero")
+	}
+
 	for i, seed := range d.Seeds {
 		s.Seeds = append(s.Seeds, c.address(fmt.Sprintf("seeds.%d", i), seed))
 	}
--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
-	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
@@ -14,24 +13,7 @@
 )
 
 // Greet implements news.Handler.
-func (n *Node) Greet(g news.Greeting) news.Greeting {
-	ctx := context.Background()
-	n.peers.meet(ctx, g.Name, g.Address, g.Process)
-
-	for _, k := range g.Known {
-		if n.peers.of(instance.ID(k[0])) == nil {
-			n.peers.meet(ctx, k[0], k[1], k[2])
-		}
-	}
-
-	n.peers.mu.Lock()
-	if q := n.peers.all[instance.ID(g.Name)]; q != nil && q.process == g.Process {
-		q.answered, q.leaving = time.Now(), g.Leaving
-	}
-	n.peers.mu.Unlock()
-
-	return n.peers.greeting(n.stopping.Load())
-}
+func (n *Node) Greet(g news.Greeting) news.Greeting { return n.peers.answer(g) }
 
 // Hear implements news.Handler.
 func (n *Node) Hear(latest holder.News) {
@@ -75,14 +57,7 @@
 	n.mu.Unlock()
 
 	n.takeNews(latest)
-
-	n.peers.mu.Lock()
-	defer n.peers.mu.Unlock()
-
-	for _, q := range n.peers.all {
-		q.latest = latest
-		poke(q.kick)
-	}
+	n.peers.publish(latest)
 }
 
 // Report implements news.Handler.
@@ -101,10 +76,12 @@
 
 	n.cfg.Log.Warn().Uint64("fingerprint", uint64(notice.Poisoned)).Msg("request crashes targets")
 
-	for _, q := range n.peers.list() {
+	for _, m := range n.peers.alive() {
 		go func() {
-			// A peer that does not hear it finds out by itself.
-			_ = q.client.Block(context.Background(), notice.Poisoned)
+			if q := n.peers.of(m.ID); q != nil {
+				// A peer that does not hear it finds out by itself.
+				_ = q.client.Block(n.work, notice.Poisoned)
+			}
 		}()
 	}
 }
@@ -156,7 +133,7 @@
 
 	go func() {
 		if err := q.client.Report(ctx, r, missing); err != nil && ctx.Err() == nil {
-			n.cfg.Log.Debug().Err(err).Str("holder", string(q.id)).Msg("report not taken")
+			n.cfg.Log.Debug().Err(err).Str("holder", string(q.ID)).Msg("report not taken")
 		}
 	}()
 }
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -33,7 +33,7 @@
 
 		turn++
 
-		if q := n.peers.of(alive[turn%len(alive)]); q != nil {
+		if q := n.peers.of(alive[turn%len(alive)].ID); q != nil {
 			n.askPeer(ctx, q)
 		}
 	}
@@ -42,7 +42,7 @@
 func (n *Node) askPeer(ctx context.Context, q *peer) {
 	v, err := q.client.View(ctx, n.versions())
 	if err != nil {
-		n.cfg.Log.Debug().Err(err).Str("peer", string(q.id)).Msg("peer not asked")
+		n.cfg.Log.Debug().Err(err).Str("peer", string(q.ID)).Msg("peer not asked")
 
 		return
 	}
@@ -50,7 +50,7 @@
 	if len(v.Config) > 0 {
 		c, err := n.cfg.Source.Decode(v.Config)
 		if err != nil {
-			n.cfg.Log.Warn().Err(err).Str("peer", string(q.id)).Msg("configuration of a peer cannot be read")
+			n.cfg.Log.Warn().Err(err).Str("peer", string(q.ID)).Msg("configuration of a peer cannot be read")
 		} else {
 			n.putInForce(c)
 		}
@@ -99,7 +99,7 @@
 	}
 
 	n.listed.Store(true)
-	n.cfg.Log.Info().Str("peer", string(q.id)).Uint64("list", v.List).Int("targets", len(v.Targets)).Msg("targets learnt from a peer")
+	n.cfg.Log.Info().Str("peer", string(q.ID)).Uint64("list", v.List).Int("targets", len(v.Targets)).Msg("targets learnt from a peer")
 	poke(n.changed)
 	n.holder.Wake()
 }
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
@@ -57,6 +58,8 @@
 	Table     table.Service
 	Engines   holder.Engines
 	Protocol  relay.Protocol
+	// Strength is the share of a processor that this instance has.
+	Strength float64
 	// Entries is how many entries there may be until the others are known.
 	Entries   int
 	Allowance relay.Allowance
@@ -77,6 +80,9 @@
 	targets router.Table
 	holder  *holder.Holder
 	peers   peers
+	// work ends after the last request was answered.
+	work    context.Context
+	finish  context.CancelFunc
 	pool    relay.Pool
 	budgets relay.Budgets
 	page    metric.Page
@@ -122,7 +128,9 @@
 	}
 	n.budgets.Allowance = cfg.Allowance
 	n.budgets.Share(cfg.Entries)
+	n.work, n.finish = context.WithCancel(context.Background())
 	n.peers.node = n
+	n.peers.roll.Self = roll.Member{ID: cfg.Self, Address: cfg.Peers, Process: n.process, Strength: cfg.Strength}
 
 	n.metrics, n.unscope = n.page.Scope()
 	n.lines = dispatch.New(dispatch.Config{
@@ -134,8 +142,8 @@
 		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Log: cfg.Log, Metrics: n.metrics,
 	}
 	n.holder = holder.New(holder.Config{
-		Self: cfg.Self, Process: n.process, Table: cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
-		Targets: n.knownTargets, Routes: n.config, Peers: n.peers.alive, Publish: n.publish, Log: cfg.Log,
+		Self: cfg.Self, Strength: cfg.Strength, Process: n.process, Table: cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
+		Targets: n.knownTargets, Routes: n.config, Peers: n.candidates, Publish: n.publish, Log: cfg.Log,
 	})
 
 	return n
@@ -188,7 +196,7 @@
 	}
 
 	// Work goes on while requests are answered after ctx has ended.
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	work, cancel := n.work, n.finish
 	defer cancel()
 
 	front := &http.Server{
@@ -333,6 +341,18 @@
 	return n.cfg.Entries
 }
 
+// candidates returns the other entries that may hold the lease.
+func (n *Node) candidates() []holder.Candidate {
+	alive := n.peers.alive()
+	out := make([]holder.Candidate, len(alive))
+
+	for i, m := range alive {
+		out[i] = holder.Candidate{ID: m.ID, Strength: m.Strength}
+	}
+
+	return out
+}
+
 // gauge shows what this entry has and believes.
 func (n *Node) gauge() {
 	n.metrics.Gauge("running").Update(float64(n.relay.Running()))
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
@@ -16,35 +17,29 @@
 )
 
 const (
-	// greetEvery is the time between two greetings of a peer, and deadAfter
-	// how long one that does not answer still counts as alive.
+	// greetEvery is the time between two rounds of greetings.
 	greetEvery = 1500 * time.Millisecond
-	deadAfter  = 4 * time.Second
-	// scanEvery is the time between two looks at the entries' rows. Peers tell
-	// each other of new ones, so this is for the case that nobody did.
-	scanEvery = 15 * time.Second
-	// forgetAfter is how long a peer that does not answer is greeted.
-	forgetAfter = time.Minute
+	// scanEvery is the time between two looks at the entries' rows. Entries
+	// tell each other of new ones, so this is for the case that nobody did.
+	scanEvery = 60 * time.Second
 	// entryPrefix is above the rows of all entries.
 	entryPrefix = "entry/"
 )
 
-// peers are the other entries.
+// peers are the other entries and the ways to them.
 type peers struct {
 	node *Node
 
-	mu  sync.Mutex
-	all map[instance.ID]*peer
+	mu   sync.Mutex
+	roll roll.Roll
+	ways map[instance.ID]*peer
 }
 
-// peer is another entry.
+// peer is the way to another entry's process.
 type peer struct {
-	id      instance.ID
-	process string
-	client  *news.Client
-	// answered is when it was last heard, and since when it is known.
-	answered, since time.Time
-	leaving         bool
+	roll.Member
+
+	client *news.Client
 	// latest is the newest news that it has not been sent; kick says that
 	// there are some.
 	latest holder.News
@@ -83,7 +78,7 @@
 			link.note(p.node, "entries", err)
 		}
 
-		p.greetAll(ctx)
+		p.round(ctx)
 
 		pause := greetEvery
 		if scanned.IsZero() {
@@ -106,14 +101,14 @@
 			c := &news.Client{Caller: frame.Caller{Address: address}}
 			defer c.Close()
 
-			g, err := c.Greet(ctx, p.greeting(false))
+			g, err := c.Greet(ctx, p.greeting())
 			if err != nil {
 				p.node.cfg.Log.Info().Err(err).Stringer("seed", address).Msg("seed not reached")
 
 				return
 			}
 
-			p.node.Greet(g)
+			p.take(g)
 		}()
 	}
 }
@@ -138,176 +133,202 @@
 		return err
 	}
 
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
 	for _, r := range rows {
 		var row entryRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
+
+		at, err := netip.AddrPort{}, json.Unmarshal(r.Value, &row)
+		if err == nil {
+			at, err = netip.ParseAddrPort(row.Address)
+		}
+
+		if err != nil {
 			p.node.cfg.Log.Warn().Err(err).Str("row", r.Key).Msg("entry's row cannot be read")
 
 			continue
 		}
 
-		p.meet(ctx, r.Key[len(entryPrefix):], row.Address, row.Process)
+		p.roll.Meet(roll.Member{ID: instance.ID(r.Key[len(entryPrefix):]), Address: at, Process: row.Process}, time.Now())
 	}
 
 	return nil
 }
 
-// meet takes in an entry that was heard of.
-func (p *peers) meet(ctx context.Context, name, address, process string) {
-	id := instance.ID(name)
-
-	at, err := netip.ParseAddrPort(address)
-	if err != nil || id == p.node.cfg.Self {
-		return
-	}
-
+// round greets those whose turn it is.
+func (p *peers) round(ctx context.Context) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	if p.all == nil {
-		p.all = make(map[instance.ID]*peer)
-	}
-
-	old := p.all[id]
-	if old != nil && old.process == process {
-		return
-	}
-
-	if old != nil {
-		old.cancel()
-		old.client.Close()
-	}
+	members := p.roll.Beat(time.Now())
+	p.tidy()
+	p.mu.Unlock()
 
-	ctx, cancel := context.WithCancel(ctx)
-	q := &peer{
-		id: id, process: process, since: time.Now(), kick: make(chan struct{}, 1), cancel: cancel,
-		client: &news.Client{Caller: frame.Caller{Address: at}},
+	for _, m := range members {
+		go func() { _ = p.greet(ctx, m.ID) }() // Who does not answer is found out by its missing beats.
 	}
-	p.all[id] = q
-
-	go p.tell(ctx, q)
-	go p.greet(ctx, q)
 }
 
-// tell sends the newest news to the peer, one after the other. Older ones that
-// a slow peer did not take are left out.
-func (p *peers) tell(ctx context.Context, q *peer) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-q.kick:
+// tidy ends the ways to processes that are no longer listed. The caller holds
+// the lock.
+func (p *peers) tidy() {
+	for id, q := range p.ways {
+		if m, ok := p.roll.Get(id); !ok || m.Process != q.Process {
+			q.cancel()
+			q.client.Close()
+			delete(p.ways, id)
 		}
-
-		p.mu.Lock()
-		latest := q.latest
-		p.mu.Unlock()
-
-		// News that get lost are followed by others before they are missed.
-		_ = q.client.Hear(ctx, latest)
 	}
 }
 
-func (p *peers) greetAll(ctx context.Context) {
-	for _, q := range p.list() {
-		if time.Since(q.since) > forgetAfter && time.Since(p.heard(q)) > forgetAfter {
-			p.forget(q)
-
-			continue
-		}
-
-		go p.greet(ctx, q)
+func (p *peers) greet(ctx context.Context, id instance.ID) error {
+	q := p.of(id)
+	if q == nil {
+		return nil
 	}
-}
 
-func (p *peers) greet(ctx context.Context, q *peer) {
-	g, err := q.client.Greet(ctx, p.greeting(false))
-	if err != nil {
-		return
+	g, err := q.client.Greet(ctx, p.greeting())
+	if err == nil {
+		p.take(g)
 	}
 
-	p.mu.Lock()
-	q.answered = time.Now()
-	p.mu.Unlock()
-	p.node.Greet(g)
+	return err
 }
 
-func (p *peers) heard(q *peer) time.Time {
+// greeting returns this entry's own greeting.
+func (p *peers) greeting() news.Greeting {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return q.answered
+	return news.Greeting{From: p.roll.Self, Digest: p.roll.Digest()}
 }
 
-func (p *peers) forget(q *peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// take takes in a greeting or the answer to one. It reports whether the
+// other's list is the same.
+func (p *peers) take(g news.Greeting) bool {
+	now := time.Now()
 
-	q.cancel()
-	q.client.Close()
-	delete(p.all, q.id)
-}
-
-func (p *peers) list() []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	out := make([]*peer, 0, len(p.all))
-	for _, q := range p.all {
-		out = append(out, q)
+	p.roll.Heard(g.From, now)
+
+	for _, m := range g.Known {
+		p.roll.Meet(m, now)
 	}
 
-	return out
+	return p.roll.Take(g.Digest, now)
 }
 
-func (p *peers) greeting(leaving bool) news.Greeting {
-	cfg := &p.node.cfg
-	g := news.Greeting{Name: string(cfg.Self), Address: cfg.Peers.String(), Process: p.node.process, Leaving: leaving}
+// answer takes in a greeting and returns what the sender does not know.
+func (p *peers) answer(g news.Greeting) news.Greeting {
+	same := p.take(g)
 
-	for _, q := range p.list() {
-		if time.Since(p.heard(q)) < deadAfter {
-			g.Known = append(g.Known, [3]string{string(q.id), q.client.Address.String(), q.process})
-		}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	out := news.Greeting{From: p.roll.Self, Digest: p.roll.Digest()}
+	if !same {
+		out.Known = p.roll.Known()
 	}
 
-	return g
+	return out
 }
 
 // alive returns the peers that were heard lately and are not leaving.
-func (p *peers) alive() []instance.ID {
+func (p *peers) alive() []roll.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	var out []instance.ID
-
-	for id, q := range p.all {
-		if !q.leaving && time.Since(q.answered) < deadAfter {
-			out = append(out, id)
-		}
-	}
-
-	return out
+	return p.roll.Alive(time.Now())
 }
 
 // leave tells the peers that this process is about to end.
 func (p *peers) leave(ctx context.Context) {
-	var wg sync.WaitGroup
+	p.mu.Lock()
+	p.roll.Self.Leaving = true
+	all := p.roll.All()
+	p.mu.Unlock()
 
-	g := p.greeting(true)
+	var wg sync.WaitGroup
 
-	for _, q := range p.list() {
+	// These tell the others.
+	for _, m := range all[:min(len(all), roll.Everybody)] {
 		wg.Go(func() {
 			// A peer that does not hear it finds out by itself.
-			_, _ = q.client.Greet(ctx, g)
+			_ = p.greet(ctx, m.ID)
 		})
 	}
 
 	wg.Wait()
 }
 
+// of returns the way to a peer, or nil if there is no such entry.
 func (p *peers) of(id instance.ID) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return p.all[id]
+	return p.way(id)
+}
+
+// way returns the way to a peer's present process, made when it is first
+// needed. The caller holds the lock.
+func (p *peers) way(id instance.ID) *peer {
+	m, ok := p.roll.Get(id)
+	if !ok {
+		return nil
+	}
+
+	old := p.ways[id]
+	if old != nil && old.Process == m.Process {
+		return old
+	}
+
+	if old != nil {
+		old.cancel()
+		old.client.Close()
+	}
+
+	ctx, cancel := context.WithCancel(p.node.work)
+	q := &peer{Member: m, kick: make(chan struct{}, 1), cancel: cancel, client: &news.Client{Caller: frame.Caller{Address: m.Address}}}
+
+	if p.ways == nil {
+		p.ways = make(map[instance.ID]*peer)
+	}
+
+	p.ways[id] = q
+
+	go p.tell(ctx, q)
+
+	return q
+}
+
+// publish hands the holder's newest news to all peers.
+func (p *peers) publish(latest holder.News) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, m := range p.roll.All() {
+		q := p.way(m.ID)
+		q.latest = latest
+		poke(q.kick)
+	}
+}
+
+// tell sends the newest news to the peer, one after the other. Older ones that
+// a slow peer did not take are left out.
+func (p *peers) tell(ctx context.Context, q *peer) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.kick:
+		}
+
+		p.mu.Lock()
+		latest := q.latest
+		p.mu.Unlock()
+
+		// News that get lost are followed by others before they are missed.
+		_ = q.client.Hear(ctx, latest)
+	}
 }
--- /dev/null
+++ b/internal/fleet/roll/roll.go
@@ -0,0 +1,316 @@
+// Package roll keeps the list of the entries that are alive, as each entry
+// sees it. Entries tell each other in rounds: whoever beats is alive, and a
+// beat that one entry heard reaches all within a few rounds, so that the work
+// of an entry does not grow with their number.
+//
+// It does no I/O and reads no clock. The zero value knows nobody.
+package roll
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// Member is one entry's process.
+type Member struct {
+	ID      instance.ID
+	Address netip.AddrPort
+	// Process tells the processes of an instance apart.
+	Process string
+	// Strength is the share of a processor that the instance has.
+	Strength float64
+	// Beat grows by one with each round of the process.
+	Beat uint64
+	// Leaving says that the process is about to end.
+	Leaving bool
+}
+
+// Digest says in short who is on a list and how far their beats have come.
+type Digest struct {
+	// Set is a hash of the members' processes, and Beats their beats in the
+	// order of their ids; a leaving member's is the highest of all.
+	Set   uint64
+	Beats []uint64
+}
+
+// leavingBeat is the beat of a process that is about to end: nothing that is
+// heard of it later counts.
+const leavingBeat = 1<<32 - 1
+
+const (
+	// Everybody is up to how many members each is greeted in every round. Up
+	// to here a round costs less than what a digest saves.
+	Everybody = 12
+	// fanOut is how many are greeted in a round beyond that: a beat reaches
+	// 1,200 members in five rounds.
+	fanOut = 4
+	// deadAfter is how long after its last beat a member of a small list
+	// counts as alive, two lost rounds and a little. On a large one a beat is
+	// some rounds on its way.
+	deadAfter      = 4 * time.Second
+	deadAfterLarge = 9 * time.Second
+	// forgetAfter is how long after its last beat a member stays on the list,
+	// and how long its process is remembered as gone after that, so that those
+	// who still list it do not bring it back.
+	forgetAfter = 30 * time.Second
+)
+
+// entry is a member with what this instance noticed of it.
+type entry struct {
+	Member
+
+	// heard is when its beat last grew, and since when it is listed.
+	heard, since time.Time
+}
+
+// Roll is the list of the other entries. It is not safe for concurrent use.
+type Roll struct {
+	// Self is this process. Its beat is the number of rounds.
+	Self    Member
+	members map[instance.ID]*entry
+	// gone are processes that were forgotten, and when.
+	gone map[string]time.Time
+	// order are the members by id, with nil for this process, and set is the
+	// hash of their processes. Nil means that the list has changed since.
+	order []*entry
+	set   uint64
+}
+
+// Beat begins a round and returns whom to greet.
+func (r *Roll) Beat(now time.Time) []Member {
+	r.Self.Beat++
+	r.forget(now)
+
+	if len(r.members) <= Everybody {
+		return r.All()
+	}
+
+	near := r.fingers()
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+
+	return near[:min(fanOut, len(near))]
+}
+
+// fingers returns the members one, two, four and so on places further on the
+// list. Greeting only these keeps an entry's connections few, and still brings
+// a beat to all within a few rounds.
+func (r *Roll) fingers() []Member {
+	r.sort()
+
+	own := slices.Index(r.order, nil)
+
+	var out []Member
+	for step := 1; step < len(r.order); step *= 2 {
+		out = append(out, *r.member(r.order[(own+step)%len(r.order)]))
+	}
+
+	return out
+}
+
+func (r *Roll) forget(now time.Time) {
+	for id, e := range r.members {
+		if now.Sub(later(e.heard, e.since)) > forgetAfter {
+			r.bury(e.Process, now)
+			delete(r.members, id)
+
+			r.order = nil
+		}
+	}
+
+	for process, at := range r.gone {
+		if now.Sub(at) > forgetAfter {
+			delete(r.gone, process)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+func (r *Roll) bury(process string, now time.Time) {
+	if r.gone == nil {
+		r.gone = make(map[string]time.Time)
+	}
+
+	r.gone[process] = now
+}
+
+// Meet takes in a member that was named. It reports whether that is a process
+// that was not listed, which takes the place of an older one of its instance.
+func (r *Roll) Meet(m Member, now time.Time) bool {
+	if m.ID == r.Self.ID || m.ID == "" {
+		return false
+	}
+
+	if _, buried := r.gone[m.Process]; buried {
+		return false
+	}
+
+	old := r.members[m.ID]
+	if old != nil && old.Process == m.Process {
+		old.note(m.Beat, now)
+
+		return false
+	}
+
+	if old != nil {
+		r.bury(old.Process, now)
+	}
+
+	if r.members == nil {
+		r.members = make(map[instance.ID]*entry)
+	}
+
+	e := &entry{Member: m, since: now}
+	if m.Leaving {
+		e.Beat = leavingBeat
+	}
+
+	r.members[m.ID] = e
+	r.order = nil
+
+	return true
+}
+
+// Heard notes that a member's process was spoken with.
+func (r *Roll) Heard(m Member, now time.Time) {
+	r.Meet(m, now)
+
+	e := r.members[m.ID]
+	if e == nil || e.Process != m.Process {
+		return
+	}
+
+	e.heard = now
+	if m.Leaving {
+		e.Beat, e.Leaving = leavingBeat, true
+	}
+}
+
+// note takes in a beat.
+func (e *entry) note(beat uint64, now time.Time) {
+	if beat <= e.Beat {
+		return
+	}
+
+	e.Beat, e.heard = beat, now
+	e.Leaving = e.Leaving || beat == leavingBeat
+}
+
+// sort puts the members in order if the list has changed.
+func (r *Roll) sort() {
+	if r.order != nil {
+		return
+	}
+
+	r.order = append(r.order, nil)
+	for _, e := range r.members {
+		r.order = append(r.order, e)
+	}
+
+	slices.SortFunc(r.order, func(a, b *entry) int { return cmp.Compare(r.member(a).ID, r.member(b).ID) })
+
+	h := xxhash.New()
+	for _, e := range r.order {
+		_, _ = h.WriteString(r.member(e).Process + " ") // A hash does not fail.
+	}
+
+	r.set = h.Sum64()
+}
+
+// member returns what an element of the order stands for.
+func (r *Roll) member(e *entry) *Member {
+	if e == nil {
+		return &r.Self
+	}
+
+	return &e.Member
+}
+
+// Digest returns this list in short.
+func (r *Roll) Digest() Digest {
+	r.sort()
+
+	d := Digest{Set: r.set, Beats: make([]uint64, len(r.order))}
+	for i, e := range r.order {
+		d.Beats[i] = r.member(e).Beat
+	}
+
+	return d
+}
+
+// Take takes in another entry's digest. It reports false when that entry's
+// list is another, so that beats say nothing.
+func (r *Roll) Take(d Digest, now time.Time) bool {
+	r.sort()
+
+	if d.Set != r.set || len(d.Beats) != len(r.order) {
+		return false
+	}
+
+	for i, e := range r.order {
+		if e != nil {
+			e.note(d.Beats[i], now)
+		}
+	}
+
+	return true
+}
+
+// Known returns all members and this process, for an entry with another list.
+func (r *Roll) Known() []Member {
+	r.sort()
+
+	out := make([]Member, len(r.order))
+	for i, e := range r.order {
+		out[i] = *r.member(e)
+	}
+
+	return out
+}
+
+// Alive returns the members that beat lately and are not leaving.
+func (r *Roll) Alive(now time.Time) []Member {
+	limit := deadAfter
+	if len(r.members) > Everybody {
+		limit = deadAfterLarge
+	}
+
+	return r.list(func(e *entry) bool { return !e.Leaving && now.Sub(e.heard) < limit })
+}
+
+// All returns all members.
+func (r *Roll) All() []Member { return r.list(func(*entry) bool { return true }) }
+
+// Get returns a member.
+func (r *Roll) Get(id instance.ID) (Member, bool) {
+	if e := r.members[id]; e != nil {
+		return e.Member, true
+	}
+
+	return Member{}, false
+}
+
+func (r *Roll) list(want func(*entry) bool) []Member {
+	out := make([]Member, 0, len(r.members))
+
+	for _, e := range r.members {
+		if want(e) {
+			out = append(out, e.Member)
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/internal/fleet/roll/roll_test.go
@@ -0,0 +1,181 @@
+package roll
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+const round = 1500 * time.Millisecond
+
+// crowd is many entries that greet each other in rounds, without a network.
+type crowd struct {
+	t     *testing.T
+	now   time.Time
+	rolls map[instance.ID]*Roll
+	// greetings counts the calls, and whole those that carried whole lists.
+	greetings, whole int
+}
+
+func newCrowd(t *testing.T, n int) *crowd {
+	t.Helper()
+
+	c := &crowd{t: t, now: time.Unix(1000, 0), rolls: make(map[instance.ID]*Roll)}
+	for i := range n {
+		c.start(i, "first")
+	}
+
+	return c
+}
+
+func (c *crowd) start(i int, process string) {
+	id := instance.ID(fmt.Sprintf("e%04d", i))
+	r := &Roll{Self: Member{ID: id, Process: string(id) + process, Address: netip.MustParseAddrPort("127.0.0.1:1")}}
+	c.rolls[id] = r
+
+	// Everybody finds one other through the store.
+	for _, j := range []int{i - 1, i + 1} {
+		if other := c.rolls[instance.ID(fmt.Sprintf("e%04d", j))]; other != nil {
+			r.Meet(other.Self, c.now)
+		}
+	}
+}
+
+// greet is what both ends of a greeting do.
+func (c *crowd) greet(from *Roll, to Member) {
+	r := c.rolls[to.ID]
+	if r == nil || r.Self.Process != to.Process {
+		return
+	}
+
+	c.greetings++
+
+	r.Heard(from.Self, c.now)
+	same := r.Take(from.Digest(), c.now)
+	from.Heard(r.Self, c.now)
+
+	if !from.Take(r.Digest(), c.now) || !same {
+		c.whole++
+
+		for _, m := range r.Known() {
+			from.Meet(m, c.now)
+		}
+	}
+}
+
+func (c *crowd) rounds(n int) {
+	for range n {
+		c.now = c.now.Add(round)
+
+		for _, r := range c.rolls {
+			for _, to := range r.Beat(c.now) {
+				c.greet(r, to)
+			}
+		}
+	}
+}
+
+// all holds that everybody sees the same number of others alive.
+func (c *crowd) all(want int) {
+	c.t.Helper()
+
+	for id, r := range c.rolls {
+		assert.Equal(c.t, len(r.Alive(c.now)), want, "as %s sees it", id)
+	}
+}
+
+func TestEverybodyIsFound(t *testing.T) {
+	for _, n := range []int{2, 8, 90, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := newCrowd(t, n)
+			c.rounds(12)
+			c.all(n - 1)
+		})
+	}
+}
+
+// TestCostOfARound: the bytes between data centres were most of what a site of
+// 83 entries cost when everybody greeted everybody with the whole list. A calm
+// round must cost each entry the same number of greetings however many there
+// are, and no whole list.
+func TestCostOfARound(t *testing.T) {
+	for _, n := range []int{90, 300} {
+		c := newCrowd(t, n)
+		c.rounds(15)
+		c.greetings, c.whole = 0, 0
+		c.rounds(10)
+
+		assert.Equal(t, c.greetings, 10*n*fanOut)
+		assert.Equal(t, c.whole, 0)
+	}
+}
+
+// TestDeath: a third of the entries lose power at once. The others must stop
+// counting on them within the time given, and must not bring them back to each
+// other's lists after they were forgotten.
+func TestDeath(t *testing.T) {
+	c := newCrowd(t, 90)
+	c.rounds(12)
+
+	for i := range 30 {
+		delete(c.rolls, instance.ID(fmt.Sprintf("e%04d", i)))
+	}
+
+	c.rounds(int(deadAfterLarge/round) + 6)
+	c.all(59)
+
+	c.rounds(int(2 * forgetAfter / round))
+
+	for id, r := range c.rolls {
+		assert.Equal(t, len(r.All()), 59, "on the list of %s", id)
+	}
+}
+
+// TestRestart: an entry starts again under its name. Everybody must know the
+// new process, and the old one's beats must not count for it.
+func TestRestart(t *testing.T) {
+	c := newCrowd(t, 40)
+	c.rounds(12)
+	c.start(7, "second")
+	c.rounds(12)
+	c.all(39)
+
+	for _, r := range c.rolls {
+		if m, ok := r.Get("e0007"); ok {
+			assert.Equal(t, m.Process, "e0007second")
+		}
+	}
+}
+
+// TestLeaving: an entry says that it is about to end, to those that it greets.
+// Nobody may name it as alive afterwards, although it still beats.
+func TestLeaving(t *testing.T) {
+	c := newCrowd(t, 40)
+	c.rounds(12)
+
+	leaver := c.rolls["e0003"]
+	leaver.Self.Leaving = true
+	c.rounds(8)
+
+	for id, r := range c.rolls {
+		if id != "e0003" {
+			assert.Equal(t, len(r.Alive(c.now)), 38, "as %s sees it", id)
+		}
+	}
+}
+
+func TestOthersBeatsOfAnotherListSayNothing(t *testing.T) {
+	a := &Roll{Self: Member{ID: "a", Process: "a1"}}
+	a.Meet(Member{ID: "b", Process: "b1"}, time.Unix(1, 0))
+
+	other := &Roll{Self: Member{ID: "c", Process: "c1"}}
+	other.Meet(Member{ID: "b", Process: "b2", Beat: 7}, time.Unix(1, 0))
+
+	assert.Assert(t, !a.Take(other.Digest(), time.Unix(2, 0)))
+	assert.Equal(t, len(a.Alive(time.Unix(2, 0))), 0)
+}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -37,8 +37,10 @@
 	// force, or nil.
 	Targets func() map[instance.ID]inventory.Target
 	Routes  func() *route.Config
+	// Strength is the share of a processor that this entry has.
+	Strength float64
 	// Peers returns the other entries that are alive.
-	Peers func() []instance.ID
+	Peers func() []Candidate
 	// Publish hands news to all entries, this one included.
 	Publish func(News)
 	Log     zerolog.Logger
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -107,7 +107,7 @@
 	m := &member{stop: stop}
 	m.Holder = holder.New(holder.Config{
 		Self: id, Process: string(id) + "-1", Table: gated{&w.table, &m.gate}, Engines: engines{w, &m.gate}, Terms: terms, TurnPause: turnPause,
-		Targets: w.targets, Routes: func() *route.Config { return w.routes }, Peers: func() []instance.ID { return w.peers(id) },
+		Targets: w.targets, Routes: func() *route.Config { return w.routes }, Peers: func() []holder.Candidate { return w.candidates(id) },
 		Publish: func(n holder.News) { w.publish(id, n) }, Log: zerolog.Nop(),
 	})
 
@@ -118,6 +118,16 @@
 	go m.Run(ctx)
 }
 
+// candidates returns the other holders, all of them as strong.
+func (w *world) candidates(self instance.ID) []holder.Candidate {
+	var out []holder.Candidate
+	for _, id := range w.peers(self) {
+		out = append(out, holder.Candidate{ID: id})
+	}
+
+	return out
+}
+
 // peers returns the other holders.
 func (w *world) peers(self instance.ID) []instance.ID {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/placement/holder/rank_test.go
@@ -0,0 +1,19 @@
+package holder
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// TestRanked: a site has instances of very different strength. With the lease
+// on the weakest, news and decisions would take all of its processor and link.
+func TestRanked(t *testing.T) {
+	got := ranked([]Candidate{{"weak", 0.144}, {"strong", 0.8}, {"unknown", 0}, {"middle", 0.48}})
+	assert.DeepEqual(t, got, []instance.ID{"strong", "middle", "weak", "unknown"})
+
+	same := []Candidate{{"a", 0.4}, {"b", 0.4}, {"c", 0.4}}
+	assert.DeepEqual(t, ranked(same), instance.Rank("holder", []instance.ID{"a", "b", "c"}))
+}
--- a/internal/placement/holder/tenure.go
+++ b/internal/placement/holder/tenure.go
@@ -1,7 +1,9 @@
 package holder
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,16 +52,34 @@
 	}
 }
 
+// Candidate is an entry that may hold the lease.
+type Candidate struct {
+	ID instance.ID
+	// Strength is the share of a processor that it has; zero means unknown.
+	Strength float64
+}
+
+// ranked returns the candidates, best first: the strong before the weak, for
+// the holder speaks with all entries and decides for all engines.
+func ranked(all []Candidate) []instance.ID {
+	strength := make(map[instance.ID]float64, len(all))
+	ids := make([]instance.ID, len(all))
+
+	for i, c := range all {
+		strength[c.ID], ids[i] = c.Strength, c.ID
+	}
+
+	ids = instance.Rank("holder", ids)
+	slices.SortStableFunc(ids, func(a, b instance.ID) int { return cmp.Compare(strength[b], strength[a]) })
+
+	return ids
+}
+
 // rank returns this entry's place among the candidates.
 func (h *Holder) rank() int {
-	ids := append([]instance.ID{h.cfg.Self}, h.cfg.Peers()...)
-	for i, id := range instance.Rank("holder", ids) {
-		if id == h.cfg.Self {
-			return i
-		}
-	}
+	all := append(h.cfg.Peers(), Candidate{ID: h.cfg.Self, Strength: h.cfg.Strength})
 
-	return 0
+	return max(0, slices.Index(ranked(all), h.cfg.Self))
 }
 
 func (h *Holder) take(ctx context.Context, old lease.Record, version uint64) {
@@ -220,7 +240,7 @@
 
 	next := held.Record
 	next.Released, next.WriteID = true, uuid.NewString()
-	next.Successor = instance.Rank("holder", peers)[0]
+	next.Successor = ranked(peers)[0]
 
 	h.mu.Lock()
 	version := h.held.Version
--- /dev/null
+++ b/internal/wire/news/greeting.go
@@ -0,0 +1,71 @@
+package news
+
+import (
+	"net/netip"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
+)
+
+// GreetingMessage is a Greeting on the wire.
+type GreetingMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	From  MemberMessage
+	Set   uint64
+	Beats []uint64
+	Known []MemberMessage
+}
+
+// MemberMessage is a roll.Member on the wire.
+type MemberMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID, Address, Process string
+	Strength             float32
+	Beat                 uint64
+	Leaving              bool
+}
+
+func fromMember(m roll.Member) MemberMessage {
+	return MemberMessage{
+		ID: string(m.ID), Address: m.Address.String(), Process: m.Process, Strength: float32(m.Strength), Beat: m.Beat, Leaving: m.Leaving,
+	}
+}
+
+func toMember(m MemberMessage) (roll.Member, error) {
+	address, err := netip.ParseAddrPort(m.Address)
+
+	return roll.Member{
+		ID: instance.ID(m.ID), Address: address, Process: m.Process, Strength: float64(m.Strength), Beat: m.Beat, Leaving: m.Leaving,
+	}, err
+}
+
+func fromGreeting(g Greeting) GreetingMessage {
+	out := GreetingMessage{From: fromMember(g.From), Set: g.Digest.Set, Beats: g.Digest.Beats}
+	for _, m := range g.Known {
+		out.Known = append(out.Known, fromMember(m))
+	}
+
+	return out
+}
+
+func toGreeting(in GreetingMessage) (Greeting, error) {
+	from, err := toMember(in.From)
+	if err != nil {
+		return Greeting{}, err
+	}
+
+	out := Greeting{From: from, Digest: roll.Digest{Set: in.Set, Beats: in.Beats}}
+
+	for _, known := range in.Known {
+		m, err := toMember(known)
+		if err != nil {
+			return Greeting{}, err
+		}
+
+		out.Known = append(out.Known, m)
+	}
+
+	return out, nil
+}
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -17,16 +18,12 @@
 
 // Greeting is what entries tell each other to be known.
 type Greeting struct {
-	_ struct{} `cbor:",toarray"`
-
-	Name    string
-	Address string
-	Process string
-	// Leaving says that the process is about to end.
-	Leaving bool
-	// Known are the other entries that the sender knows, as name, address and
-	// process.
-	Known [][3]string
+	From roll.Member
+	// Digest is the sender's list in short.
+	Digest roll.Digest
+	// Known is the sender's whole list. Only answers carry it, and only when
+	// the lists differ.
+	Known []roll.Member
 }
 
 // Handler is what an entry does for its peers.
@@ -51,8 +48,13 @@
 type service struct{ h Handler }
 
 // Greet is the remote call.
-func (s service) Greet(in Greeting, out *Greeting) error {
-	*out = s.h.Greet(in)
+func (s service) Greet(in GreetingMessage, out *GreetingMessage) error {
+	g, err := toGreeting(in)
+	if err != nil {
+		return err
+	}
+
+	*out = fromGreeting(s.h.Greet(g))
 
 	return nil
 }
@@ -106,14 +108,13 @@
 
 // Greet exchanges greetings.
 func (c *Client) Greet(ctx context.Context, g Greeting) (Greeting, error) {
-	var out Greeting
+	var out GreetingMessage
 
-	// After an error a late answer may still be written to out.
-	if err := c.Call(ctx, serviceName+".Greet", g, &out); err != nil {
+	if err := c.Call(ctx, serviceName+".Greet", fromGreeting(g), &out); err != nil {
 		return Greeting{}, err
 	}
 
-	return out, nil
+	return toGreeting(out)
 }
 
 // Hear sends news.
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
@@ -18,6 +20,10 @@
 	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 )
 
+func member(id instance.ID) roll.Member {
+	return roll.Member{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:7"), Process: string(id) + "-process", Strength: 0.5, Beat: 3}
+}
+
 // echo keeps what it gets.
 type echo struct {
 	greeting Greeting
@@ -30,7 +36,7 @@
 func (e *echo) Greet(g Greeting) Greeting {
 	e.greeting = g
 
-	return Greeting{Name: "other"}
+	return Greeting{From: member("other"), Known: []roll.Member{member("third")}}
 }
 
 func (e *echo) Hear(n holder.News) { e.news = n }
@@ -65,11 +71,14 @@
 	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
 	defer c.Close()
 
-	g, err := c.Greet(t.Context(), Greeting{Name: "a", Address: "b", Process: "c", Leaving: true, Known: [][3]string{{"x", "y", "z"}}})
+	greeting := Greeting{From: member("a"), Digest: roll.Digest{Set: 1 << 60, Beats: []uint64{1, 2}}}
+	greeting.From.Leaving = true
+	g, err := c.Greet(t.Context(), greeting)
 	assert.NilError(t, err)
-	assert.Equal(t, g.Name, "other")
-	assert.Equal(t, got.greeting.Known[0][2], "z")
-	assert.Assert(t, got.greeting.Leaving)
+	assert.Equal(t, g.From, member("other"))
+	assert.DeepEqual(t, g.Known, []roll.Member{member("third")}, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.Equal(t, got.greeting.From, greeting.From)
+	assert.DeepEqual(t, got.greeting.Digest, greeting.Digest)
 
 	now := time.Now()
 	sent := holder.News{
