fix: notice a caller that closes behind unread bytes

Cause: the HTTP server reads one byte ahead while it answers; if a caller has sent more than that and closes, it does not see the close, and the target worked on until the request's deadline.

Ruled out: reading ahead into a buffer of our own, which costs a goroutine and a buffer for every caller; one call to the kernel per request and 200 ms does.

Also: explain names the trouble of the order behind a rejected request.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -204,7 +204,8 @@
 
 	front := &http.Server{
 		Handler: n.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
+		ConnContext: relay.WithCaller,
+		ErrorLog:    nil,
 	}
 	ready := &http.Server{Handler: n.checks(), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: &n.page, ReadHeaderTimeout: headerTimeout}
--- a/internal/room/story/cause.go
+++ b/internal/room/story/cause.go
@@ -175,6 +175,8 @@
 			text += ", and died"
 		}
 
+		text += f.trouble(l.Target)
+
 		if strings.Contains(f.end.Error, "no repeat left") {
 			text += "; no repeat was left in the budget"
 		}
--- a/internal/room/story/story_test.go
+++ b/internal/room/story/story_test.go
@@ -95,6 +95,14 @@
 			"refused with 503, proved not run: t answered that it does not hold the model, or is another instance; then it waited 3.9s: " +
 				"no target held its model: nobody held the lease after h: lease not renewed",
 		},
+		{
+			"rejected since the order came late",
+			[]string{
+				`h|19|19|order without answer|"target":"t","model":"m"`, `a|19|19|attempt failed|"id":"q","target":"t","send":1,"error":"target t: not run, status 421"`,
+				`a|20|20|request refused|"id":"q","key":"s/m","sends":1,"took":1400,"waited":20,"status":503,"error":"refused: tooCold, notRun"`,
+			},
+			"refused with 503, proved not run: t answered that it does not hold the model, or is another instance; order without answer",
+		},
 		{
 			"adapter not ordered while nobody held the lease",
 			[]string{
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -237,6 +237,8 @@
 	// at heard.
 	events int
 	heard  time.Time
+	// gone says that the caller was found to have closed its connection.
+	gone atomic.Bool
 	// paid says that the next sending has its share of the repeats already.
 	paid atomic.Bool
 	// fallback is a target's own failure, which the caller gets if no other
@@ -288,6 +290,11 @@
 	ctx, cancel := context.WithDeadline(d.r.Context(), d.deadline)
 	defer cancel()
 
+	defer watchCaller(ctx, func() {
+		d.gone.Store(true)
+		cancel()
+	})()
+
 	if wait, stopped := d.Lines.Stopped(d.req.Fingerprint()); stopped {
 		d.end(request.Refuse(request.Poisoned, wait, "this request has crashed the targets that ran it"))
 
@@ -355,7 +362,7 @@
 		line.Msg("request answered")
 
 		return
-	case d.r.Context().Err() != nil:
+	case d.r.Context().Err() != nil || d.gone.Load():
 		d.measure(0)
 		line.Err(err).Msg("caller left")
 
