perf: a new holder asks the engines while it waits for its turn to order

The new holder waited 0.9 s for the former one's last order to be past, only then asked the engines, and gave those that do not answer another 1.2 s.

Now it asks at once; both times run together.

Ruled out: ordering from the former holder's news without asking; orders that were on their way when it died are not in them.

Also: a round of decisions is followed by four times its length of rest, since reports of 83 entries wake the holder hundreds of times a second.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -98,6 +98,8 @@
 	h.sync(now)
 	h.rates.decay(now)
 
+	h.inquireUnknown(ctx, now)
+
 	if !now.Before(h.mayOrder) && !h.draining {
 		h.order(ctx, now)
 	}
@@ -120,14 +122,7 @@
 		return
 	}
 
-	for _, s := range h.stations {
-		if !s.known && !s.working && now.Sub(s.doubted) >= reportAgain {
-			s.doubted = now
-			h.begin(s, func() { h.inquire(ctx, s) })
-		}
-	}
-
-	if now.Before(h.mayOrder.Add(takeStock)) && h.unknown() {
+	if now.Before(h.stockBy) && h.unknown() {
 		return
 	}
 
@@ -148,6 +143,18 @@
 // models that others have.
 const takeStock = 1200 * time.Millisecond
 
+// inquireUnknown asks the engines that have not said what they hold. A new
+// holder does so before it may order: asking is no order, and after a death
+// the first load comes 1.7 s sooner than when it waits first and asks then.
+func (h *Holder) inquireUnknown(ctx context.Context, now time.Time) {
+	for _, s := range h.stations {
+		if !s.known && !s.working && now.Sub(s.doubted) >= reportAgain {
+			s.doubted = now
+			h.begin(s, func() { h.inquire(ctx, s) })
+		}
+	}
+}
+
 // unknown reports whether some engine has not said what it holds.
 func (h *Holder) unknown() bool {
 	for _, s := range h.stations {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -57,11 +57,12 @@
 	mu    sync.Mutex
 	watch lease.Watch
 	held  lease.Held
-	// mayOrder is from when on this holder may send orders.
-	mayOrder time.Time
-	asks     demand.Book
-	rates    rates
-	stations map[instance.ID]*station
+	// mayOrder is from when on this holder may send orders, and stockBy until
+	// when it waits for what the engines hold.
+	mayOrder, stockBy time.Time
+	asks              demand.Book
+	rates             rates
+	stations          map[instance.ID]*station
 	// last is the newest news that was heard or published.
 	last   News
 	heard  time.Time
@@ -90,6 +91,10 @@
 	// it, and restTick how often the others do.
 	idleTick = 50 * time.Millisecond
 	restTick = 200 * time.Millisecond
+	// restShare is how many times as long as a round took the next one waits at
+	// least, so that decisions take at most a fifth of a core. A round over 18
+	// engines takes 0.2 ms, one over 140 0.5 ms.
+	restShare = 4
 	// publishEvery is how often news are sent when nothing changes. Three
 	// that are missing make an entry doubt the holder.
 	publishEvery = 400 * time.Millisecond
@@ -102,7 +107,12 @@
 // Run watches or holds the lease until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		pause := h.step(ctx)
+
+		// Reports of 83 entries wake it hundreds of times a second.
+		_ = clock.Sleep(ctx, restShare*time.Since(began))
+
 		t := time.NewTimer(pause)
 
 		select {
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -44,6 +44,8 @@
 
 	mu  sync.Mutex
 	cut map[instance.ID]bool
+	// dark is the engine that answers nothing.
+	dark instance.ID
 	// rows are the entries of the list as they were last written.
 	rows map[instance.ID]inventory.Target
 	// born counts the workers' processes.
@@ -221,6 +223,21 @@
 	return w.workers[id]
 }
 
+// setDark makes an engine answer no call any more.
+func (w *world) setDark(id instance.ID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.dark = id
+}
+
+func (w *world) isDark(id instance.ID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.dark == id
+}
+
 // way is how long a call to a worker takes.
 const way = 2 * time.Millisecond
 
@@ -231,6 +248,12 @@
 		return holder.Rejected, err
 	}
 
+	if e.w.isDark(t.ID) {
+		<-ctx.Done()
+
+		return holder.Rejected, errSilent
+	}
+
 	time.Sleep(way)
 
 	out, answered := e.w.worker(t.ID).Order(o)
@@ -248,6 +271,12 @@
 		return holder.Report{}, err
 	}
 
+	if e.w.isDark(t.ID) {
+		<-ctx.Done()
+
+		return holder.Report{}, errSilent
+	}
+
 	time.Sleep(way)
 
 	return e.w.worker(t.ID).Report(), nil
@@ -475,6 +504,43 @@
 	})
 }
 
+// TestTakeOverIsReady: the holder is killed and an engine does not answer
+// either. The next holder must not begin to ask the engines what they hold when
+// it could already order: callers who wait for a model go meanwhile.
+func TestTakeOverIsReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, w.served("m6", 5*time.Second))
+
+		dead := w.holding()
+
+		w.mu.Lock()
+		w.cut[dead] = true
+		m := w.holders[dead]
+		delete(w.holders, dead)
+		w.mu.Unlock()
+
+		m.gate.Close()
+		m.stop()
+		w.setDark("w2")
+
+		for w.holding() == "" {
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		taken := time.Now()
+
+		// 0.9 s until the former holder's last order is past, 0.3 s for the dark
+		// engine, and a load from disk of 1.5 s.
+		assert.Assert(t, w.served("m7", 9*time.Second))
+		t.Logf("served %v after the lease was taken", time.Since(taken))
+		assert.Assert(t, time.Since(taken) < 3200*time.Millisecond)
+		w.finish()
+	})
+}
+
 // TestHolderPaused: the holder is paused past its lease, with a swap decided,
 // and wakes while another holds. What it still wants to send must not go out.
 func TestHolderPaused(t *testing.T) {
--- a/internal/placement/holder/tenure.go
+++ b/internal/placement/holder/tenure.go
@@ -101,6 +101,7 @@
 	h.mu.Lock()
 	h.held = lease.Held{Record: next, Version: version, Fence: version, Sent: sent}
 	h.mayOrder = h.firstOrder(old, sent)
+	h.stockBy = later(h.mayOrder, sent.Add(takeStock))
 	h.number, h.published = 0, false
 	h.adopt()
 	mayOrder := h.mayOrder
@@ -127,6 +128,14 @@
 	return first
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
 // clockSlack covers what the clocks of two instances and the way of an order
 // may differ by.
 const clockSlack = 400 * time.Millisecond
