--- a/internal/fleet/roll/roll_test.go
+++ b/internal/fleet/roll/roll_test.go
@@ -160,6 +160,7 @@
 
 	leaver := c.rolls["e0003"]
 	leaver.Self.Leaving = true
+
 	c.rounds(8)
 
 	for id, r := range c.rolls {
--- a/internal/serving/relay/caller_test.go
+++ b/internal/serving/relay/caller_test.go
@@ -32,6 +32,7 @@
 
 	front := &http.Server{Handler: w.server, ConnContext: WithCaller, ReadHeaderTimeout: time.Second}
 	go func() { _ = front.Serve(l) }()
+
 	defer func() { _ = front.Close() }()
 
 	c, err := net.Dial("tcp", l.Addr().String())
