fix: a full target drains, and busy models get replicas from the store

Each of 83 entries could always have one request on a target, and whatever it had had before; and no other engine got the model, since a crowded model was only loaded from a disk.

Now a full target gets nothing beyond even shares, which are none where there are more entries than slots; a line at an entry makes it count all others; and a model with three times what crowds its replicas is loaded from the weight store. TestFullTargetDrains: 83 and more on 32 slots before, at most 64 now.

Ruled out: no windows at all; the reports lag, and targets would be flooded.

--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -48,8 +48,9 @@
 
 // entryRow is an entry's row in the store.
 type entryRow struct {
-	Address string `json:"address"`
-	Process string `json:"process"`
+	Address  string  `json:"address"`
+	Process  string  `json:"process"`
+	Strength float64 `json:"strength"`
 }
 
 // run makes this entry known and greets the others.
@@ -114,7 +115,7 @@
 
 // write puts this entry's row into the store, whatever stands there.
 func (p *peers) write(ctx context.Context) error {
-	value, err := json.Marshal(entryRow{Address: p.node.cfg.Peers.String(), Process: p.node.process})
+	value, err := json.Marshal(entryRow{Address: p.node.cfg.Peers.String(), Process: p.node.process, Strength: p.node.cfg.Strength})
 	if err != nil {
 		return err
 	}
@@ -149,7 +150,7 @@
 			continue
 		}
 
-		p.roll.Meet(roll.Member{ID: instance.ID(r.Key[len(entryPrefix):]), Address: at, Process: row.Process}, time.Now())
+		p.roll.Meet(roll.Member{ID: instance.ID(r.Key[len(entryPrefix):]), Address: at, Process: row.Process, Strength: row.Strength}, time.Now())
 	}
 
 	return nil
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -161,6 +161,7 @@
 	old := r.members[m.ID]
 	if old != nil && old.Process == m.Process {
 		old.note(m.Beat, now)
+		old.learn(m)
 
 		return false
 	}
@@ -199,6 +200,13 @@
 	}
 }
 
+// learn takes in what the member's first mention did not say.
+func (e *entry) learn(m Member) {
+	if e.Strength == 0 {
+		e.Strength = m.Strength
+	}
+}
+
 // note takes in a beat.
 func (e *entry) note(beat uint64, now time.Time) {
 	if beat <= e.Beat {
--- a/internal/fleet/roll/roll_test.go
+++ b/internal/fleet/roll/roll_test.go
@@ -170,6 +170,18 @@
 	}
 }
 
+// TestStrengthIsLearnt: a member was first named by somebody who did not know
+// how strong it is. If that stayed so, every instance would think itself the
+// strongest, and all would reach for the lease at once.
+func TestStrengthIsLearnt(t *testing.T) {
+	r := &Roll{Self: Member{ID: "a", Process: "a1"}}
+	r.Meet(Member{ID: "b", Process: "b1"}, time.Unix(1, 0))
+	r.Heard(Member{ID: "b", Process: "b1", Strength: 0.8}, time.Unix(2, 0))
+
+	m, _ := r.Get("b")
+	assert.Equal(t, m.Strength, 0.8)
+}
+
 func TestOthersBeatsOfAnotherListSayNothing(t *testing.T) {
 	a := &Roll{Self: Member{ID: "a", Process: "a1"}}
 	a.Meet(Member{ID: "b", Process: "b1"}, time.Unix(1, 0))
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -99,6 +99,9 @@
 	// loaded. A batch of a dozen still reads a prompt of 1,500 tokens within
 	// the 600 ms that callers of the busiest route allow.
 	crowded = 8
+	// pressedAt is how many requests a replica may have before another is
+	// loaded even from the weight store: three times as many as crowd it.
+	pressedAt = 3 * crowded
 	// mostAtOnce is how many replicas of one model a round adds.
 	mostAtOnce = 3
 	// unloadTime is what an unload takes when nothing runs on the model.
@@ -265,7 +268,7 @@
 
 func (p *planner) consider(t *Target, m route.Model, w Want, why Reason) (choice, bool) {
 	tier, takes := tierOf(t, m)
-	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad) {
+	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad && !p.pressed(w)) {
 		return choice{}, false
 	}
 
@@ -283,6 +286,16 @@
 	}, true
 }
 
+// pressed reports whether a model is so crowded that another replica is worth a
+// load from the weight store.
+//
+// It answers the loss of the targets that have a busy model's weights on disk:
+// of 60 engines three held the busiest model, each with a hundred requests, and
+// no other could load it from a disk of its own.
+func (p *planner) pressed(w Want) bool {
+	return p.store > urgentStore && w.Waiting+w.Running > pressedAt*p.copies[w.Model]
+}
+
 func tierOf(t *Target, m route.Model) (target.Tier, time.Duration) {
 	switch t.AtHand[m.Name] {
 	case target.TierMemory:
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// TestPressedModel: the busiest model is on one target, and no other has its
+// weights on disk. Crowded it stays there, since a load from the store blocks a
+// target for seconds; with a hundred requests it must come from the store while
+// that has room for more than what may become urgent.
+func TestPressedModel(t *testing.T) {
+	for name, c := range map[string]struct {
+		running, store int
+		want           bool
+	}{
+		"crowded":                   {pressedAt, 4, false},
+		"pressed":                   {pressedAt + 1, 4, true},
+		"pressed, the store is not": {pressedAt + 1, urgentStore, false},
+	} {
+		moves := Plan(&View{
+			Now: now, Engine: engine(1), Targets: []Target{on("a", "m0"), on("b")}, Wants: []Want{{Model: "m0", Running: c.running}}, StoreLoads: c.store,
+		})
+		assert.Equal(t, len(moves) == 1, c.want, name)
+	}
+}
+
 // TestFill holds what is loaded although nobody waits: what is nowhere, into
 // free memory, from disk, or from the store if it is on no disk and the store
 // has room beside what may become urgent. Half the targets stay free.
--- a/internal/serving/dispatch/line.go
+++ b/internal/serving/dispatch/line.go
@@ -139,11 +139,12 @@
 		return nil
 	}
 
-	return l.choose(q)
+	return l.choose(q, 0)
 }
 
-func (l *line) choose(q *router.Query) *router.Target {
-	q.Now = time.Now()
+// choose finds a target while so many requests wait.
+func (l *line) choose(q *router.Query, waiting int) *router.Target {
+	q.Now, q.Waiting = time.Now(), waiting
 	q.Entries = l.d.cfg.Entries()
 
 	t := router.Choose(l.d.cfg.Table.Targets(l.model), q)
@@ -279,7 +280,7 @@
 func (l *line) grantNext() bool {
 	var t *router.Target
 
-	full := false
+	full, waiting := false, l.q.Len()
 
 	it := l.q.PopFunc(func(it *queue.Item[*waiter]) bool {
 		q := &it.Value.query
@@ -289,11 +290,11 @@
 			return false
 		}
 
-		t = l.choose(q)
+		t = l.choose(q, waiting)
 		if t == nil && len(q.Exclude) > 0 {
 			// Nobody else can take it, so the target that failed may.
 			q.Exclude = nil
-			t = l.choose(q)
+			t = l.choose(q, waiting)
 		}
 
 		full = full || t == nil && plain
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,9 +17,10 @@
 	Exclude []instance.ID
 	// Suspect asks for a target on which no other suspect runs.
 	Suspect bool
-	// Entries is how many entries see the same reports.
-	Entries int
-	Now     time.Time
+	// Entries is how many entries see the same reports, and Waiting how many
+	// requests wait here for the same model.
+	Entries, Waiting int
+	Now              time.Time
 }
 
 const (
@@ -155,7 +157,7 @@
 		return false
 	}
 
-	return t.own.Load() < t.window(info, q.Entries)
+	return t.own.Load() < t.window(info, q)
 }
 
 // Standing counts the targets that hold a model, and those that take no
@@ -200,17 +202,54 @@
 const headroom = 1.25
 
 // window returns how many requests this entry may have on the target: its
-// even share of the slots in any case, and beyond that its share of what the
-// last report showed as free. The report lags, and every other entry sees the
-// same one, so each assumes that the others take their shares too; that keeps
-// them from filling the target together.
-func (t *Target) window(info *TargetInfo, entries int) int64 {
-	entries = max(1, entries)
+// even share of the slots, and beyond that a part of what the last report
+// showed as free. The report lags, and every other entry sees the same one, so
+// each assumes that others take their parts too; that keeps them from filling
+// the target together.
+//
+// A target that is full gets no more than shares, and none where there are more
+// entries than slots: with one request of each of 83 entries, and whatever each
+// had before, a target of 32 slots had 112 and answered nobody in time.
+func (t *Target) window(info *TargetInfo, q *Query) int64 {
+	entries := max(1, q.Entries)
 	slots := int(float64(max(1, info.Slots))*headroom + 0.5)
-	share := (slots + entries - 1) / entries
-	free := max(0, slots-info.Running-info.Waiting)
+	free := slots - info.Running - info.Waiting
+
+	share := 0
+	if slots >= entries {
+		share = (slots + entries - 1) / entries
+	}
+
+	if free <= 0 {
+		return int64(share)
+	}
+
+	return max(int64(share), t.ownThen.Load()+t.part(free, entries, q.Waiting))
+}
+
+// rivals is how many entries are counted at most that send to the same target
+// before the next report, as long as nobody waits here. Between two reports
+// 0.4 s apart a busy target gets some ten requests, whatever the number of
+// entries.
+//
+// It answers the load of many entries: if each of 83 assumed that all the others
+// take their parts of 40 places, it could have one request on a target at a
+// time, and the second waited before a target with 39 places free.
+const rivals = 8
+
+// part returns this entry's part of a target's free places. Where requests wait
+// here they wait elsewhere as well, so all entries count. What is left of the
+// division goes to entries by lot, drawn anew with each report.
+func (t *Target) part(free, entries, waiting int) int64 {
+	if entries <= rivals {
+		return int64(free / entries)
+	}
+
+	if waiting == 0 {
+		entries = rivals
+	}
 
-	return max(int64(share), t.ownThen.Load()+int64(free/entries))
+	return int64(float64(free)/float64(entries) + math.Float64frombits(t.lot.Load()))
 }
 
 // estimate returns the expected time to first token in nanoseconds: the
@@ -224,7 +263,7 @@
 		first = float64(defaultFirstToken) / max(0.1, info.Speed) //nolint:mnd // Guards a division.
 	}
 
-	grown := float64(t.own.Load()-t.ownThen.Load()) * float64(max(1, q.Entries))
+	grown := float64(t.own.Load()-t.ownThen.Load()) * float64(max(1, min(q.Entries, rivals)))
 	load := max(float64(t.own.Load()), float64(info.Running+info.Waiting)+grown)
 
 	return first * (1 + load/float64(max(1, info.Slots)))
--- /dev/null
+++ b/internal/serving/router/crowd_test.go
@@ -0,0 +1,140 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestManyEntriesFillATarget: on a site of 83 entries a model is on one target,
+// which has room. Bursts of requests come to some entries and not to others.
+// They must not wait for places that entries without requests could take, and
+// must not be so many that the target's own queue overflows.
+func TestManyEntriesFillATarget(t *testing.T) {
+	const (
+		entries = 83
+		slots   = 32
+		queue   = 3 * slots
+	)
+
+	tables := make([]*Table, entries)
+	for i := range tables {
+		tables[i] = &Table{}
+	}
+
+	now := time.Unix(1000, 0)
+	running, number, waited, most := 0, uint64(0), 0, 0
+	r := rand.New(rand.NewPCG(1, 2))
+
+	for step := range 400 {
+		// A report every fourth step, of 100 ms each.
+		if step%4 == 0 {
+			number++
+
+			for _, table := range tables {
+				table.Apply(&Snapshot{
+					Token: 1, Number: number, Targets: []TargetInfo{{ID: "t", Slots: slots, Speed: 1, Running: running}}, Added: []Replica{{Target: "t", Model: "m"}},
+				}, now)
+			}
+		}
+
+		now = now.Add(100 * time.Millisecond)
+
+		// Each request runs for a second or so.
+		for _, table := range tables {
+			for target := table.Target("t"); target.Own() > 0 && r.IntN(10) == 0; running-- {
+				target.End(false)
+			}
+		}
+
+		// Three requests come to one entry, two steps of three.
+		if step%3 == 2 {
+			continue
+		}
+
+		table := tables[r.IntN(entries)]
+
+		for range 3 {
+			target := Choose(table.Targets("m"), &Query{Entries: entries, Now: now})
+			if target == nil {
+				waited++
+
+				continue
+			}
+
+			target.Begin(false)
+
+			running++
+		}
+
+		most = max(most, running)
+	}
+
+	// With 83 rivals counted 547 of 801 had to wait.
+	assert.Assert(t, waited < 300, "%d waited", waited)
+	assert.Assert(t, most <= slots+queue/2, "%d ran at once", most)
+}
+
+// TestFullTargetDrains: a model is on one target, more requests come than it
+// can run, and lines form at all 83 entries. The target must not get one of
+// each: it then has three times its slots, and no caller gets its first event
+// in time.
+func TestFullTargetDrains(t *testing.T) {
+	const (
+		entries = 83
+		slots   = 32
+	)
+
+	tables := make([]*Table, entries)
+	for i := range tables {
+		tables[i] = &Table{}
+	}
+
+	now := time.Unix(1000, 0)
+	running, most, served := 0, 0, 0
+	r := rand.New(rand.NewPCG(1, 2))
+
+	for step := range 200 {
+		now = now.Add(400 * time.Millisecond)
+
+		for _, table := range tables {
+			table.Apply(&Snapshot{
+				Token: 1, Number: uint64(1 + step), Targets: []TargetInfo{{ID: "t", Slots: slots, Speed: 1, Running: running}}, Added: []Replica{{Target: "t", Model: "m"}},
+			}, now)
+		}
+
+		// A third of the requests end before the next report.
+		for _, table := range tables {
+			for target, n := table.Target("t"), table.Target("t").Own(); n > 0; n-- {
+				if r.IntN(3) == 0 {
+					target.End(false)
+
+					running--
+					served++
+				}
+			}
+		}
+
+		for _, table := range tables {
+			for {
+				target := Choose(table.Targets("m"), &Query{Entries: entries, Waiting: 5, Now: now})
+				if target == nil {
+					break
+				}
+
+				target.Begin(false)
+
+				running++
+			}
+		}
+
+		most = max(most, running)
+	}
+
+	// Before, 83 ran at once, and more where entries had had several.
+	assert.Assert(t, most <= 2*slots, "%d ran at once", most)
+	// Of 40 places, slots and headroom, a third is free at each report.
+	assert.Assert(t, served > 200*slots/4, "%d served", served)
+}
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -6,6 +6,8 @@
 
 import (
 	"maps"
+	"math"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -89,6 +91,9 @@
 	reportedAt atomic.Int64
 	// ownThen is this entry's share of the load when info was measured.
 	ownThen atomic.Int64
+	// lot is the bits of a number from zero to one that is drawn with each
+	// report.
+	lot atomic.Uint64
 	// own is how many of this entry's requests are on the target now.
 	own atomic.Int64
 	// suspects is how many of them are suspected of crashing targets.
@@ -330,6 +335,7 @@
 	t.info.Store(&info)
 	t.reportedAt.Store(now.Add(-info.ReportAge).UnixNano())
 	t.ownThen.Store(t.own.Load())
+	t.lot.Store(math.Float64bits(rand.Float64())) //nolint:gosec // No secret.
 }
 
 func (v *view) addReplica(r Replica) {
