--- a/internal/serving/router/crowd_test.go
+++ b/internal/serving/router/crowd_test.go
@@ -133,7 +133,7 @@
 		most = max(most, running)
 	}
 
-	// Before, 83 ran at once, and more where entries had had several.
+	// Before, 83 ran at once, and more where entries had several already.
 	assert.Assert(t, most <= 2*slots, "%d ran at once", most)
 	// Of 40 places, slots and headroom, a third is free at each report.
 	assert.Assert(t, served > 200*slots/4, "%d served", served)
