perf: entries change their routing instead of building it anew

A benchmark of one load on one of 152 engines: 3.6 ms, 3.0 MB and 24,600 allocations in every entry, up to 45 times a second, since all replicas were taken out and put in again.

Now the routing table is given what changed, as it always could be: 0.67 ms, 0.43 MB, 1,700 allocations; and it is left alone for nine times as long as that took. A rapid test holds that changes lead where building anew leads.

Ruled out: fewer rebuilds alone; a target is ready some milliseconds later then, and each costs the same.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -119,6 +119,7 @@
 	absent  map[holder.Missing]absence
 	missing []holder.Missing
 	number  uint64
+	routed  routed
 }
 
 // New returns an entry. Run starts it.
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
@@ -24,6 +26,9 @@
 	absentMost = 1200 * time.Millisecond
 	// absentForget is how long after the last such word the doubling ends.
 	absentForget = 3 * time.Second
+	// rebuildRest is how many times as long as building the routing took it is
+	// not built again, so that it takes at most a tenth of a core.
+	rebuildRest = 9
 	// requestTokens is what an ordinary request takes of an engine's memory.
 	requestTokens = 1700
 )
@@ -42,7 +47,13 @@
 		case <-next.C:
 		}
 
-		next.Reset(n.rebuild(time.Now()))
+		began := time.Now()
+		again := n.rebuild(began)
+
+		// Changes of hundreds of engines come faster than they can be taken in.
+		_ = clock.Sleep(ctx, rebuildRest*time.Since(began)) // The loop looks at ctx.
+
+		next.Reset(again)
 	}
 }
 
@@ -80,12 +91,67 @@
 	n.mu.Unlock()
 	b.wait()
 
+	n.routed.reduce(&b.snapshot)
 	n.targets.Apply(&b.snapshot, now)
 	n.lines.Kick()
 
 	return max(time.Millisecond, b.next.Sub(now))
 }
 
+// routed is the last snapshot that was applied. Only keepRouting uses it.
+type routed struct {
+	number uint64
+	// targets are the addresses of the targets, and replicas those of the
+	// targets of each replica.
+	targets  map[instance.ID]netip.AddrPort
+	replicas map[router.Replica]netip.AddrPort
+}
+
+// reduce turns a whole snapshot into what changed since the last one.
+//
+// It answers the load of many entries and engines: one of 152 engines changes
+// up to 45 times a second, and to build all replicas anew took each of 91
+// entries 3.6 ms and 3 MB each time, most of its processor.
+func (r *routed) reduce(s *router.Snapshot) {
+	targets := make(map[instance.ID]netip.AddrPort, len(s.Targets))
+	for _, t := range s.Targets {
+		targets[t.ID] = t.Address
+	}
+
+	replicas := make(map[router.Replica]netip.AddrPort, len(s.Added))
+
+	var added []router.Replica
+
+	for _, p := range s.Added {
+		at := targets[p.Target]
+
+		// At a new address it is another target.
+		if old, ok := r.replicas[p]; !ok || old != at {
+			added = append(added, p)
+		} else {
+			delete(r.replicas, p)
+		}
+
+		replicas[p] = at
+	}
+
+	if r.number != 0 {
+		s.Base, s.Added = r.number, added
+
+		for p := range r.replicas {
+			s.Removed = append(s.Removed, p)
+		}
+
+		for id := range r.targets {
+			if _, ok := targets[id]; !ok {
+				s.Gone = append(s.Gone, id)
+			}
+		}
+	}
+
+	r.number, r.targets, r.replicas = s.Number, targets, replicas
+}
+
 // builder makes a routing snapshot of what is known of the targets.
 type builder struct {
 	now time.Time
--- /dev/null
+++ b/internal/fleet/node/routing_test.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+// knowing returns an entry that knows engines and a holder's news of them.
+func knowing(engines int) *Node {
+	n := New(Config{Self: "self", Entries: 1, Log: zerolog.New(io.Discard)})
+	n.routes.Store(route.NewTable(&route.Config{Version: 1, Services: map[string]route.Service{"s": {Name: "s", Engine: &route.Engine{Slots: 12}}}}))
+
+	n.known = make(map[instance.ID]inventory.Target)
+	n.heard = time.Now()
+
+	for i := range engines {
+		id := instance.ID(fmt.Sprintf("t%03d", i))
+		n.known[id] = inventory.Target{ID: id, Service: "s", Slots: 12, Born: 1, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1+i))}
+		n.news.Stations = append(n.news.Stations, station(id, i))
+	}
+
+	return n
+}
+
+// station holds four models of a few hundred, one of them with adapters.
+func station(id instance.ID, i int) holder.Station {
+	s := holder.Station{Target: id, Born: 1, Running: i % 7}
+
+	for k := range 4 {
+		h := holder.Held{Model: fmt.Sprintf("m%d", (7*i+k)%431)}
+		for a := range 3 * (k % 2) {
+			h.Adapters = append(h.Adapters, holder.Adapter{Name: fmt.Sprintf("a%d", a)})
+		}
+
+		s.Held = append(s.Held, h)
+	}
+
+	return s
+}
+
+// BenchmarkRebuild is one load on one of 152 engines, as it reaches each of 91
+// entries up to 45 times a second. Whole snapshots took 3.6 ms, 3.0 MB and
+// 24,600 allocations each; changes take 0.7 ms, 0.4 MB and 1,700.
+func BenchmarkRebuild(b *testing.B) {
+	n := knowing(152)
+	n.rebuild(time.Now())
+
+	for i := 0; b.Loop(); i++ {
+		n.news.Stations[i%152].Held[0].Model = fmt.Sprintf("m%d", i%431)
+		n.rebuild(time.Now())
+	}
+}
+
+// TestRebuildsAgree: routing is built from what changed since the last time.
+// Whatever came and went meanwhile, it must be what a new entry would build
+// from the same knowledge.
+func TestRebuildsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const engines = 5
+
+		n, now := knowing(engines), time.Now()
+
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, engines-1).Draw(t, "engine")
+			id := instance.ID(fmt.Sprintf("t%03d", i))
+			s := &n.news.Stations[i]
+
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				s.Held = s.Held[:len(s.Held)/2]
+			case 1:
+				*s = station(id, rapid.IntRange(0, 9).Draw(t, "models"))
+			case 2:
+				s.Held = append(s.Held, holder.Held{Model: "late", Ready: now.Add(time.Second)})
+			case 3:
+				delete(n.known, id)
+			case 4:
+				n.known[id] = inventory.Target{ID: id, Service: "s", Slots: 12, Born: 2, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(100+i))}
+			case 5:
+				n.heard = now
+			}
+
+			n.rebuild(now)
+		}
+
+		fresh := knowing(engines)
+		fresh.known, fresh.news, fresh.heard = n.known, n.news, n.heard
+		fresh.rebuild(now)
+
+		assert.DeepEqual(t, replicas(&n.targets), replicas(&fresh.targets))
+		assert.Equal(t, len(n.targets.All()), len(fresh.targets.All()))
+	})
+}
+
+// replicas returns which targets a table has for each model.
+func replicas(t *router.Table) map[string][]string {
+	out := make(map[string][]string)
+
+	t.Models(func(model string, targets []*router.Target) {
+		for _, target := range targets {
+			out[model] = append(out[model], string(target.ID)+" "+target.Address.String())
+		}
+
+		slices.Sort(out[model])
+	})
+
+	maps.DeleteFunc(out, func(_ string, v []string) bool { return len(v) == 0 })
+
+	return out
+}
