fix: entries that start have no burst of repeats

A new process began with half of its share of the burst, whatever the one before it had spent, and took itself for one of eight entries until it knew the others: eleven repeats each instead of one.

Now a process begins with nothing and its share flows in; until others are known it is one of a hundred, and all that are listed share, alive or not.

Ruled out: writing what was spent to the store; a call for each repeat.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -133,7 +133,8 @@
 		absent: make(map[holder.Missing]absence),
 	}
 	n.budgets.Allowance = cfg.Allowance
-	n.budgets.Share(cfg.Entries)
+	n.budgets.Started = time.Now()
+	n.budgets.Share(sharersUnknown)
 	n.work, n.finish = context.WithCancel(context.Background())
 	n.peers.node = n
 	n.peers.roll.Self = roll.Member{ID: cfg.Self, Address: cfg.Peers, Process: n.process, Strength: cfg.Strength}
@@ -348,6 +349,23 @@
 	return n.cfg.Entries
 }
 
+// sharersUnknown is how many entries are taken to share the repeats until the
+// others are known: the largest site that is planned for has 91, and after a
+// loss of power all of its entries start at once. What requests earn themselves
+// does not depend on it.
+const sharersUnknown = 100
+
+// sharers returns how many entries may share the repeats: all that are listed,
+// also those that have not been heard yet or any more, so that the shares
+// together are never more than there is.
+func (n *Node) sharers() int {
+	if known := n.peers.listed(); known > 0 {
+		return max(known+1, n.cfg.Entries)
+	}
+
+	return sharersUnknown
+}
+
 // candidates returns the other entries that may hold the lease.
 func (n *Node) candidates() []holder.Candidate {
 	alive := n.peers.alive()
@@ -389,7 +407,7 @@
 	for clock.Sleep(ctx, sweepEvery) == nil {
 		n.pool.Sweep(time.Now())
 		n.gauge()
-		n.budgets.Share(max(n.entries(), n.cfg.Entries))
+		n.budgets.Share(n.sharers())
 
 		n.mu.Lock()
 
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -242,6 +242,14 @@
 	return p.roll.Alive(time.Now())
 }
 
+// listed returns how many peers are known, alive or not.
+func (p *peers) listed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.roll.All())
+}
+
 // leave tells the peers that this process is about to end.
 func (p *peers) leave(ctx context.Context) {
 	p.mu.Lock()
--- a/internal/serving/relay/budget.go
+++ b/internal/serving/relay/budget.go
@@ -25,6 +25,10 @@
 // the entries together keep the bound without talking to each other.
 type Budgets struct {
 	Allowance Allowance
+	// Started is when this process started; zero means long ago. A process
+	// begins with nothing: the one before it on its instance may have spent
+	// everything right before its end.
+	Started time.Time
 
 	mu     sync.Mutex
 	share  float64
@@ -77,9 +81,13 @@
 	return true
 }
 
-// most is what a bucket holds: half of this entry's share of the burst. The
-// other half flows in over a window, so that no window sees more than all.
-func (b *Budgets) most() float64 { return max(1, b.Allowance.Burst*safety*b.share/2) } //nolint:mnd // Halves.
+// half is half of this entry's share of the burst. A bucket holds that much, and
+// as much flows in over a window, so that no window sees more than all.
+func (b *Budgets) half() float64 { return b.Allowance.Burst * safety * b.share / 2 } //nolint:mnd // Halves.
+
+// most is what a bucket holds; with less than one sending it would never allow
+// any.
+func (b *Budgets) most() float64 { return max(1, b.half()) }
 
 // level returns the service's bucket with what has flowed in since its last
 // use.
@@ -91,11 +99,15 @@
 	l := b.levels[service]
 	if l == nil {
 		l = &level{left: b.most(), at: now}
+		if !b.Started.IsZero() {
+			l.left, l.at = 0, b.Started
+		}
+
 		b.levels[service] = l
 	}
 
 	if b.Allowance.Window > 0 {
-		l.left = min(l.left+b.most()*float64(now.Sub(l.at))/float64(b.Allowance.Window), b.most())
+		l.left = min(l.left+b.half()*float64(now.Sub(l.at))/float64(b.Allowance.Window), b.most())
 	}
 
 	l.at = now
--- a/internal/serving/relay/budget_test.go
+++ b/internal/serving/relay/budget_test.go
@@ -10,7 +10,9 @@
 
 // TestBudgetsKeepTheBound: targets fail in numbers and every entry repeats as
 // much as it may. In no window do all of them together repeat more than the
-// operators allow.
+// operators allow, also when entries are killed and start again meanwhile: on a
+// played day 83 of them lost power at once, and the fresh ones repeated 684
+// requests in a window that allowed 649.
 func TestBudgetsKeepTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 10 * time.Second
@@ -18,7 +20,7 @@
 		allowed := Allowance{
 			Ratio: rapid.Float64Range(0, 0.5).Draw(t, "ratio"), Burst: rapid.Float64Range(20, 100).Draw(t, "burst"), Window: window,
 		}
-		entries := rapid.IntRange(1, 8).Draw(t, "entries")
+		entries := rapid.IntRange(1, 16).Draw(t, "entries")
 		all := make([]Budgets, entries)
 
 		for i := range all {
@@ -34,6 +36,11 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gapMs")) * time.Millisecond)
 			b := &all[rapid.IntRange(0, entries-1).Draw(t, "entry")]
 
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				*b = Budgets{Allowance: allowed, Started: now}
+				b.Share(entries)
+			}
+
 			b.Earn("s", now)
 
 			requests = append(requests, now)
