--- a/internal/placement/cell/cell.go
+++ b/internal/placement/cell/cell.go
@@ -22,6 +22,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/placement/leaserow"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
 	"github.com/fulmarcross/fulmarcross/internal/placement/share"
 	"github.com/fulmarcross/fulmarcross/internal/platform/object"
@@ -192,7 +193,7 @@
 		return
 	}
 
-	current, err := c.decode(rows[0])
+	current, err := c.row().Decode(rows[0])
 	if err != nil {
 		c.cfg.Logger.Error().Err(err).Int("cell", c.cfg.Cell).Msg("lease row cannot be read")
 
@@ -211,12 +212,9 @@
 	}
 }
 
-func (c *Cell) decode(row table.Row) (lease.Record, error) {
-	if row.Version == 0 {
-		return lease.Record{Cell: c.cfg.Cell}, nil
-	}
-
-	return record.DecodeLease(c.cfg.Cell, row.Value)
+// row is the row of this cell's lease.
+func (c *Cell) row() leaserow.Row {
+	return leaserow.Row{Table: c.cfg.Table, Cell: c.cfg.Cell, Process: c.cfg.Process}
 }
 
 // take writes the lease and the fence in one transaction. From then on no
@@ -284,7 +282,7 @@
 	tryCtx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Renew)
 	defer cancel()
 
-	version, err := c.writeLease(tryCtx, next, held.Version)
+	version, err := c.row().Write(tryCtx, next, held.Version)
 
 	switch {
 	case err == nil:
@@ -326,11 +324,9 @@
 	c.tenure.setHeld(c.held)
 }
 
-// conflict finds out whether the lease was lost. A renewal of this process
-// whose answer came too late has changed the row as well, and then the lease
-// is still held: the row names this process and its token.
+// conflict finds out whether the lease was lost.
 func (c *Cell) conflict(ctx context.Context, held lease.Held) {
-	version, own, err := c.ownLease(ctx, held.Token)
+	version, own, err := c.row().Own(ctx, held.Token)
 
 	switch {
 	case err != nil:
@@ -343,28 +339,6 @@
 	}
 }
 
-// writeLease replaces the lease row of the version and returns its new one.
-func (c *Cell) writeLease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
-	return table.Settle(ctx, c.cfg.Table, table.Transaction{
-		Conditions: []table.Condition{{Key: record.LeaseKey(c.cfg.Cell), Version: version}},
-		Writes:     []table.Write{{Key: record.LeaseKey(c.cfg.Cell), Value: record.EncodeLease(next)}},
-	})
-}
-
-// ownLease reads the lease row. It reports whether that still names this
-// process with the token, and the row's version.
-func (c *Cell) ownLease(ctx context.Context, token uint64) (version uint64, own bool, err error) {
-	rows, err := c.cfg.Table.Read(ctx, record.LeaseKey(c.cfg.Cell))
-	if err != nil {
-		return 0, false, err
-	}
-
-	current, err := c.decode(rows[0])
-	own = err == nil && current.Process == c.cfg.Process && current.Token == token && !current.Released
-
-	return rows[0].Version, own, nil
-}
-
 // lost ends the tenure, because another instance holds the lease.
 func (c *Cell) lost(token uint64) {
 	c.mu.Lock()
--- a/internal/placement/cell/handover.go
+++ b/internal/placement/cell/handover.go
@@ -9,7 +9,6 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
-	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 )
 
@@ -74,7 +73,9 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Terms.Renew)
 	defer cancel()
 
-	if !c.writeRelease(ctx, next, held.Version) {
+	if _, err := c.row().Release(ctx, next, held.Version); err != nil {
+		c.cfg.Logger.Warn().Err(err).Int("cell", c.cfg.Cell).Msg("lease not released")
+
 		return
 	}
 
@@ -88,28 +89,6 @@
 	}
 }
 
-// writeRelease writes the released lease. A renewal of this process may have
-// been on its way and have changed the row's version; the row then still names
-// this process and its token. Without the second try the cell would be without
-// a holder until the lease runs out.
-func (c *Cell) writeRelease(ctx context.Context, next lease.Record, version uint64) bool {
-	const tries = 3
-
-	for range tries {
-		_, err := c.writeLease(ctx, next, version)
-		if err == nil || !table.IsConflict(err) {
-			return err == nil
-		}
-
-		var own bool
-		if version, own, err = c.ownLease(ctx, next.Token); err != nil || !own {
-			return false
-		}
-	}
-
-	return false
-}
-
 func (c *Cell) successor() instance.ID {
 	for _, id := range instance.Rank(Name(c.cfg.Cell), c.cfg.Fleet.Entries()) {
 		if id != c.cfg.Self {
--- a/internal/placement/holder/tenure.go
+++ b/internal/placement/holder/tenure.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
+	"github.com/fulmarcross/fulmarcross/internal/placement/leaserow"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/wire/record"
 )
@@ -30,14 +31,11 @@
 		return
 	}
 
-	var current lease.Record
-
-	if rows[0].Version != 0 {
-		if current, err = record.DecodeLease(cell, rows[0].Value); err != nil {
-			h.cfg.Log.Error().Err(err).Msg("lease row cannot be read")
+	current, err := h.row().Decode(rows[0])
+	if err != nil {
+		h.cfg.Log.Error().Err(err).Msg("lease row cannot be read")
 
-			return
-		}
+		return
 	}
 
 	now := clock.Now()
@@ -91,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Terms.Duration/2)
 	defer cancel()
 
-	version, err := h.writeLease(ctx, next, version)
+	version, err := h.row().Write(ctx, next, version)
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Msg("lease not taken")
 
@@ -140,13 +138,9 @@
 // may differ by.
 const clockSlack = 400 * time.Millisecond
 
-func (h *Holder) writeLease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
-	key := record.LeaseKey(cell)
-
-	return table.Settle(ctx, h.cfg.Table, table.Transaction{
-		Conditions: []table.Condition{{Key: key, Version: version}},
-		Writes:     []table.Write{{Key: key, Value: record.EncodeLease(next)}},
-	})
+// row is the row of the lease.
+func (h *Holder) row() leaserow.Row {
+	return leaserow.Row{Table: h.cfg.Table, Cell: cell, Process: h.cfg.Process}
 }
 
 // renewIfDue writes the lease again in the background of the decisions.
@@ -177,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Terms.Renew)
 	defer cancel()
 
-	version, err := h.writeLease(ctx, next, held.Version)
+	version, err := h.row().Write(ctx, next, held.Version)
 
 	switch {
 	case err == nil:
@@ -201,7 +195,7 @@
 // conflict finds out whether the lease was lost, or whether an earlier renewal
 // took effect after its answer was given up.
 func (h *Holder) conflict(ctx context.Context, held lease.Held) {
-	version, own, err := h.ownRow(ctx, held.Token)
+	version, own, err := h.row().Own(ctx, held.Token)
 	if err != nil {
 		return
 	}
@@ -257,7 +251,7 @@
 	news := h.last
 	h.mu.Unlock()
 
-	version, err := h.writeRelease(ctx, next, version)
+	version, err := h.row().Release(ctx, next, version)
 	if err != nil {
 		h.cfg.Log.Warn().Err(err).Msg("lease not released")
 
@@ -270,35 +264,3 @@
 	news.Successor, news.LeaseVersion = next.Successor, version
 	h.cfg.Publish(news)
 }
-
-// writeRelease writes the release over the row, also when a renewal of this
-// process that was on its way has changed it meanwhile.
-func (h *Holder) writeRelease(ctx context.Context, next lease.Record, version uint64) (uint64, error) {
-	for {
-		written, err := h.writeLease(ctx, next, version)
-		if err == nil || !table.IsConflict(err) {
-			return written, err
-		}
-
-		now, own, readErr := h.ownRow(ctx, next.Token)
-		if readErr != nil || !own {
-			return 0, err
-		}
-
-		version = now
-	}
-}
-
-// ownRow reads the lease row. It reports whether that names this process with
-// the token, and the row's version.
-func (h *Holder) ownRow(ctx context.Context, token uint64) (version uint64, own bool, err error) {
-	rows, err := h.cfg.Table.Read(ctx, record.LeaseKey(cell))
-	if err != nil {
-		return 0, false, err
-	}
-
-	current, err := record.DecodeLease(cell, rows[0].Value)
-	own = err == nil && current.Process == h.cfg.Process && current.Token == token && !current.Released
-
-	return rows[0].Version, own, nil
-}
