fix: looks at a caller's connection end with its request

Cause, found in reading the change: a look that ran at the moment when its request ended began the next one again, five times a second for as long as the process lives. TestWatchEnds shows it without the change.

--- a/internal/serving/relay/caller.go
+++ b/internal/serving/relay/caller.go
@@ -22,8 +22,8 @@
 // Targets must have stopped half a second after it left.
 const lookForCaller = 200 * time.Millisecond
 
-// watchCaller calls leave when the caller has closed its connection, and
-// returns a function that ends the watch.
+// watchCaller calls leave when the caller has closed its connection, until ctx
+// has ended and the function that it returns was called.
 //
 // It guards against a caller that closes behind bytes that nobody has read,
 // such as a further request: the HTTP server stops reading at them and does not
@@ -53,7 +53,10 @@
 			return
 		}
 
-		t.Reset(lookForCaller)
+		// A look that ran while the watch was ended must not begin it again.
+		if ctx.Err() == nil {
+			t.Reset(lookForCaller)
+		}
 	})
 
 	close(ready)
--- a/internal/serving/relay/caller_test.go
+++ b/internal/serving/relay/caller_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -54,3 +58,44 @@
 		t.Fatal("the target was still at work when its caller had left")
 	}
 }
+
+// slowLook is a caller's connection whose state takes a while to be read.
+type slowLook struct {
+	net.Conn
+
+	looks *atomic.Int64
+}
+
+func (s slowLook) SyscallConn() (syscall.RawConn, error) { return rawLook{looks: s.looks}, nil }
+
+// rawLook is its raw side.
+type rawLook struct {
+	syscall.RawConn
+
+	looks *atomic.Int64
+}
+
+func (r rawLook) Control(func(uintptr)) error {
+	r.looks.Add(1)
+	time.Sleep(lookForCaller / 2)
+
+	return net.ErrClosed
+}
+
+// TestWatchEnds: a request ends while a look at its caller's connection is on
+// its way. The looks must end with it; each one left behind would go on five
+// times a second for as long as the process lives.
+func TestWatchEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var looks atomic.Int64
+
+		ctx, cancel := context.WithCancel(WithCaller(t.Context(), slowLook{looks: &looks}))
+		end := watchCaller(ctx, func() { t.Error("the caller is still there") })
+
+		time.Sleep(lookForCaller + lookForCaller/4) // In the middle of the first look.
+		end()
+		cancel()
+		time.Sleep(time.Minute)
+		assert.Equal(t, looks.Load(), int64(1))
+	})
+}
