fix: a target's free places are handed out once for each count

Each publication of a target's routing, many a second, gave every entry its part of the free places anew, though what ran there had been counted last up to 0.4 s ago, or, before a holder was back, never.

Ruled out: too few replicas (the plan orders more, which takes seconds) and the choice among targets (both were equally full).

Now a part is given once for each count.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -75,6 +75,7 @@
 type Node struct {
 	cfg     Config
 	process string
+	started time.Time
 	relay   *relay.Server
 	lines   *dispatch.Dispatcher
 	targets router.Table
@@ -127,7 +128,7 @@
 // New returns an entry. Run starts it.
 func New(cfg Config) *Node {
 	n := &Node{
-		cfg: cfg, process: uuid.NewString(),
+		cfg: cfg, process: uuid.NewString(), started: time.Now(),
 		listBehind: make(chan struct{}, 1), configBehind: make(chan struct{}, 1),
 		changed: make(chan struct{}, 1), asked: make(chan struct{}, 1),
 		absent: make(map[holder.Missing]absence),
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -65,7 +65,7 @@
 	}
 
 	n.mu.Lock()
-	b := builder{now: now, next: now.Add(newsLast), absent: n.absent, coming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
+	b := builder{now: now, count: 1 + uint64(n.heard.Sub(n.started)/reportEvery), next: now.Add(newsLast), absent: n.absent, coming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
 	n.number++
 	b.snapshot.Number = n.number
 
@@ -156,8 +156,10 @@
 type builder struct {
 	now time.Time
 	// next is when the snapshot is out of date by itself.
-	next     time.Time
-	absent   map[holder.Missing]absence
+	next   time.Time
+	absent map[holder.Missing]absence
+	// count tells apart the holder's counts of what runs on targets.
+	count    uint64
 	snapshot router.Snapshot
 	// coming is when the first replica of a key is ready that is not yet.
 	coming map[string]time.Time
@@ -185,6 +187,7 @@
 		s = nil
 	}
 
+	info.Count = b.count
 	if s != nil {
 		info.Running = s.Running
 	}
--- a/internal/serving/router/crowd_test.go
+++ b/internal/serving/router/crowd_test.go
@@ -138,3 +138,35 @@
 	// Of 40 places, slots and headroom, a third is free at each report.
 	assert.Assert(t, served > 200*slots/4, "%d served", served)
 }
+
+// TestOneCount: a target's routing is published many times while what runs there
+// was counted once, or, after a loss of power of all entries, not at all. Each
+// publication must not hand out the free places again.
+func TestOneCount(t *testing.T) {
+	var table Table
+
+	now := time.Unix(1000, 0)
+
+	begun := 0
+
+	for number := range uint64(50) {
+		table.Apply(&Snapshot{
+			Token: 1, Number: 1 + number, Added: []Replica{{Target: "t", Model: "m"}},
+			Targets: []TargetInfo{{ID: "t", Slots: 32, Speed: 1, Count: 1 + number/25}},
+		}, now)
+
+		for {
+			target := Choose(table.Targets("m"), &Query{Entries: 83, Now: now})
+			if target == nil {
+				break
+			}
+
+			target.Begin(false)
+
+			begun++
+		}
+	}
+
+	// Two counts, each with a part of 40 places by eight and one by lot.
+	assert.Assert(t, begun <= 2*(40/rivals+1), "%d begun", begun)
+}
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -32,7 +32,10 @@
 	Waiting int
 	// ReportAge is how old the report was when it was published.
 	ReportAge time.Duration
-	Leaving   bool
+	// Count tells the counts of Running apart; zero means that each publication
+	// has a new one.
+	Count   uint64
+	Leaving bool
 	// Down says that the holder cannot reach the target.
 	Down bool
 	// Incarnation is the engine's when it was last seen.
@@ -332,7 +335,8 @@
 	// A target may start again under its id and address. Its former process's
 	// leaving, which may have been the last that was heard of that, must not
 	// keep requests from the new one for good.
-	if old := t.info.Load(); old != nil && old.Incarnation != info.Incarnation {
+	old := t.info.Load()
+	if old != nil && old.Incarnation != info.Incarnation {
 		t.leaving.Store(false)
 	}
 
@@ -342,6 +346,14 @@
 
 	t.info.Store(&info)
 	t.reportedAt.Store(now.Add(-info.ReportAge).UnixNano())
+
+	// What was begun since the last count is not in it. Published anew with an old
+	// count, a target would get its free places each time: after a loss of power
+	// two of 60 targets got all requests of a model for as long as nobody counted.
+	if old != nil && info.Count != 0 && info.Count == old.Count {
+		return
+	}
+
 	t.ownThen.Store(t.own.Load())
 	t.lot.Store(math.Float64bits(rand.Float64())) //nolint:gosec // No secret.
 }
