--- a/internal/fleet/clock/clock.go
+++ b/internal/fleet/clock/clock.go
@@ -20,6 +20,24 @@
 	}
 }
 
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
+
 // Wait waits for wg. It returns the context's error if that ends first; wg is
 // waited for on.
 func Wait(ctx context.Context, wg *sync.WaitGroup) error {
--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -60,7 +60,7 @@
 
 	n.mu.Lock()
 	latest.List = n.usable
-	latest.StoreAge = time.Since(earlier(n.lookedConfig, n.lookedTargets))
+	latest.StoreAge = time.Since(clock.Earlier(n.lookedConfig, n.lookedTargets))
 	n.mu.Unlock()
 
 	n.takeNews(latest)
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -198,7 +198,7 @@
 		b.replica(t.ID, relay.Key(t.Service, h.Model), h.Ready)
 
 		for _, a := range h.Adapters {
-			b.replica(t.ID, relay.Key(t.Service, h.Model+"/"+a.Name), latest(h.Ready, a.Ready))
+			b.replica(t.ID, relay.Key(t.Service, h.Model+"/"+a.Name), clock.Later(h.Ready, a.Ready))
 		}
 	}
 }
@@ -207,14 +207,6 @@
 // listed.
 const reportAge = time.Second
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
 // heldBy returns what a target holds: by the holder's news if there are any,
 // or else by the list.
 func heldBy(t inventory.Target, s *holder.Station) []holder.Held {
@@ -237,7 +229,7 @@
 // replica adds what is ready by now, and notes when the rest will be.
 func (b *builder) replica(id instance.ID, key string, ready time.Time) {
 	if a, ok := b.absent[holder.Missing{Target: id, Key: key}]; ok {
-		ready = latest(ready, a.until)
+		ready = clock.Later(ready, a.until)
 	}
 
 	if ready.After(b.now) {
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -147,14 +147,6 @@
 	return n.news.Holder != n.cfg.Self && !n.heard.IsZero() && n.news.StoreAge+time.Since(n.heard) < holderKnows
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-
-	return b
-}
-
 // targetsTurn waits until it is time to look at the list of targets.
 func (n *Node) targetsTurn(ctx context.Context) {
 	looked := time.Now()
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -118,7 +118,7 @@
 
 func (r *Roll) forget(now time.Time) {
 	for id, e := range r.members {
-		if now.Sub(later(e.heard, e.since)) > forgetAfter {
+		if now.Sub(e.heard) > forgetAfter && now.Sub(e.since) > forgetAfter {
 			r.bury(e.Process, now)
 			delete(r.members, id)
 
@@ -133,14 +133,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
-}
-
 func (r *Roll) bury(process string, now time.Time) {
 	if r.gone == nil {
 		r.gone = make(map[string]time.Time)
--- a/internal/placement/holder/tenure.go
+++ b/internal/placement/holder/tenure.go
@@ -99,7 +99,7 @@
 	h.mu.Lock()
 	h.held = lease.Held{Record: next, Version: version, Fence: version, Sent: sent}
 	h.mayOrder = h.firstOrder(old, sent)
-	h.stockBy = later(h.mayOrder, sent.Add(takeStock))
+	h.stockBy = clock.Later(h.mayOrder, sent.Add(takeStock))
 	h.number, h.published = 0, false
 	h.adopt()
 	mayOrder := h.mayOrder
@@ -125,15 +125,7 @@
 		return first
 	}
 
-	return later(first, now.Add(h.cfg.TurnPause-h.cfg.Terms.Duration+clockSlack))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-
-	return b
+	return clock.Later(first, now.Add(h.cfg.TurnPause-h.cfg.Terms.Duration+clockSlack))
 }
 
 // clockSlack covers what the clocks of two instances and the way of an order
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -140,24 +140,38 @@
 
 // takes reports whether the target may be given one more request.
 func (t *Target) takes(q *Query, ignoreEjection bool) bool {
-	if t.leaving.Load() || excluded(t.ID, q.Exclude) {
-		return false
-	}
+	return !excluded(t.ID, q.Exclude) && (!q.Suspect || t.suspects.Load() == 0) && t.state(q, ignoreEjection) == open
+}
 
-	info := t.info.Load()
-	if info == nil || info.Down || t.isDead(info) {
-		return false
-	}
+// state is whether a target takes requests, or why not.
+type state int
 
-	if q.Suspect && t.suspects.Load() > 0 {
-		return false
+const (
+	open state = iota
+	leaving
+	dead
+	failing
+	full
+)
+
+// state returns whether the target takes requests, whichever they are.
+func (t *Target) state(q *Query, ignoreEjection bool) state {
+	if t.leaving.Load() {
+		return leaving
 	}
 
-	if !ignoreEjection && t.ejectedUntil.Load() > q.Now.UnixNano() {
-		return false
+	info := t.info.Load()
+
+	switch {
+	case info == nil || info.Down || t.isDead(info):
+		return dead
+	case !ignoreEjection && t.ejectedUntil.Load() > q.Now.UnixNano():
+		return failing
+	case t.own.Load() >= t.window(info, q):
+		return full
 	}
 
-	return t.own.Load() < t.window(info, q)
+	return open
 }
 
 // Standing counts the targets that hold a model, and those that take no
@@ -171,17 +185,16 @@
 	s := Standing{Holders: len(targets)}
 
 	for _, t := range targets {
-		info := t.info.Load()
-
-		switch {
-		case t.leaving.Load():
+		switch t.state(q, false) {
+		case leaving:
 			s.Leaving++
-		case info == nil || info.Down || t.isDead(info):
+		case dead:
 			s.Dead++
-		case t.ejectedUntil.Load() > q.Now.UnixNano():
+		case failing:
 			s.Ejected++
-		case !t.takes(q, false):
+		case full:
 			s.Full++
+		case open:
 		}
 	}
 
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -21,10 +21,9 @@
 	name    string
 	command []string
 	// env is added to the process's environment.
-	env      []string
-	callers  netip.AddrPort
-	settings string
-	log      *os.File
+	env     []string
+	callers netip.AddrPort
+	log     *os.File
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -70,7 +69,7 @@
 
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 
-	return &process{name: name, command: command, env: append(env, platform.SettingsVariable+"="+path), callers: at[0], settings: path, log: log}, at[2], err
+	return &process{name: name, command: command, env: append(env, platform.SettingsVariable+"="+path), callers: at[0], log: log}, at[2], err
 }
 
 // start starts the process, and again after each end.
