fix: loads from the weight store count from their decision on

Cause: a load counted against what the store feeds at full speed only once its engine had accepted it.

Ruled out: the engines' own delay of orders (accepted at the first try).

The new test failed with 8 loads at once, and holds 4 now.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
@@ -188,7 +189,7 @@
 			continue
 		}
 
-		if s.fromStore && now.Before(s.loading) {
+		if s.fromStore {
 			v.StoreLoads--
 		}
 
@@ -214,6 +215,7 @@
 	}
 
 	s.held[m.Load] = &residence{ready: now.Add(m.Takes + unordered), used: now, adapters: make(map[string]*placed)}
+	s.fromStore = m.From == target.TierRemote
 	h.published = false
 }
 
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -50,6 +50,8 @@
 	rows map[instance.ID]inventory.Target
 	// born counts the workers' processes.
 	born int64
+	// slow is how much longer than usual an order is on its way.
+	slow time.Duration
 }
 
 // member is one holder with what stops it.
@@ -257,7 +259,7 @@
 		return holder.Rejected, errSilent
 	}
 
-	time.Sleep(way)
+	time.Sleep(way + e.w.slow)
 
 	out, answered := e.w.worker(t.ID).Order(o)
 	if !answered {
@@ -285,10 +287,13 @@
 	return e.w.worker(t.ID).Report(), nil
 }
 
-// ask reports to every holder that requests wait for a model, until one takes
+// ask reports to every holder that requests wait for models, until one takes
 // it.
-func (w *world) ask(model string) {
-	r := demand.Report{Entry: "e", Waiting: []replica.Demand{{Model: "s/" + model, Waiting: 1, Deadline: time.Now().Add(10 * time.Second)}}}
+func (w *world) ask(models ...string) {
+	r := demand.Report{Entry: "e"}
+	for _, model := range models {
+		r.Waiting = append(r.Waiting, replica.Demand{Model: "s/" + model, Waiting: 1, Deadline: time.Now().Add(10 * time.Second)})
+	}
 
 	for _, m := range w.holders {
 		if m.Report(r, nil) == nil {
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -33,22 +33,19 @@
 
 // swap unloads what makes way and loads the model.
 func (h *Holder) swap(ctx context.Context, s *station, m swap.Move) {
-	for _, model := range m.Unload {
-		if !h.send(ctx, s, Order{Unload: true, Model: model}) {
-			return
-		}
-	}
-
-	if !h.send(ctx, s, Order{Model: m.Load}) {
-		return
-	}
+	sent := h.sendAll(ctx, s, m)
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
+	if !sent {
+		s.fromStore = false
+
+		return
+	}
+
 	now := clock.Now()
 	s.loading = now.Add(m.Takes + foretold)
-	s.fromStore = m.From == target.TierRemote
 
 	if res := s.held[m.Load]; res != nil {
 		res.ready, res.used = s.loading, now
@@ -59,6 +56,17 @@
 	h.published = false
 }
 
+// sendAll hands over a swap's orders, and reports whether the load is begun.
+func (h *Holder) sendAll(ctx context.Context, s *station, m swap.Move) bool {
+	for _, model := range m.Unload {
+		if !h.send(ctx, s, Order{Unload: true, Model: model}) {
+			return false
+		}
+	}
+
+	return h.send(ctx, s, Order{Model: m.Load})
+}
+
 // loadAdapter loads an adapter, after an idle one was given up if need be.
 func (h *Holder) loadAdapter(ctx context.Context, s *station, model, adapter, idle string) {
 	if idle != "" {
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -39,7 +39,10 @@
 	doubted time.Time
 	// loading is until when the last model load is expected to last.
 	loading time.Time
-	// fromStore says that the last load came from the weight store.
+	// fromStore says that a load from the weight store was decided that has not
+	// ended yet, as far as is known. It is set before the load's orders are sent:
+	// rounds follow each other faster than engines accept, and each would begin
+	// as many loads as the store feeds at full speed.
 	fromStore bool
 }
 
@@ -87,6 +90,10 @@
 			s.takeAtHand(t)
 			s.compare(t, now)
 		}
+
+		if !s.working && !now.Before(s.loading) {
+			s.fromStore = false
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/placement/holder/store_test.go
@@ -0,0 +1,71 @@
+package holder_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
+)
+
+// mostFromStore returns how many loads from the weight store the workers had in
+// hand at once, where each takes that long.
+func mostFromStore(w *world, takes time.Duration) int {
+	var begins []time.Time
+
+	for _, one := range w.workers {
+		for _, o := range one.Orders() {
+			if !o.Unload && o.Outcome == 0 {
+				begins = append(begins, o.At)
+			}
+		}
+	}
+
+	most := 0
+
+	for _, at := range begins {
+		n := 0
+
+		for _, other := range begins {
+			if !other.After(at) && at.Sub(other) < takes {
+				n++
+			}
+		}
+
+		most = max(most, n)
+	}
+
+	return most
+}
+
+// TestStoreLoadsInHand: eight targets are replaced by empty ones at once, and
+// callers wait for eight models that are on no disk. Engines take 300 ms to
+// accept an order, several rounds of decisions pass meanwhile, and each began
+// as many loads as the weight store feeds at full speed: all eight together
+// took twice as long, and requests were sent to targets that had nothing yet.
+func TestStoreLoadsInHand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(t, 1, engine(), 0)
+		w.slow = 300 * time.Millisecond
+
+		for i := range 8 {
+			w.workers[instance.ID(fmt.Sprintf("w%d", i))] = &worker.Worker{Engine: w.routes.Services["s"].Engine}
+		}
+
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			models := make([]string, 8)
+			for i := range models {
+				models[i] = fmt.Sprintf("m%d", i)
+			}
+
+			w.ask(models...)
+		}
+
+		assert.Equal(t, mostFromStore(w, 6*time.Second), 4)
+		w.finish()
+	})
+}
