perf: a replica is crowded by its target's places, not at eight requests

Hypothesis: eight requests a replica is too few where a target runs 64 or 128 at once.

Change: another replica at a third of a target's places, from the weight store at two thirds. The plan's file is split by decision on the way (urgency, room, replica), without a change of what it decides.

--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -29,8 +29,6 @@
 	// rebuildRest is how many times as long as building the routing took it is
 	// not built again, so that it takes at most a tenth of a core.
 	rebuildRest = 9
-	// requestTokens is what an ordinary request takes of an engine's memory.
-	requestTokens = 1700
 )
 
 // keepRouting builds the routing anew whenever what it rests on changes, and
@@ -179,9 +177,7 @@
 		return
 	}
 
-	if e.CacheTokens > 0 {
-		info.Slots = min(info.Slots, max(1, e.CacheTokens/requestTokens))
-	}
+	info.Slots = e.Places(info.Slots)
 
 	if s != nil && s.Born != t.Born {
 		s = nil
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -10,7 +10,6 @@
 package swap
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -94,33 +93,6 @@
 	ForLater Reason = "later"
 )
 
-const (
-	// crowded is how many requests a replica may have before another is
-	// loaded. A batch of a dozen still reads a prompt of 1,500 tokens within
-	// the 600 ms that callers of the busiest route allow.
-	crowded = 8
-	// pressedAt is how many requests a replica may have before another is
-	// loaded even from the weight store: three times as many as crowd it.
-	pressedAt = 3 * crowded
-	// mostAtOnce is how many replicas of one model a round adds.
-	mostAtOnce = 3
-	// unloadTime is what an unload takes when nothing runs on the model.
-	unloadTime = 150 * time.Millisecond
-	// runTime is how long a run on a model that is to make way may still
-	// take: an answer of 170 tokens at 12 ms each.
-	runTime = 2 * time.Second
-	// youngAge is for how long a model that was just used is not given up:
-	// requests for it may be on their way.
-	youngAge = 300 * time.Millisecond
-)
-
-// part is how much one model needs a target: its share of the disks that the
-// model is on.
-type part struct {
-	model string
-	share float64
-}
-
 // planner gathers the moves of one round, which see each other.
 type planner struct {
 	*View
@@ -173,82 +145,6 @@
 	return p.moves
 }
 
-// seek notes which targets' disks the models that are nowhere are on.
-func (p *planner) seek() {
-	p.sought = make(map[instance.ID][]part)
-
-	for _, w := range p.Wants {
-		if p.copies[w.Model] > 0 || w.Waiting == 0 {
-			continue
-		}
-
-		var on []instance.ID
-
-		for i := range p.Targets {
-			if t := &p.Targets[i]; t.Free && t.Serving && t.AtHand[w.Model] != 0 {
-				on = append(on, t.ID)
-			}
-		}
-
-		for _, id := range on {
-			p.sought[id] = append(p.sought[id], part{w.Model, 1 / float64(len(on))})
-		}
-	}
-}
-
-// rivalry returns how much other models that wait need the target.
-func (p *planner) rivalry(t *Target, model string) float64 {
-	sum := 0.0
-
-	for _, other := range p.sought[t.ID] {
-		if other.model != model && p.copies[other.model] == 0 {
-			sum += other.share
-		}
-	}
-
-	return sum
-}
-
-// byUrgency orders the wants: models that are nowhere before crowded ones,
-// then by deadline.
-func (p *planner) byUrgency() []Want {
-	sorted := slices.Clone(p.Wants)
-	slices.SortStableFunc(sorted, func(a, b Want) int {
-		return cmp.Or(
-			cmp.Compare(min(p.copies[a.Model], 1), min(p.copies[b.Model], 1)),
-			a.Deadline.Compare(b.Deadline),
-			cmp.Compare(a.Model, b.Model),
-		)
-	})
-
-	return sorted
-}
-
-func (p *planner) meet(w Want) {
-	m, known := p.Engine.Models[w.Model]
-	if !known {
-		return
-	}
-
-	switch n := p.copies[w.Model]; {
-	case n == 0 && w.Waiting > 0:
-		p.place(m, w, ForWaiting)
-	case n > 0:
-		p.spreadOut(m, w)
-	}
-}
-
-// spreadOut adds replicas of a crowded model, several at once: when the demand
-// moves to another model its requests pile up on one replica within a second,
-// and one load after the other would let them wait for all the loads before.
-func (p *planner) spreadOut(m route.Model, w Want) {
-	enough := (w.Waiting + w.Running + crowded - 1) / crowded
-
-	for range min(enough-p.copies[m.Name], mostAtOnce) {
-		p.place(m, w, ForLoad)
-	}
-}
-
 // choice is a target with what a load there would cost.
 type choice struct {
 	move Move
@@ -311,9 +207,7 @@
 const lossWeight = 2.0
 
 // rivalWeight is the seconds of delay that a target is worth to the only model
-// that needs it. Of 3,000 small cases 126 began fewer loads than the best
-// assignment without it, and none with this or with six times as much
-// (TestPlanAgainstExhaustive).
+// that needs it: a model that could be loaded elsewhere leaves it alone.
 const rivalWeight = 0.5
 
 // loadWeight is the seconds of delay that one more running request on a
@@ -322,7 +216,7 @@
 
 func (p *planner) consider(t *Target, m route.Model, w Want, why Reason) (choice, bool) {
 	tier, takes := tierOf(t, m)
-	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad && !p.pressed(w)) {
+	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad && !p.isPressed(w)) {
 		return choice{}, false
 	}
 
@@ -341,16 +235,6 @@
 	}, true
 }
 
-// pressed reports whether a model is so crowded that another replica is worth a
-// load from the weight store.
-//
-// It answers the loss of the targets that have a busy model's weights on disk:
-// of 60 engines three held the busiest model, each with a hundred requests, and
-// no other could load it from a disk of its own.
-func (p *planner) pressed(w Want) bool {
-	return p.store > urgentStore && w.Waiting+w.Running > pressedAt*p.copies[w.Model]
-}
-
 func tierOf(t *Target, m route.Model) (target.Tier, time.Duration) {
 	switch t.AtHand[m.Name] {
 	case target.TierMemory:
@@ -362,87 +246,3 @@
 
 	return target.TierRemote, m.FromStore
 }
-
-// Reserve is the memory that is kept for adapters, in MB.
-func Reserve(e *route.Engine) float64 {
-	most := 0.0
-	for _, m := range e.Models {
-		most = max(most, m.AdapterMB)
-	}
-
-	return most * float64(e.AdapterSlots)
-}
-
-// victim is a model that could make way.
-type victim struct {
-	Resident
-
-	loss float64
-}
-
-// makeRoom returns what must be unloaded so that the model fits, what that
-// costs others and how long it takes.
-func (p *planner) makeRoom(t *Target, m route.Model, w Want) (models []string, loss float64, wait time.Duration, ok bool) {
-	free := p.room
-	for _, r := range t.Held {
-		free -= p.Engine.Models[r.Model].MB
-	}
-
-	if free >= m.MB {
-		return nil, 0, 0, true
-	}
-
-	for _, v := range p.victims(t) {
-		if p.copies[v.Model] <= 1 && v.loss > p.gain(w) {
-			continue
-		}
-
-		models = append(models, v.Model)
-		loss += v.loss
-		wait = max(wait, unloadTime)
-
-		if v.Running > 0 {
-			wait = max(wait, runTime)
-		}
-
-		if free += p.Engine.Models[v.Model].MB; free >= m.MB {
-			return models, loss, wait, true
-		}
-	}
-
-	return nil, 0, 0, false
-}
-
-// gain is the rate that the model's copy would serve.
-func (p *planner) gain(w Want) float64 {
-	return max(p.Rate[w.Model], float64(w.Waiting)) / float64(p.copies[w.Model]+1)
-}
-
-// victims returns the target's models that may make way, the least loss first.
-func (p *planner) victims(t *Target) []victim {
-	var out []victim
-
-	for _, r := range t.Held {
-		if r.Coming || p.Now.Sub(r.Used) < youngAge || p.wants[r.Model].Waiting > 0 {
-			continue
-		}
-
-		out = append(out, victim{r, p.loss(r)})
-	}
-
-	slices.SortFunc(out, func(a, b victim) int {
-		return cmp.Or(
-			cmp.Compare(min(a.Running, 1), min(b.Running, 1)),
-			cmp.Compare(a.loss, b.loss),
-			a.Used.Compare(b.Used),
-			cmp.Compare(a.Model, b.Model),
-		)
-	})
-
-	return out
-}
-
-// loss is the rate of requests that a copy of the model carries.
-func (p *planner) loss(r Resident) float64 {
-	return p.Rate[r.Model] / float64(max(1, p.copies[r.Model]))
-}
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -17,7 +17,7 @@
 var now = time.Unix(1000, 0)
 
 func engine(models int) *route.Engine {
-	e := &route.Engine{MemoryMB: 30, AdapterSlots: 0, Models: make(map[string]route.Model)}
+	e := &route.Engine{MemoryMB: 30, Slots: 24, AdapterSlots: 0, Models: make(map[string]route.Model)}
 
 	for i := range models {
 		name := fmt.Sprintf("m%d", i)
@@ -91,7 +91,7 @@
 			[]Target{on("a").disk("m3", "m4"), on("b").disk("m3", "m4")}, []Want{waiting("m3"), waiting("m4")}, nil, []string{"a m3 []", "b m4 []"},
 		},
 		"another copy of what is crowded": {
-			[]Target{on("a", "m0"), on("b").disk("m0")}, []Want{{Model: "m0", Running: crowded + 1}}, nil, []string{"b m0 []"},
+			[]Target{on("a", "m0"), on("b").disk("m0")}, []Want{{Model: "m0", Running: crowded(engine(6)) + 1}}, nil, []string{"b m0 []"},
 		},
 		"no model that the operators do not have": {[]Target{on("a")}, []Want{waiting("other")}, nil, nil},
 	}
@@ -119,9 +119,9 @@
 		running, store int
 		want           bool
 	}{
-		"crowded":                   {pressedAt, 4, false},
-		"pressed":                   {pressedAt + 1, 4, true},
-		"pressed, the store is not": {pressedAt + 1, urgentStore, false},
+		"crowded":                   {pressed(engine(1)), 4, false},
+		"pressed":                   {pressed(engine(1)) + 1, 4, true},
+		"pressed, the store is not": {pressed(engine(1)) + 1, urgentStore, false},
 	} {
 		moves := Plan(&View{
 			Now: now, Engine: engine(1), Targets: []Target{on("a", "m0"), on("b")}, Wants: []Want{{Model: "m0", Running: c.running}}, StoreLoads: c.store,
--- a/internal/serving/route/route.go
+++ b/internal/serving/route/route.go
@@ -115,6 +115,19 @@
 	Models         map[string]Model
 }
 
+// requestTokens is what an ordinary request takes of an engine's memory.
+const requestTokens = 1700
+
+// Places returns how many ordinary requests a target with so many slots runs
+// together: no more than its memory for prompts and answers holds.
+func (e *Engine) Places(slots int) int {
+	if e.CacheTokens <= 0 {
+		return slots
+	}
+
+	return min(slots, max(1, e.CacheTokens/requestTokens))
+}
+
 // Model is one checkpoint.
 type Model struct {
 	Name      string
