perf: the weight store loads by worth, keeps spare copies, and foretells the rest

Change, one policy for the store's loads: ranked by the requests a second that each would save (arrivals, those refused among them), spare copies of busy models by how fast targets leave, empty targets loaded before anybody waits, and for what the store cannot load yet a time that entries hear: callers who cannot wait that long are refused at once and told when to come back.

Ruled out: a longer hold (the users forbid it), and a second rank by deadline.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -143,6 +143,7 @@
 	n.metrics, n.unscope = n.page.Scope()
 	n.lines = dispatch.New(dispatch.Config{
 		Table: &n.targets, Entries: n.entries, CellOf: func(string) int { return 0 },
+		Needs:    relay.ModelOf,
 		Demanded: func(string) { poke(n.asked) }, Noticed: n.noticed, MaxWaiting: maxWaiting,
 	})
 	n.relay = &relay.Server{
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -86,6 +86,10 @@
 			b.add(t, service, stations[t.ID])
 		}
 	}
+
+	if now.Sub(n.heard) < newsLast {
+		b.expect(n.news.Waits)
+	}
 	n.mu.Unlock()
 	b.wait()
 
@@ -243,6 +247,15 @@
 	b.snapshot.Added = append(b.snapshot.Added, router.Replica{Target: id, Model: key})
 }
 
+// expect notes models that the holder foretells.
+func (b *builder) expect(waits []holder.Wait) {
+	for _, w := range waits {
+		if _, ok := b.coming[w.Key]; !ok && w.Ready.After(b.now) {
+			b.coming[w.Key] = w.Ready
+		}
+	}
+}
+
 // wait says for which keys a replica is on its way, so that requests which
 // cannot wait so long are refused at once.
 func (b *builder) wait() {
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -69,9 +69,13 @@
 // noteUses learns from an entry's report when what was used last. The caller
 // holds the lock.
 func (h *Holder) noteUses(r demand.Report, now time.Time) {
+	for _, d := range r.Waiting {
+		_, model, _ := splitKey(d.Model)
+		h.rates.add(model, d.Arrived)
+	}
+
 	for _, u := range r.Uses {
 		_, model, adapter := splitKey(u.Model)
-		h.rates.add(model, u.Served)
 
 		s := h.stations[u.Target]
 		if s == nil || s.held[model] == nil {
@@ -191,6 +195,7 @@
 
 		if s.fromStore {
 			v.StoreLoads--
+			v.StoreEnds = append(v.StoreEnds, max(0, s.loading.Sub(now)))
 		}
 
 		v.Targets = append(v.Targets, s.view(now, used.running[id], used.byModel[id]))
@@ -198,7 +203,11 @@
 
 	slices.SortFunc(v.Targets, func(a, b swap.Target) int { return cmp.Compare(a.ID, b.ID) })
 
-	for _, m := range swap.Plan(v) {
+	v.Risk = h.risk(service, v)
+	round := swap.Plan(v)
+	h.foretell(service, round.Ready, now)
+
+	for _, m := range round.Moves {
 		s := h.stations[m.Target]
 		h.cfg.Log.Info().Str("target", string(m.Target)).Str("load", m.Load).Strs("unload", m.Unload).Int("tier", int(m.From)).
 			Dur("takes", m.Takes).Str("for", string(m.For)).Uint64("token", h.held.Token).Uint64("sequence", s.sequence).Msg("swap decided")
@@ -207,6 +216,37 @@
 	}
 }
 
+// foretellStep is by how much the time must move from which a model can be
+// had for entries to be told again.
+const foretellStep = 300 * time.Millisecond
+
+// foretell notes from when on models of a service can be had that the weight
+// store cannot load yet, so that entries refuse at once who cannot wait for
+// them, and say when to come back.
+func (h *Holder) foretell(service string, ready map[string]time.Duration, now time.Time) {
+	var waits []Wait
+
+	for _, w := range h.waits {
+		if name, _, _ := splitKey(w.Key); name != service {
+			waits = append(waits, w)
+		}
+	}
+
+	for model, in := range ready {
+		waits = append(waits, Wait{Key: service + "/" + model, Ready: now.Add(in)})
+	}
+
+	slices.SortFunc(waits, func(a, b Wait) int { return strings.Compare(a.Key, b.Key) })
+
+	if !slices.EqualFunc(waits, h.waits, func(a, b Wait) bool {
+		apart := a.Ready.Sub(b.Ready)
+
+		return a.Key == b.Key && max(apart, -apart) < foretellStep
+	}) {
+		h.waits, h.published = waits, false
+	}
+}
+
 // reserve books a swap before its orders are sent, so that the next round
 // counts with it and entries stop sending to what makes way.
 func (h *Holder) reserve(s *station, m swap.Move, now time.Time) {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -63,6 +63,10 @@
 	asks              demand.Book
 	rates             rates
 	stations          map[instance.ID]*station
+	// turnovers tell how fast the targets of each service leave.
+	turnovers map[string]*turnover
+	// waits are the models that can be had only later, sorted by key.
+	waits []Wait
 	// last is the newest news that was heard or published.
 	last   News
 	heard  time.Time
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -50,6 +50,8 @@
 	rows map[instance.ID]inventory.Target
 	// born counts the workers' processes.
 	born int64
+	// last is the newest news.
+	last holder.News
 	// slow is how much longer than usual an order is on its way.
 	slow time.Duration
 }
@@ -156,6 +158,7 @@
 func (w *world) publish(from instance.ID, n holder.News) {
 	w.mu.Lock()
 	silent := w.cut[from]
+	w.last = n
 	w.mu.Unlock()
 
 	if silent {
@@ -175,6 +178,14 @@
 	}
 }
 
+// heard returns the newest news.
+func (w *world) heard() holder.News {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.last
+}
+
 func (w *world) targets() map[instance.ID]inventory.Target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/placement/holder/news.go
+++ b/internal/placement/holder/news.go
@@ -30,6 +30,16 @@
 	// Successor is set when the holder gave the lease up.
 	Successor instance.ID
 	Stations  []Station
+	// Waits are the models that requests wait for and that can be had only
+	// later, always whole.
+	Waits []Wait
+}
+
+// Wait says from when on a model can be had that is on no target, nor on its
+// way to one.
+type Wait struct {
+	Key   string
+	Ready time.Time
 }
 
 // newer reports whether n was sent later than o.
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -10,6 +10,8 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
 // station is what the holder knows of one engine.
@@ -63,12 +65,7 @@
 func (h *Holder) sync(now time.Time) {
 	targets := h.cfg.Targets()
 
-	for id := range h.stations {
-		if _, listed := targets[id]; !listed {
-			delete(h.stations, id)
-			h.published = false
-		}
-	}
+	h.drop(targets, now)
 
 	routes := h.cfg.Routes()
 
@@ -86,6 +83,10 @@
 		}
 
 		if s.target.Version != t.Version {
+			if t.Leaving && !s.target.Leaving {
+				h.noteLeft(t.Service, now)
+			}
+
 			s.target = t
 			s.takeAtHand(t)
 			s.compare(t, now)
@@ -97,6 +98,66 @@
 	}
 }
 
+// drop forgets the targets that the list no longer has.
+func (h *Holder) drop(targets map[instance.ID]inventory.Target, now time.Time) {
+	for id, s := range h.stations {
+		if _, listed := targets[id]; listed {
+			continue
+		}
+
+		if !s.target.Leaving {
+			h.noteLeft(s.target.Service, now)
+		}
+
+		delete(h.stations, id)
+		h.published = false
+	}
+}
+
+func (h *Holder) noteLeft(service string, now time.Time) {
+	if h.turnovers == nil {
+		h.turnovers = make(map[string]*turnover)
+	}
+
+	if h.turnovers[service] == nil {
+		h.turnovers[service] = &turnover{}
+	}
+
+	h.turnovers[service].note(now)
+}
+
+// risk returns how likely a target of the service is gone before a copy of
+// what it holds is had elsewhere.
+func (h *Holder) risk(service string, v *swap.View) float64 {
+	t := h.turnovers[service]
+	if t == nil {
+		return crashRisk
+	}
+
+	serving := 0
+
+	for i := range v.Targets {
+		if v.Targets[i].Serving {
+			serving++
+		}
+	}
+
+	return t.risk(serving, copyLoads*slowestLoad(v.Engine), v.Now)
+}
+
+// copyLoads is how many loads from the weight store it takes until a copy of
+// a model is had elsewhere, since others are before it.
+const copyLoads = 3
+
+func slowestLoad(e *route.Engine) time.Duration {
+	slowest := time.Duration(0)
+	for _, m := range e.Models {
+		slowest = max(slowest, m.FromStore)
+	}
+
+	return slowest
+}
+
 // takeAtHand learns from where the engine would load models.
 func (s *station) takeAtHand(t inventory.Target) {
 	s.atHand = make(map[string]target.Tier, len(t.OnDisk)+len(t.InMemory))
@@ -246,5 +307,7 @@
 		n.Stations = append(n.Stations, st)
 	}
 
+	n.Waits = h.waits
+
 	return n
 }
--- a/internal/placement/holder/store_test.go
+++ b/internal/placement/holder/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
 
@@ -69,3 +71,38 @@
 		w.finish()
 	})
 }
+
+// TestEntriesHearOfTheWait: one engine is left, empty, and callers wait for
+// eight models. The store feeds four loads at once, but the engine takes one
+// order at a time. All entries must hear when each of the other models can be
+// had, or their callers are held until they leave; once a model is loaded
+// nothing is said of it any more.
+func TestEntriesHearOfTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldOf(t, 2, engine(), 0)
+		for i := range 5 {
+			w.workers[instance.ID(fmt.Sprintf("w%d", i))] = &worker.Worker{Engine: w.routes.Services["s"].Engine}
+		}
+
+		models := []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
+		least := 0
+
+		for end := time.Now().Add(25 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			w.ask(models...)
+
+			n := w.heard()
+			for _, wait := range n.Waits {
+				assert.Assert(t, time.Until(wait.Ready) < 25*time.Second, "%s in %s", wait.Key, time.Until(wait.Ready))
+				assert.Assert(t, !slices.ContainsFunc(n.Stations, func(s holder.Station) bool {
+					return slices.ContainsFunc(s.Held, func(h holder.Held) bool { return "s/"+h.Model == wait.Key })
+				}), "%s is loaded", wait.Key)
+			}
+
+			least = max(least, len(n.Waits))
+		}
+
+		assert.Equal(t, least, 4, "four of eight are on their way, the others are foretold")
+		assert.Equal(t, len(w.heard().Waits), 0, "all are loaded")
+		w.finish()
+	})
+}
--- a/internal/placement/replica/replica.go
+++ b/internal/placement/replica/replica.go
@@ -36,6 +36,9 @@
 	Waiting int
 	// Running is how many requests run on the model's replicas.
 	Running int
+	// Arrived is how many requests came since the last report, those that were
+	// refused at once among them.
+	Arrived int
 	// Deadline is the earliest deadline of the waiting requests.
 	Deadline time.Time
 	Priority int
--- a/internal/placement/swap/exhaustive_test.go
+++ b/internal/placement/swap/exhaustive_test.go
@@ -81,7 +81,7 @@
 		v := drawCase(r)
 		n := 0
 
-		for _, m := range Plan(v) {
+		for _, m := range Plan(v).Moves {
 			if m.For == ForWaiting {
 				n++
 			}
--- a/internal/placement/swap/fill.go
+++ b/internal/placement/swap/fill.go
@@ -6,14 +6,10 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
-	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
 const (
-	// urgentStore is how many loads from the weight store are left for
-	// requests that wait.
-	urgentStore = 1
 	// idleShare is the part of the targets that is left without an order for
 	// requests that come meanwhile.
 	idleShare = 0.5
@@ -22,12 +18,11 @@
 	rotate = 10 * time.Second
 )
 
-// fill loads models that are nowhere into memory that is free.
+// fill loads models that are nowhere into memory that is free, from where they
+// are at hand.
 //
-// It answers two loads: the first minutes, in which a third of the memory is
-// empty, and the replacement of targets by empty ones, whose models all come
-// from the weight store at six seconds each. A rare model that is there already
-// is served at once, and one from the store four seconds sooner.
+// It answers the first minutes, in which a third of the memory is empty: a rare
+// model that is there already is served at once.
 func (p *planner) fill() {
 	free := p.free()
 	left := int(idleShare * float64(p.serving()))
@@ -36,14 +31,12 @@
 		return
 	}
 
-	somewhere := p.somewhere()
-
 	for _, m := range p.missing() {
 		if len(free) <= left {
 			return
 		}
 
-		at := slices.IndexFunc(free, func(t *Target) bool { return p.fits(t, m) && p.near(t, m, somewhere) })
+		at := slices.IndexFunc(free, func(t *Target) bool { return p.fits(t, m) && t.AtHand[m.Name] != 0 })
 		if at < 0 {
 			continue
 		}
@@ -51,13 +44,8 @@
 		t := free[at]
 		tier, takes := tierOf(t, m)
 
-		if tier == target.TierRemote {
-			p.store--
-		}
+		p.begin(Move{Target: t.ID, Load: m.Name, Takes: takes, From: tier, For: ForLater})
 
-		p.busy[t.ID] = true
-		p.copies[m.Name]++
-		p.moves = append(p.moves, Move{Target: t.ID, Load: m.Name, Takes: takes, From: tier, For: ForLater})
 		free = slices.Delete(free, at, at+1)
 	}
 }
@@ -126,30 +114,3 @@
 
 	return free >= m.MB
 }
-
-// near reports whether the model may be loaded on the target from where its
-// weights are.
-func (p *planner) near(t *Target, m route.Model, somewhere map[string]bool) bool {
-	if t.AtHand[m.Name] != 0 {
-		return true
-	}
-
-	return p.store > urgentStore && !somewhere[m.Name]
-}
-
-// somewhere returns the models whose weights are at hand on some target.
-func (p *planner) somewhere() map[string]bool {
-	out := make(map[string]bool)
-
-	for i := range p.Targets {
-		if !p.Targets[i].Serving {
-			continue
-		}
-
-		for model := range p.Targets[i].AtHand {
-			out[model] = true
-		}
-	}
-
-	return out
-}
--- a/internal/placement/swap/room.go
+++ b/internal/placement/swap/room.go
@@ -37,7 +37,7 @@
 
 // makeRoom returns what must be unloaded so that the model fits, what that
 // costs others and how long it takes.
-func (p *planner) makeRoom(t *Target, m route.Model, w Want) (models []string, loss float64, wait time.Duration, ok bool) {
+func (p *planner) makeRoom(t *Target, m route.Model, gain float64) (models []string, loss float64, wait time.Duration, ok bool) {
 	free := p.room
 	for _, r := range t.Held {
 		free -= p.Engine.Models[r.Model].MB
@@ -48,7 +48,7 @@
 	}
 
 	for _, v := range p.victims(t) {
-		if p.copies[v.Model] <= 1 && v.loss > p.gain(w) {
+		if p.copies[v.Model] <= 1 && v.loss > gain {
 			continue
 		}
 
--- /dev/null
+++ b/internal/placement/swap/store.go
@@ -0,0 +1,165 @@
+package swap
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+const (
+	// urgentStore is how many loads from the weight store are left for
+	// requests that wait.
+	urgentStore = 1
+	// unknownRate is the requests a second that a model is expected to get of
+	// which nothing is known.
+	unknownRate = 0.02
+	// leastWorth is the requests a second that a spare copy must be expected to
+	// save: a load blocks its target for seconds.
+	leastWorth = 0.05
+	// blankShare is the part of the usual number of models at hand below which a
+	// target counts as blank: hardly any load there could be a short one.
+	blankShare = 0.25
+	// nearWeight is the seconds of delay that a load from the weight store costs
+	// for each model that its target has at hand and that must wait meanwhile.
+	nearWeight = 0.1
+)
+
+// storeLoad is a load from the weight store that would gain something.
+type storeLoad struct {
+	model route.Model
+	want  Want
+	why   Reason
+	// worth is how many requests a second the load is expected to save.
+	worth float64
+}
+
+// loadFromStore begins the loads that only the weight store can serve, the
+// most worth first, and foretells when the others can be had.
+//
+// It answers the replacement of targets by empty ones. The weights on their
+// disks go with them, and the store brings few models at a time: in the time
+// of the loads for six rare models the busiest one, which was on targets that
+// left, was refused to a third of all callers.
+func (p *planner) loadFromStore() {
+	ahead := p.ahead()
+
+	for _, l := range p.storeLoads() {
+		switch {
+		case l.why == ForLater:
+			p.loadAhead(l, ahead)
+		case p.store > 0:
+			p.place(l.model, l.want, l.why, l.worth)
+		}
+
+		if p.copies[l.model.Name] == 0 && l.want.Waiting > 0 {
+			p.foretell(l.model)
+		}
+	}
+}
+
+// storeLoads returns what the weight store could load, the most worth first.
+func (p *planner) storeLoads() []storeLoad {
+	var out []storeLoad
+
+	for _, m := range p.Engine.Models {
+		l := storeLoad{model: m, want: p.wants[m.Name], why: ForLater}
+		l.want.Model = m.Name
+		rate := max(p.Rate[m.Name], unknownRate)
+
+		switch {
+		case p.near[m.Name] == 0 && l.want.Waiting > 0:
+			l.why, l.worth = ForWaiting, rate+float64(l.want.Waiting)/m.FromStore.Seconds()
+		case p.near[m.Name] == 0:
+			l.worth = rate
+		default:
+			l.worth = rate * math.Pow(p.Risk, float64(p.near[m.Name]))
+		}
+
+		if p.near[m.Name] == 0 || l.worth >= leastWorth {
+			out = append(out, l)
+		}
+	}
+
+	spread := p.spreads(out)
+	slices.SortFunc(out, func(a, b storeLoad) int {
+		return cmp.Or(
+			-cmp.Compare(a.worth, b.worth),
+			cmp.Compare(spread[a.model.Name], spread[b.model.Name]),
+			cmp.Compare(a.model.Name, b.model.Name),
+		)
+	})
+
+	return out
+}
+
+func (p *planner) spreads(loads []storeLoad) map[string]uint64 {
+	out := make(map[string]uint64, len(loads))
+	for _, l := range loads {
+		out[l.model.Name] = p.spread(l.model.Name)
+	}
+
+	return out
+}
+
+// ahead returns the targets that may be given a load from the weight store for
+// which nobody waits: the blank ones first, and others while most have no
+// order.
+func (p *planner) ahead() []*Target {
+	free := p.free()
+	mostIdle := len(free) > int(idleShare*float64(p.serving()))
+	free = slices.DeleteFunc(free, func(t *Target) bool { return !mostIdle && !p.blank(t) })
+	slices.SortStableFunc(free, func(a, b *Target) int { return cmp.Compare(len(a.AtHand), len(b.AtHand)) })
+
+	return free
+}
+
+// blank reports whether hardly any model is at hand on the target.
+func (p *planner) blank(t *Target) bool {
+	return float64(len(t.AtHand)) <= blankShare*p.usual
+}
+
+// loadAhead loads a model into free memory of one of the targets.
+func (p *planner) loadAhead(l storeLoad, targets []*Target) {
+	if p.store <= urgentStore {
+		return
+	}
+
+	for _, t := range targets {
+		if !p.busy[t.ID] && !holds(t, l.model.Name) && p.fits(t, l.model) {
+			p.begin(Move{Target: t.ID, Load: l.model.Name, Takes: l.model.FromStore, From: target.TierRemote, For: ForLater})
+
+			return
+		}
+	}
+}
+
+// foretell notes when a model can be had that the weight store cannot load
+// yet: after the loads in hand, and after those that are worth more.
+func (p *planner) foretell(m route.Model) {
+	if len(p.ends) == 0 {
+		return
+	}
+
+	first := 0
+	for i, end := range p.ends {
+		if end < p.ends[first] {
+			first = i
+		}
+	}
+
+	p.ends[first] += m.FromStore
+	p.ready[m.Name] = p.ends[first]
+}
+
+// Round is what a round decides.
+type Round struct {
+	// Moves are the loads to begin now, the most urgent first.
+	Moves []Move
+	// Ready is how long it takes until models can be had for which requests
+	// wait and which the weight store cannot load yet.
+	Ready map[string]time.Duration
+}
--- /dev/null
+++ b/internal/placement/swap/store_test.go
@@ -0,0 +1,151 @@
+package swap
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+)
+
+// TestStoreByWorth holds what the weight store loads first when its loads are
+// few: what most callers ask for, and before targets leave also a spare copy
+// of it.
+func TestStoreByWorth(t *testing.T) {
+	empty := []Target{on("a"), on("b")}
+	old := func() Target { return on("old", "m0", "m1").disk("m0", "m1", "m4", "m5") }
+
+	cases := map[string]struct {
+		targets []Target
+		wants   []Want
+		rate    map[string]float64
+		risk    float64
+		store   int
+		want    []string
+	}{
+		"the busiest first, not the first deadline": {
+			empty,
+			[]Want{{Model: "m2", Waiting: 1, Deadline: now.Add(time.Second)}, {Model: "m3", Waiting: 1, Deadline: now.Add(time.Minute)}},
+			map[string]float64{"m2": 0.2, "m3": 30},
+			0, 1,
+			[]string{"m3 waiting"},
+		},
+		"many that wait count as well": {
+			empty, []Want{{Model: "m2", Waiting: 1}, {Model: "m3", Waiting: 60}}, nil, 0, 1, []string{"m3 waiting"},
+		},
+		"a spare copy of the busiest before it is gone": {
+			[]Target{old(), on("a")}, nil, map[string]float64{"m0": 30, "m2": 0.2}, 0.5, 2, []string{"m0 later"},
+		},
+		"a rare model that is nowhere while nothing leaves": {
+			[]Target{old(), old().named("older"), on("a")}, nil, map[string]float64{"m0": 30, "m2": 0.2}, 0.02, 2, []string{"m2 later"},
+		},
+		"the last load is left for the urgent": {
+			[]Target{old().named("older"), on("a")}, nil, map[string]float64{"m0": 30}, 0.5, 1, nil,
+		},
+		"no load for later where short ones are possible": {
+			[]Target{old(), old().named("older")}, nil, map[string]float64{"m2": 1}, 0.02, 4, nil,
+		},
+	}
+
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			round := Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, Wants: c.wants, Rate: c.rate, Risk: c.risk, StoreLoads: c.store})
+
+			var got []string
+			for _, m := range round.Moves {
+				got = append(got, fmt.Sprintf("%s %s", m.Load, m.For))
+			}
+
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// named returns the target under another name, and with an order in hand.
+func (t Target) named(id instance.ID) Target {
+	t.ID, t.Free, t.FreeIn = id, false, time.Minute
+
+	return t
+}
+
+// TestForetold: callers wait for models that the weight store cannot load yet.
+// Each hears when its model can be had: after the loads in hand, and after
+// those of models that are worth more.
+func TestForetold(t *testing.T) {
+	v := &View{
+		Now: now, Engine: engine(4), Targets: []Target{on("a"), on("b")},
+		Wants:     []Want{waiting("m0"), waiting("m1"), waiting("m2"), waiting("m3")},
+		Rate:      map[string]float64{"m0": 1, "m1": 4, "m2": 3, "m3": 2},
+		StoreEnds: []time.Duration{2 * time.Second}, StoreLoads: 1,
+	}
+
+	round := Plan(v)
+	assert.Equal(t, round.Moves[0].Load, "m1")
+	assert.DeepEqual(t, round.Ready, map[string]time.Duration{"m2": 8 * time.Second, "m3": 12 * time.Second, "m0": 14 * time.Second})
+}
+
+// mostWorth returns the most that so many loads can be worth.
+func mostWorth(worth []float64, loads int) float64 {
+	slices.SortFunc(worth, func(a, b float64) int { return -cmp.Compare(a, b) })
+
+	sum := 0.0
+	for _, w := range worth[:min(loads, len(worth))] {
+		sum += w
+	}
+
+	return sum
+}
+
+// TestStoreAgainstNaive compares the loads from the weight store with a naive
+// choice that goes through all models and takes those worth most, on sites of
+// empty targets.
+func TestStoreAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := &View{Now: now, Engine: engine(8), Rate: map[string]float64{}, StoreLoads: rapid.IntRange(0, 4).Draw(t, "store")}
+
+		for i := range rapid.IntRange(1, 5).Draw(t, "targets") {
+			v.Targets = append(v.Targets, on(instance.ID(fmt.Sprint("t", i))))
+		}
+
+		var worth []float64
+
+		for _, m := range slices.Sorted(maps.Keys(v.Engine.Models)) {
+			v.Rate[m] = rapid.Float64Range(0, 10).Draw(t, "rate")
+
+			if rapid.Bool().Draw(t, "waits") {
+				v.Wants = append(v.Wants, waiting(m))
+				worth = append(worth, max(v.Rate[m], unknownRate))
+			}
+		}
+
+		got, loads := 0.0, 0
+
+		for _, m := range Plan(v).Moves {
+			if m.For == ForWaiting {
+				assert.Equal(t, m.From, target.TierRemote)
+
+				got += max(v.Rate[m.Load], unknownRate)
+				loads++
+			}
+		}
+
+		most := mostWorth(worth, min(v.StoreLoads, len(v.Targets)))
+		room := v.StoreLoads - urgentStore
+
+		// What is for later may come first where it is worth more, but leaves
+		// a load for those who wait.
+		if loads == min(v.StoreLoads, len(v.Targets), len(worth)) {
+			assert.Assert(t, math.Abs(got-most) < 1e-9, "%v instead of %v", got, most)
+		} else {
+			assert.Assert(t, loads >= min(len(worth), v.StoreLoads-room, len(v.Targets)-room), "%d loads for those who wait", loads)
+		}
+	})
+}
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -62,10 +62,16 @@
 	// Targets are sorted by id.
 	Targets []Target
 	Wants   []Want
-	// Rate is how many requests a second each model gets lately.
+	// Rate is how many requests a second come for each model lately, those that
+	// are refused among them.
 	Rate map[string]float64
-	// StoreLoads is how many loads from the weight store may start now.
+	// Risk is how likely a target is gone before a copy of what it holds is had
+	// elsewhere.
+	Risk float64
+	// StoreLoads is how many loads from the weight store may start now, and
+	// StoreEnds how long those in hand are expected to take yet.
 	StoreLoads int
+	StoreEnds  []time.Duration
 }
 
 // Move is a load and the unloads that make room for it.
@@ -103,46 +109,90 @@
 	// kept is for how long targets are taken by wants that wait for them.
 	kept  map[instance.ID]time.Duration
 	wants map[string]Want
-	// copies is on how many serving targets a model is, or comes.
-	copies map[string]int
+	// copies is on how many serving targets a model is, or comes, and near on how
+	// many its weights are at hand or loaded.
+	copies, near map[string]int
+	// usual is how many models a serving target has at hand in the mean.
+	usual float64
 	// sought is, for each target, by how many of the models that are nowhere its
 	// disk is sought, each counted by its part among the disks that it is on.
 	sought map[instance.ID][]part
 	// room is a target's memory without what is kept for adapters.
 	room  float64
 	store int
+	// ends is when the weight store's loads in hand end, from now.
+	ends  []time.Duration
+	ready map[string]time.Duration
 }
 
-// Plan returns the loads to begin now, the most urgent first.
-func Plan(v *View) []Move {
+// Plan returns what to do now.
+func Plan(v *View) Round {
 	p := &planner{
 		View: v, busy: make(map[instance.ID]bool), kept: make(map[instance.ID]time.Duration), wants: make(map[string]Want, len(v.Wants)),
-		copies: make(map[string]int), room: v.Engine.MemoryMB - Reserve(v.Engine), store: v.StoreLoads,
+		copies: make(map[string]int), near: make(map[string]int), room: v.Engine.MemoryMB - Reserve(v.Engine), store: v.StoreLoads,
+		ends: slices.Clone(v.StoreEnds), ready: make(map[string]time.Duration),
 	}
 
 	for _, w := range v.Wants {
 		p.wants[w.Model] = w
 	}
 
-	for i := range v.Targets {
-		if !v.Targets[i].Serving {
+	p.count()
+	p.seek()
+
+	for _, w := range p.byUrgency() {
+		p.meet(w)
+	}
+
+	p.loadFromStore()
+	p.fill()
+
+	return Round{Moves: p.moves, Ready: p.ready}
+}
+
+// count notes where models are.
+func (p *planner) count() {
+	total, serving := 0, 0
+
+	for i := range p.Targets {
+		t := &p.Targets[i]
+		if !t.Serving {
 			continue
 		}
 
-		for _, r := range v.Targets[i].Held {
+		total += len(t.AtHand)
+		serving++
+
+		for _, r := range t.Held {
 			p.copies[r.Model]++
+
+			if t.AtHand[r.Model] == 0 {
+				p.near[r.Model]++
+			}
+		}
+
+		for model := range t.AtHand {
+			p.near[model]++
 		}
 	}
 
-	p.seek()
+	p.usual = float64(total) / float64(max(1, serving))
+}
 
-	for _, w := range p.byUrgency() {
-		p.meet(w)
+// begin adds a move to the round.
+func (p *planner) begin(m Move) {
+	if m.From == target.TierRemote {
+		p.store--
+		p.ends = append(p.ends, m.Takes)
 	}
 
-	p.fill()
+	p.busy[m.Target] = true
+	p.copies[m.Load]++
+	p.moves = append(p.moves, m)
 
-	return p.moves
+	for _, model := range m.Unload {
+		p.copies[model]--
+	}
 }
 
 // choice is a target with what a load there would cost.
@@ -161,7 +211,7 @@
 // the weights on disk are busy for a second: each takes six seconds, in which
 // its target takes no other order, so that a few of them make the next models
 // come from the store as well.
-func (p *planner) place(m route.Model, w Want, why Reason) {
+func (p *planner) place(m route.Model, w Want, why Reason, gain float64) {
 	var best *choice
 
 	for i := range p.Targets {
@@ -170,7 +220,7 @@
 			continue
 		}
 
-		if c, ok := p.consider(t, m, w, why); ok && (best == nil || c.cost < best.cost) {
+		if c, ok := p.consider(t, m, w, why, gain); ok && (best == nil || c.cost < best.cost) {
 			best = &c
 		}
 	}
@@ -185,17 +235,7 @@
 		return
 	}
 
-	if best.move.From == target.TierRemote {
-		p.store--
-	}
-
-	p.busy[best.move.Target] = true
-	p.copies[m.Name]++
-	p.moves = append(p.moves, best.move)
-
-	for _, model := range best.move.Unload {
-		p.copies[model]--
-	}
+	p.begin(best.move)
 }
 
 func holds(t *Target, model string) bool {
@@ -214,17 +254,21 @@
 // target is worth, because the batch shares its steps.
 const loadWeight = 0.02
 
-func (p *planner) consider(t *Target, m route.Model, w Want, why Reason) (choice, bool) {
+func (p *planner) consider(t *Target, m route.Model, w Want, why Reason, gain float64) (choice, bool) {
 	tier, takes := tierOf(t, m)
 	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad && !p.isPressed(w)) {
 		return choice{}, false
 	}
 
-	victims, loss, wait, ok := p.makeRoom(t, m, w)
+	victims, loss, wait, ok := p.makeRoom(t, m, gain)
 	if !ok {
 		return choice{}, false
 	}
 
+	if tier == target.TierRemote {
+		wait += time.Duration(nearWeight * float64(len(t.AtHand)) * float64(time.Second))
+	}
+
 	kept := p.kept[t.ID]
 
 	return choice{
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -98,7 +98,7 @@
 
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			moves := Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, Wants: c.wants, Rate: c.rate, StoreLoads: 1})
+			moves := Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, Wants: c.wants, Rate: c.rate, StoreLoads: 1}).Moves
 
 			var got []string
 			for _, m := range moves {
@@ -125,7 +125,7 @@
 	} {
 		moves := Plan(&View{
 			Now: now, Engine: engine(1), Targets: []Target{on("a", "m0"), on("b")}, Wants: []Want{{Model: "m0", Running: c.running}}, StoreLoads: c.store,
-		})
+		}).Moves
 		assert.Equal(t, len(moves) == 1, c.want, name)
 	}
 }
@@ -149,7 +149,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var got []string
-			for _, m := range Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, StoreLoads: c.store}) {
+			for _, m := range Plan(&View{Now: now, Engine: engine(6), Targets: c.targets, StoreLoads: c.store}).Moves {
 				got = append(got, fmt.Sprintf("%s %s %t", m.Target, m.Load, m.From == target.TierRemote))
 				assert.Equal(t, m.For, ForLater)
 			}
@@ -195,7 +195,7 @@
 		seen := make(map[instance.ID]bool)
 		store := 0
 
-		for _, m := range Plan(v) {
+		for _, m := range Plan(v).Moves {
 			i := slices.IndexFunc(v.Targets, func(t Target) bool { return t.ID == m.Target })
 			at := v.Targets[i]
 
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -40,6 +40,9 @@
 	Entries func() int
 	// CellOf returns the cell that decides about a model.
 	CellOf func(model string) int
+	// Needs returns what must be loaded before a model can be, such as the model
+	// of an adapter; nil means that nothing must.
+	Needs func(model string) string
 	// Demanded is called when a model is wanted that has no free replica.
 	Demanded func(model string)
 	// Noticed is called with what all entries should know at once.
--- a/internal/serving/dispatch/line.go
+++ b/internal/serving/dispatch/line.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
@@ -22,8 +23,10 @@
 	// pumping says that a goroutine looks after the line.
 	pumping bool
 	kick    chan struct{}
-	// ends are the times of the last requests that ended, for the rate.
+	// rate is how fast requests of the line start.
 	rate rate
+	// arrived counts the requests that came since the last report.
+	arrived atomic.Int64
 }
 
 // waiter is one request in line.
@@ -82,6 +85,9 @@
 // for one if need be.
 func (d *Dispatcher) acquire(ctx context.Context, req *request.Request, q router.Query) (*router.Target, bool, error) {
 	l := d.lineOf(req.Model)
+	if len(q.Exclude) == 0 {
+		l.arrived.Add(1)
+	}
 
 	if t := l.tryNow(&q); t != nil {
 		return t, false, nil
@@ -352,8 +358,8 @@
 func (l *line) refuseHopeless(now time.Time) {
 	start, code := now, request.DeadlineAhead
 
-	if len(l.d.cfg.Table.Targets(l.model)) == 0 {
-		if wait, ok := l.d.cfg.Table.Wait(l.model); ok {
+	if !router.Usable(l.d.cfg.Table.Targets(l.model)) {
+		if wait, ok := l.wait(); ok {
 			at := l.d.cfg.Table.Position(l.d.cfg.CellOf(l.model)).At
 			start, code = at.Add(wait.Ready), request.TooCold
 		}
@@ -369,11 +375,21 @@
 	}
 }
 
+// wait says when the line's model can be had, or else what it needs.
+func (l *line) wait() (router.Wait, bool) {
+	wait, ok := l.d.cfg.Table.Wait(l.model)
+	if ok || l.d.cfg.Needs == nil {
+		return wait, ok
+	}
+
+	return l.d.cfg.Table.Wait(l.d.cfg.Needs(l.model))
+}
+
 func (l *line) demand(model string) (replica.Demand, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	d := replica.Demand{Model: model, Waiting: l.q.Len()}
+	d := replica.Demand{Model: model, Waiting: l.q.Len(), Arrived: int(l.arrived.Swap(0))}
 
 	l.q.Each(func(it *queue.Item[*waiter]) {
 		req := it.Value.req
@@ -387,7 +403,7 @@
 		}
 	})
 
-	return d, d.Waiting > 0
+	return d, d.Waiting > 0 || d.Arrived > 0
 }
 
 func (l *line) countPlans(n map[string]int) {
--- a/internal/serving/dispatch/overload_test.go
+++ b/internal/serving/dispatch/overload_test.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// TestWaitOfWhatIsNeeded: the only target with an adapter's model is leaving,
+// and the holder says that the model can be had in 30 seconds. A request for
+// the adapter must be refused at once and told when to come back; it was held
+// until its caller left, because a leaving target still holds the model and
+// because nothing is foretold of the adapter itself.
+func TestWaitOfWhatIsNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		b.cfg.Needs = func(string) string { return "base" }
+		b.table.Targets(model)[0].Leave()
+		b.publish(router.Wait{Model: "base", Ready: 30 * time.Second})
+
+		began := time.Now()
+		_, refusal, err := b.do(t.Context(), newRequest("p", 10*time.Second))
+		assert.Assert(t, refusal != nil, err)
+		assert.Equal(t, refusal.Code, request.TooCold)
+		assert.Equal(t, refusal.Run, request.NotRun)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond, "took %s", time.Since(began))
+		assert.Assert(t, refusal.RetryAfter > 29*time.Second, "retry after %s", refusal.RetryAfter)
+	})
+}
+
 // TestOldDenial is the story of a request that comes just after the holder
 // has denied the model to others: the old word must not refuse it.
 func TestOldDenial(t *testing.T) {
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -174,6 +174,12 @@
 	return open
 }
 
+// Usable reports whether any of the targets takes requests, now or once those
+// that it has have ended.
+func Usable(targets []*Target) bool {
+	return slices.ContainsFunc(targets, func(t *Target) bool { return !t.Leaving() && !t.Dead() })
+}
+
 // Standing counts the targets that hold a model, and those that take no
 // request by the reason.
 type Standing struct {
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -167,6 +167,15 @@
 	Base                        uint64
 	Gone                        []string
 	Stations                    []StationMessage
+	Waits                       []WaitMessage
+}
+
+// WaitMessage is a holder.Wait on the wire.
+type WaitMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key    string
+	LeftMs int64
 }
 
 // StationMessage is a holder.Station on the wire.
@@ -211,6 +220,10 @@
 		out.Gone = append(out.Gone, string(id))
 	}
 
+	for _, w := range n.Waits {
+		out.Waits = append(out.Waits, WaitMessage{Key: w.Key, LeftMs: leftMs(w.Ready, now)})
+	}
+
 	for _, s := range n.Stations {
 		st := StationMessage{Target: string(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
 
@@ -241,6 +254,10 @@
 		out.Gone = append(out.Gone, instance.ID(id))
 	}
 
+	for _, w := range n.Waits {
+		out.Waits = append(out.Waits, holder.Wait{Key: w.Key, Ready: at(w.LeftMs)})
+	}
+
 	for _, s := range n.Stations {
 		st := holder.Station{Target: instance.ID(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
 
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -88,6 +88,7 @@
 	now := time.Now()
 	sent := holder.Delta{Base: 3, Gone: []instance.ID{"g"}, News: holder.News{
 		Holder: "h", Process: "p", Successor: "s", Token: 3, Number: 4, LeaseVersion: 5, Config: 6, List: 7, StoreAge: 80 * time.Millisecond,
+		Waits: []holder.Wait{{Key: "s/m", Ready: now.Add(time.Second)}},
 		Stations: []holder.Station{{Target: "t", Born: 6, Sequence: 7, Running: 8, Held: []holder.Held{{
 			Model: "m", Ready: now.Add(time.Second), Adapters: []holder.Adapter{{Name: "a", Ready: now.Add(-time.Second)}},
 		}}}},
--- a/internal/wire/peer/messages.go
+++ b/internal/wire/peer/messages.go
@@ -181,6 +181,7 @@
 	Waiting    int
 	DeadlineMs int64
 	Priority   int
+	Arrived    int
 }
 
 // Use is a demand.Use on the wire.
@@ -222,13 +223,12 @@
 
 	for _, d := range r.Waiting {
 		out.Waiting = append(out.Waiting, Demand{
-			Model:   d.Model,
-			Plan:    d.Plan,
-			Waiting: d.Waiting,
-			// Counted on the steady clock, so that a jump of the time of day
-			// between does not move it.
-			DeadlineMs: now.UnixMilli() + d.Deadline.Sub(now).Milliseconds(),
+			Model:      d.Model,
+			Plan:       d.Plan,
+			Waiting:    d.Waiting,
+			DeadlineMs: deadlineMs(d.Deadline, now),
 			Priority:   d.Priority,
+			Arrived:    d.Arrived,
 		})
 	}
 
@@ -241,6 +241,25 @@
 	return out
 }
 
+// deadlineMs is a deadline on the wire, zero for none. It is counted on the
+// steady clock, so that a jump of the time of day between does not move it.
+func deadlineMs(deadline, now time.Time) int64 {
+	if deadline.IsZero() {
+		return 0
+	}
+
+	return now.UnixMilli() + deadline.Sub(now).Milliseconds()
+}
+
+// toDeadline moves a deadline from the sender's clock to the receiver's.
+func toDeadline(deadlineMs, sentMs int64, now time.Time) time.Time {
+	if deadlineMs == 0 {
+		return time.Time{}
+	}
+
+	return now.Add(milliseconds(deadlineMs - sentMs))
+}
+
 // ToReport maps a report from the wire. Deadlines are moved to the receiver's
 // clock.
 func ToReport(r Report, now time.Time) demand.Report {
@@ -257,8 +276,9 @@
 			Model:    d.Model,
 			Plan:     d.Plan,
 			Waiting:  d.Waiting,
-			Deadline: now.Add(milliseconds(d.DeadlineMs - r.SentMs)),
+			Deadline: toDeadline(d.DeadlineMs, r.SentMs, now),
 			Priority: d.Priority,
+			Arrived:  d.Arrived,
 		})
 	}
 
