perf: loads that can be on time go first; a sending that arrived nowhere takes no repeat

Hypothesis: in a burst for rare models the plan goes by deadline, so that those who have waited longest go first and nearly all begin late.

--- a/internal/cli/command/explaincmd.go
+++ b/internal/cli/command/explaincmd.go
@@ -1,22 +1,32 @@
 package command
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/fulmarcross/fulmarcross/internal/room/story"
 )
 
-// explainCmd tells one request's story from the processes' logs.
+// explainCmd tells one request's story from the processes' logs, or what became
+// of all requests.
 type explainCmd struct {
+	Summary bool     `help:"Table the requests that were late or not served by cause; all arguments are then logs."`
 	Request string   `arg:"" help:"The request's id."`
 	Files   []string `arg:"" help:"Logs of all processes; without any, standard input." optional:"" type:"existingfile"`
 }
 
 // Run runs the command.
 func (c *explainCmd) Run(s *streams) error {
-	lines, err := c.read(s)
+	if c.Summary {
+		return c.summarize(s)
+	}
+
+	lines, err := read(c.Files, s)
 	if err != nil {
 		return err
 	}
@@ -41,14 +51,53 @@
 	return err
 }
 
-func (c *explainCmd) read(s *streams) ([]story.Line, error) {
-	if len(c.Files) == 0 {
+// shown is how many models, targets, seconds and ids of a cause are named.
+const shown = 3
+
+// summarize tables all requests that were late or not served by cause.
+func (c *explainCmd) summarize(s *streams) error {
+	lines, err := read(append([]string{c.Request}, c.Files...), s)
+	if err != nil {
+		return err
+	}
+
+	sum := story.Summarize(lines)
+	_, _ = fmt.Fprintf(s.out, "%d requests, %d not served, %d late\n", sum.Requests, sum.Unserved, sum.Late)
+
+	t := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "requests\tcause\tmodels\ttargets\tentries\tseconds\tfirst ids")
+
+	for _, g := range sum.Groups {
+		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n", len(g.Requests), g.Cause, most(g.Models), most(g.Targets), most(g.Nodes), most(g.Seconds),
+			strings.Join(g.Requests[:min(shown, len(g.Requests))], " "))
+	}
+
+	return t.Flush()
+}
+
+// most names what was counted most, and how often.
+func most[K cmp.Ordered](counts map[K]int) string {
+	keys := slices.SortedFunc(maps.Keys(counts), func(a, b K) int {
+		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
+	})
+
+	var out []string
+	for _, k := range keys[:min(shown, len(keys))] {
+		out = append(out, fmt.Sprintf("%v:%d", k, counts[k]))
+	}
+
+	return strings.Join(out, " ")
+}
+
+// read reads all lines of the files, or of standard input if there are none.
+func read(paths []string, s *streams) ([]story.Line, error) {
+	if len(paths) == 0 {
 		return story.Read(nil, s.in)
 	}
 
 	var lines []story.Line
 
-	for _, path := range c.Files {
+	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
 			return nil, err
--- a/internal/placement/demand/demand.go
+++ b/internal/placement/demand/demand.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
@@ -112,9 +113,8 @@
 	into.Waiting += d.Waiting
 	into.Priority = max(into.Priority, d.Priority)
 
-	if into.Deadline.IsZero() || !d.Deadline.IsZero() && d.Deadline.Before(into.Deadline) {
-		into.Deadline = d.Deadline
-	}
+	into.Deadline = clock.Soonest(into.Deadline, d.Deadline)
+	into.Goal = clock.Soonest(into.Goal, d.Goal)
 }
 
 // Running returns how many requests run on the replica, over all entries.
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -176,7 +176,7 @@
 	var out []want
 
 	for _, d := range h.asks.Merged(time.Now()) {
-		w := want{Want: swap.Want{Waiting: d.Waiting, Running: d.Running, Deadline: d.Deadline, Priority: d.Priority}}
+		w := want{Want: swap.Want{Waiting: d.Waiting, Running: d.Running, Deadline: d.Deadline, Goal: d.Goal, Priority: d.Priority}}
 		w.service, w.model, w.adapter = splitKey(d.Model)
 		out = append(out, w)
 	}
@@ -280,7 +280,7 @@
 
 		sum := sums[w.model]
 		if sum == nil {
-			sum = &swap.Want{Model: w.model, Deadline: w.Deadline}
+			sum = &swap.Want{Model: w.model}
 			sums[w.model] = sum
 			order = append(order, w.model)
 		}
@@ -289,9 +289,8 @@
 		sum.Running += w.Running
 		sum.Priority = max(sum.Priority, w.Priority)
 
-		if sum.Deadline.IsZero() || !w.Deadline.IsZero() && w.Deadline.Before(sum.Deadline) {
-			sum.Deadline = w.Deadline
-		}
+		sum.Deadline = clock.Soonest(sum.Deadline, w.Deadline)
+		sum.Goal = clock.Soonest(sum.Goal, w.Goal)
 	}
 
 	out := make([]swap.Want, 0, len(order))
--- a/internal/placement/replica/replica.go
+++ b/internal/placement/replica/replica.go
@@ -39,8 +39,10 @@
 	// Arrived is how many requests came since the last report, those that were
 	// refused at once among them.
 	Arrived int
-	// Deadline is the earliest deadline of the waiting requests.
-	Deadline time.Time
+	// Deadline is the earliest deadline of the waiting requests, and Goal the
+	// earliest time by which one of them should begin of those that still can be
+	// on time; zero means none.
+	Deadline, Goal time.Time
 	Priority int
 }
 
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -52,6 +52,9 @@
 	Waiting, Running int
 	// Deadline is the earliest deadline of the waiting requests.
 	Deadline time.Time
+	// Goal is the earliest time by which one of them should begin, of those that
+	// can still be on time; zero means none.
+	Goal     time.Time
 	Priority int
 }
 
--- a/internal/room/story/line.go
+++ b/internal/room/story/line.go
@@ -38,6 +38,8 @@
 	Status int
 	Sends  int
 	Cold   bool
+	// Goal is the time within which a first byte is on time, or zero.
+	Goal time.Duration
 	// Left is how much time its caller gave the request, Waited how long it had
 	// no target, First how long its first
 	// byte took, Took how long it was in hand, and Quiet how long ago the last
@@ -76,6 +78,7 @@
 	Sends   int             `json:"sends"`
 	Cold    bool            `json:"cold"`
 	Left    float64         `json:"left"`
+	Goal    float64         `json:"goal"`
 	Waited  float64         `json:"waited"`
 	Holders int             `json:"holders"`
 	Full    int             `json:"full"`
@@ -107,7 +110,7 @@
 	l := Line{
 		At: time.UnixMilli(t.Time), Node: t.Node, Message: t.Message, Request: t.ID, Target: t.Target, Key: t.Key,
 		Load: t.Load, Model: t.Model, Adapter: t.Adapter, Takes: millis(t.Takes), Error: t.Error, Why: t.Why,
-		Status: t.Status, Sends: t.Sends, Cold: t.Cold, Left: millis(t.Left), Waited: millis(t.Waited), First: millis(t.First), Took: millis(t.Took),
+		Status: t.Status, Sends: t.Sends, Cold: t.Cold, Left: millis(t.Left), Goal: millis(t.Goal), Waited: millis(t.Waited), First: millis(t.First), Took: millis(t.Took),
 		Quiet: millis(t.Quiet), Events: t.Events, Dropped: t.Dropped,
 		Holders: t.Holders, Full: t.Full, Leaving: t.Leaving, Dead: t.Dead, Ejected: t.Ejected,
 		Details: details(text[at:]), up: millis(t.Up),
--- /dev/null
+++ b/internal/room/story/summary.go
@@ -0,0 +1,230 @@
+package story
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Outcome is how a request ended for its caller.
+type Outcome int
+
+// The outcomes that a summary tells apart.
+const (
+	// Served requests were answered in time, as far as the logs say.
+	Served Outcome = iota
+	// Late requests were answered after their route's goal.
+	Late
+	// Unserved requests got no whole answer of a target.
+	Unserved
+)
+
+// Group is all requests that ended in the same way for the same reason.
+type Group struct {
+	Cause   string
+	Outcome Outcome
+	// Models, Targets and Nodes count the group's requests by what they needed,
+	// where they were sent last, and which entry took them.
+	Models, Targets, Nodes map[string]int
+	// Seconds counts them by the second of their arrival since the first line.
+	Seconds map[int]int
+	// Requests are their ids, in the order in which they arrived.
+	Requests []string
+}
+
+// Summary is what became of all requests of some logs.
+type Summary struct {
+	Requests, Late, Unserved int
+	// Groups are those that were not served in time, the largest first.
+	Groups []Group
+}
+
+// Summarize groups the requests that were late or not served by their causes.
+func Summarize(lines []Line) Summary {
+	lines = inOrder(lines)
+	if len(lines) == 0 {
+		return Summary{}
+	}
+
+	first := lines[0].At
+	groups := make(map[string]*Group)
+
+	var s Summary
+
+	for _, f := range requests(lines) {
+		s.Requests++
+
+		outcome, cause := f.class()
+		if outcome == Served {
+			continue
+		}
+
+		if outcome == Late {
+			s.Late++
+		} else {
+			s.Unserved++
+		}
+
+		g := groups[cause]
+		if g == nil {
+			g = &Group{
+				Cause: cause, Outcome: outcome,
+				Models: make(map[string]int), Targets: make(map[string]int), Nodes: make(map[string]int), Seconds: make(map[int]int),
+			}
+			groups[cause] = g
+		}
+
+		g.add(f, first)
+	}
+
+	for _, g := range groups {
+		s.Groups = append(s.Groups, *g)
+	}
+
+	slices.SortFunc(s.Groups, func(a, b Group) int {
+		return cmp.Or(-cmp.Compare(a.Outcome, b.Outcome), -cmp.Compare(len(a.Requests), len(b.Requests)), strings.Compare(a.Cause, b.Cause))
+	})
+
+	return s
+}
+
+func (g *Group) add(f *facts, first time.Time) {
+	if f.model != "" {
+		g.Models[f.model]++
+	}
+
+	if len(f.targets) > 0 {
+		g.Targets[f.lastTarget()]++
+	}
+
+	g.Nodes[f.node]++
+	g.Seconds[int(f.arrived.Sub(first)/time.Second)]++
+	g.Requests = append(g.Requests, f.own[0].Request)
+}
+
+// requests returns what the lines say of each request, without what it met.
+func requests(lines []Line) []*facts {
+	own := make(map[string][]Line)
+
+	for i := range lines {
+		if id := lines[i].Request; id != "" {
+			own[id] = append(own[id], lines[i])
+		}
+	}
+
+	out := make([]*facts, 0, len(own))
+	for _, id := range slices.Sorted(maps.Keys(own)) {
+		out = append(out, gather(own[id], id))
+	}
+
+	slices.SortStableFunc(out, func(a, b *facts) int { return a.arrived.Compare(b.arrived) })
+
+	return out
+}
+
+// class returns how the request ended and, in a few words that many requests
+// share, why.
+func (f *facts) class() (Outcome, string) {
+	if f.end == nil {
+		return Unserved, "no last line: the process ended, or its log"
+	}
+
+	switch f.end.Message {
+	case answered:
+		return f.lateness()
+	case refused:
+		return Unserved, f.refusalClass()
+	case left:
+		return Unserved, f.departureClass()
+	case brokenOff:
+		return Unserved, "answer broken off: " + f.attemptClass()
+	default:
+		return Unserved, "a target's own failure passed on"
+	}
+}
+
+func (f *facts) lateness() (Outcome, string) {
+	switch {
+	case f.end.Goal == 0 || f.end.First <= f.end.Goal:
+		return Served, ""
+	case f.end.Cold:
+		return Late, "late: waited for its model"
+	case f.end.Waited > f.end.First/2:
+		return Late, "late: waited for a place on a target"
+	case f.end.Sends > 1:
+		return Late, "late: sent again, " + f.attemptClass()
+	default:
+		return Late, "late: its target was slow to begin"
+	}
+}
+
+func (f *facts) refusalClass() string {
+	switch {
+	case f.end.Why != "":
+		return "refused at once: " + f.end.Why
+	case strings.Contains(f.end.Error, "shuttingDown"):
+		return "refused: the entry was stopping"
+	case strings.Contains(f.end.Error, "crashesTargets"):
+		return "refused: targets crashed while they ran it"
+	case f.end.Sends > 0:
+		return "refused or failed after a sending: " + f.attemptClass()
+	case strings.Contains(f.end.Error, "tooCold"):
+		return "refused: its model could not be loaded in time"
+	default:
+		return "refused after waiting: " + f.waitClass()
+	}
+}
+
+func (f *facts) departureClass() string {
+	switch {
+	case f.end.Sends == 0:
+		return "caller left, never sent: " + f.waitClass()
+	case f.end.First == 0:
+		return "caller left: its target had not answered"
+	case f.end.Quiet > stalled:
+		return "caller left: the stream had fallen silent"
+	default:
+		return "caller left in the middle of an answer"
+	}
+}
+
+// waitClass says why the targets did not take a request that waited.
+func (f *facts) waitClass() string {
+	for _, l := range slices.Backward(f.own) {
+		if l.Message != waits || l.Holders == 0 {
+			continue
+		}
+
+		switch l.Holders {
+		case l.Full:
+			return "targets with its model were full"
+		case l.Leaving:
+			return "targets with its model were leaving"
+		case l.Dead, l.Ejected:
+			return "targets with its model were dead or failing"
+		default:
+			return "targets with its model were full, leaving or dead"
+		}
+	}
+
+	return "no target had its model"
+}
+
+// attemptClass says how the last sending failed.
+func (f *facts) attemptClass() string {
+	for _, l := range slices.Backward(f.own) {
+		if l.Message != attemptFailed {
+			continue
+		}
+
+		for _, known := range failures {
+			if strings.Contains(l.Error, known.text) {
+				return "the target " + known.means
+			}
+		}
+	}
+
+	return "no sending failed"
+}
--- a/internal/serving/dispatch/line.go
+++ b/internal/serving/dispatch/line.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/queue"
@@ -389,6 +390,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	now := time.Now()
 	d := replica.Demand{Model: model, Waiting: l.q.Len(), Arrived: int(l.arrived.Swap(0))}
 
 	l.q.Each(func(it *queue.Item[*waiter]) {
@@ -398,8 +400,10 @@
 			d.Plan, d.Priority = req.Plan, req.Priority
 		}
 
-		if d.Deadline.IsZero() || it.Deadline.Before(d.Deadline) {
-			d.Deadline = it.Deadline
+		d.Deadline = clock.Soonest(d.Deadline, it.Deadline)
+
+		if req.Goal.After(now) {
+			d.Goal = clock.Soonest(d.Goal, req.Goal)
 		}
 	})
 
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -172,12 +172,20 @@
 
 func (e *OverBudgetError) Error() string { return "no repeat left for service " + e.Service }
 
-// backOff waits until the request may be sent once more. One that was rejected
-// gives its target a moment, and waits for its share of the repeats as long as
-// it may wait in line; for any other the share must be there now.
+// backOff waits until the request may be sent once more. One that did not reach
+// its target takes no share of the repeats, which bound what arrives at targets.
+// One that was rejected gives its target a moment, and waits for its share as
+// long as it may wait in line; for any other the share must be there now.
 func (d *delivery) backOff(ctx context.Context, err error) error {
-	var rejected *RejectedError
-	if !errors.As(err, &rejected) {
+	var (
+		dial     *DialError
+		rejected *RejectedError
+	)
+
+	switch {
+	case errors.As(err, &dial):
+		return nil
+	case !errors.As(err, &rejected):
 		if d.paid.Swap(false) || d.Budgets.Take(d.service, time.Now()) {
 			return nil
 		}
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -295,6 +295,9 @@
 		Deadline: d.startBy(),
 		Arrived:  d.arrived,
 	}
+	if d.route.Goal > 0 {
+		d.req.Goal = d.arrived.Add(d.route.Goal)
+	}
 
 	ctx, cancel := context.WithDeadline(d.r.Context(), d.deadline)
 	defer cancel()
@@ -359,7 +362,7 @@
 func (d *delivery) end(err error) {
 	line := d.Log.Info().Str("id", d.ask.ID).Str("route", d.route.Name).Uint64("config", d.version).
 		Str("key", d.req.Model).Int("sends", d.trail.Sends()).Bool("cold", d.cold).
-		Dur("left", d.deadline.Sub(d.arrived)).Dur("waited", d.waited).Dur("first", d.first).Dur("took", time.Since(d.arrived))
+		Dur("goal", d.route.Goal).Dur("left", d.deadline.Sub(d.arrived)).Dur("waited", d.waited).Dur("first", d.first).Dur("took", time.Since(d.arrived))
 
 	if d.events > 0 {
 		line = line.Int("events", d.events).Dur("quiet", time.Since(d.heard))
--- a/internal/serving/request/request.go
+++ b/internal/serving/request/request.go
@@ -26,6 +26,9 @@
 	Priority  int
 	Deadline  time.Time
 	Arrived   time.Time
+	// Goal is until when a first token is on time; zero means that nothing is
+	// said of it.
+	Goal time.Time
 }
 
 // Fingerprint identifies what a request asks for, so that the same request
--- a/internal/wire/peer/messages.go
+++ b/internal/wire/peer/messages.go
@@ -182,6 +182,7 @@
 	DeadlineMs int64
 	Priority   int
 	Arrived    int
+	GoalMs     int64
 }
 
 // Use is a demand.Use on the wire.
@@ -229,6 +230,7 @@
 			DeadlineMs: deadlineMs(d.Deadline, now),
 			Priority:   d.Priority,
 			Arrived:    d.Arrived,
+			GoalMs:     deadlineMs(d.Goal, now),
 		})
 	}
 
@@ -279,6 +281,7 @@
 			Deadline: toDeadline(d.DeadlineMs, r.SentMs, now),
 			Priority: d.Priority,
 			Arrived:  d.Arrived,
+			Goal:     toDeadline(d.GoalMs, r.SentMs, now),
 		})
 	}
 
