perf: a load waits for room beside the weights rather than come from the store

Change: a target that has the weights and no room yet counts as one that will have room soon; the store's load is chosen only where that takes longer.

--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -264,8 +264,14 @@
 	}
 
 	victims, loss, wait, ok := p.makeRoom(t, m, gain)
-	if !ok {
+
+	switch {
+	case ok:
+	case tier == target.TierRemote:
 		return choice{}, false
+	default:
+		// It has the weights, and room as soon as what it runs has ended.
+		wait = runTime
 	}
 
 	if tier == target.TierRemote {
@@ -278,7 +284,7 @@
 		move: Move{Target: t.ID, Unload: victims, Load: m.Name, Takes: takes, From: tier, For: why},
 		cost: (t.FreeIn + kept + takes + wait).Seconds() + lossWeight*loss + loadWeight*float64(t.Running) +
 			rivalWeight*p.rivalry(t, m.Name),
-		free: t.Free && kept == 0,
+		free: ok && t.Free && kept == 0,
 	}, true
 }
 
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -87,6 +87,9 @@
 		"what others wait for stays": {
 			[]Target{on("a", "m0", "m1", "m2").disk("m3")}, []Want{waiting("m0"), waiting("m1"), waiting("m2"), waiting("m3")}, nil, nil,
 		},
+		"wait for room beside the weights rather than load from the store": {
+			[]Target{on("a", "m0", "m1", "m2").disk("m3"), on("b")}, []Want{waiting("m0"), waiting("m1"), waiting("m2"), waiting("m3")}, nil, nil,
+		},
 		"two models on two targets": {
 			[]Target{on("a").disk("m3", "m4"), on("b").disk("m3", "m4")}, []Want{waiting("m3"), waiting("m4")}, nil, []string{"a m3 []", "b m4 []"},
 		},
