perf: what callers were told holds; spare copies worth much go first

Spare copies that are expected to save a request a second go before that and may take the place of what is worth half.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -24,34 +23,6 @@
 // of the order.
 const adapterTime = 20 * time.Millisecond
 
-// rateSpan is over what time the rate of a model's requests is smoothed: long
-// enough to tell a busy model from a rare one, short against the time in
-// which the busy models change.
-const rateSpan = 6 * time.Second
-
-// rates are the smoothed rates of requests by model.
-type rates struct {
-	perSecond map[string]float64
-	at        time.Time
-}
-
-func (r *rates) add(model string, n int) {
-	if r.perSecond == nil {
-		r.perSecond = make(map[string]float64)
-	}
-
-	r.perSecond[model] += float64(n) / rateSpan.Seconds()
-}
-
-func (r *rates) decay(now time.Time) {
-	keep := math.Exp(-now.Sub(r.at).Seconds() / rateSpan.Seconds())
-	for model := range r.perSecond {
-		r.perSecond[model] *= keep
-	}
-
-	r.at = now
-}
-
 // want is what is asked for under one key.
 type want struct {
 	service, model, adapter string
@@ -72,6 +43,7 @@
 	for _, d := range r.Waiting {
 		_, model, _ := splitKey(d.Model)
 		h.rates.add(model, d.Arrived)
+		h.habits.add(model, d.Arrived)
 	}
 
 	for _, u := range r.Uses {
@@ -102,6 +74,7 @@
 
 	h.sync(now)
 	h.rates.decay(now)
+	h.habits.decay(now)
 
 	h.inquireUnknown(ctx, now)
 
@@ -186,7 +159,7 @@
 
 func (h *Holder) orderModels(ctx context.Context, service string, e *route.Engine, wants []want, used usage, now time.Time) {
 	v := &swap.View{
-		Now: now, Engine: e, Wants: byModel(service, wants), Rate: h.rates.perSecond, StoreLoads: storeLoads,
+		Now: now, Engine: e, Wants: byModel(service, wants), Rate: h.rates.perSecond, Habit: h.habits.perSecond, Promised: h.promised(service), StoreLoads: storeLoads,
 	}
 	for id, s := range h.stations {
 		if s.target.Service != service {
@@ -216,37 +189,6 @@
 	}
 }
 
-// foretellStep is by how much the time must move from which a model can be
-// had for entries to be told again.
-const foretellStep = 300 * time.Millisecond
-
-// foretell notes from when on models of a service can be had that the weight
-// store cannot load yet, so that entries refuse at once who cannot wait for
-// them, and say when to come back.
-func (h *Holder) foretell(service string, ready map[string]time.Duration, now time.Time) {
-	var waits []Wait
-
-	for _, w := range h.waits {
-		if name, _, _ := splitKey(w.Key); name != service {
-			waits = append(waits, w)
-		}
-	}
-
-	for model, in := range ready {
-		waits = append(waits, Wait{Key: service + "/" + model, Ready: now.Add(in)})
-	}
-
-	slices.SortFunc(waits, func(a, b Wait) int { return strings.Compare(a.Key, b.Key) })
-
-	if !slices.EqualFunc(waits, h.waits, func(a, b Wait) bool {
-		apart := a.Ready.Sub(b.Ready)
-
-		return a.Key == b.Key && max(apart, -apart) < foretellStep
-	}) {
-		h.waits, h.published = waits, false
-	}
-}
-
 // reserve books a swap before its orders are sent, so that the next round
 // counts with it and entries stop sending to what makes way.
 func (h *Holder) reserve(s *station, m swap.Move, now time.Time) {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -61,8 +61,9 @@
 	// when it waits for what the engines hold.
 	mayOrder, stockBy time.Time
 	asks              demand.Book
-	rates             rates
-	stations          map[instance.ID]*station
+	// rates follow the demand of the moment, and habits that of half a minute.
+	rates, habits rates
+	stations      map[instance.ID]*station
 	// turnovers tell how fast the targets of each service leave.
 	turnovers map[string]*turnover
 	// waits are the models that can be had only later, sorted by key.
@@ -87,7 +88,7 @@
 
 // New returns an entry's part in the control. Run starts it.
 func New(cfg Config) *Holder {
-	return &Holder{cfg: cfg, started: clock.Now(), wake: make(chan struct{}, 1), stations: make(map[instance.ID]*station)}
+	return &Holder{cfg: cfg, started: clock.Now(), wake: make(chan struct{}, 1), stations: make(map[instance.ID]*station), rates: rates{span: rateSpan}, habits: rates{span: habitSpan}}
 }
 
 const (
--- a/internal/placement/holder/news.go
+++ b/internal/placement/holder/news.go
@@ -40,6 +40,8 @@
 type Wait struct {
 	Key   string
 	Ready time.Time
+	// Since is when the holder first said so. Only the holder knows it.
+	Since time.Time
 }
 
 // newer reports whether n was sent later than o.
--- a/internal/placement/replica/replica.go
+++ b/internal/placement/replica/replica.go
@@ -43,7 +43,7 @@
 	// earliest time by which one of them should begin of those that still can be
 	// on time; zero means none.
 	Deadline, Goal time.Time
-	Priority int
+	Priority       int
 }
 
 // Terms are the times and bounds of the policy. See Weigh.
--- a/internal/placement/swap/store.go
+++ b/internal/placement/swap/store.go
@@ -17,9 +17,15 @@
 	// unknownRate is the requests a second that a model is expected to get of
 	// which nothing is known.
 	unknownRate = 0.02
+	// soughtRate is the requests a second from which on a model is loaded for
+	// callers that were refused and may come back: one in the last ten seconds.
+	soughtRate = 0.03
 	// leastWorth is the requests a second that a spare copy must be expected to
 	// save: a load blocks its target for seconds.
 	leastWorth = 0.05
+	// muchWorth is the requests a second that a spare copy must be expected to
+	// save to go before what callers wait for.
+	muchWorth = 1.0
 	// blankShare is the part of the usual number of models at hand below which a
 	// target counts as blank: hardly any load there could be a short one.
 	blankShare = 0.25
@@ -55,23 +61,40 @@
 			p.place(l.model, l.want, l.why, l.worth)
 		}
 
-		if p.copies[l.model.Name] == 0 && l.want.Waiting > 0 {
+		if l.why == ForWaiting && p.copies[l.model.Name] == 0 {
 			p.foretell(l.model)
 		}
 	}
 }
 
-// storeLoads returns what the weight store could load, the most worth first.
+// isSought reports whether callers wait for a model, or were told to come back
+// for it.
+func (p *planner) isSought(model string) bool {
+	return p.wants[model].Waiting > 0 || p.Habit[model] >= soughtRate
+}
+
+// promised returns since when callers are told when they can have a model.
+func (p *planner) promised(model string) time.Time {
+	if since, ok := p.Promised[model]; ok {
+		return since
+	}
+
+	return p.Now
+}
+
+// storeLoads returns what the weight store could load, the most worth first. Of
+// those that are worth about the same the first promised comes first, so that
+// what callers were told holds.
 func (p *planner) storeLoads() []storeLoad {
 	var out []storeLoad
 
 	for _, m := range p.Engine.Models {
 		l := storeLoad{model: m, want: p.wants[m.Name], why: ForLater}
 		l.want.Model = m.Name
-		rate := max(p.Rate[m.Name], unknownRate)
+		rate := max(p.Rate[m.Name], p.Habit[m.Name], unknownRate)
 
 		switch {
-		case p.near[m.Name] == 0 && l.want.Waiting > 0:
+		case p.near[m.Name] == 0 && p.isSought(m.Name):
 			l.why, l.worth = ForWaiting, rate+float64(l.want.Waiting)/m.FromStore.Seconds()
 		case p.near[m.Name] == 0:
 			l.worth = rate
@@ -87,6 +110,8 @@
 	spread := p.spreads(out)
 	slices.SortFunc(out, func(a, b storeLoad) int {
 		return cmp.Or(
+			-cmp.Compare(math.Round(math.Log2(a.worth)), math.Round(math.Log2(b.worth))),
+			p.promised(a.model.Name).Compare(p.promised(b.model.Name)),
 			-cmp.Compare(a.worth, b.worth),
 			cmp.Compare(spread[a.model.Name], spread[b.model.Name]),
 			cmp.Compare(a.model.Name, b.model.Name),
@@ -122,18 +147,42 @@
 	return float64(len(t.AtHand)) <= blankShare*p.usual
 }
 
-// loadAhead loads a model into free memory of one of the targets.
+// loadAhead loads a model on one of the targets that have room for it. What is
+// worth much may also take the last load that the store has, and the place of
+// what is worth less.
 func (p *planner) loadAhead(l storeLoad, targets []*Target) {
-	if p.store <= urgentStore {
+	much := l.worth >= muchWorth
+	if p.store <= urgentStore && !much || p.store <= 0 {
 		return
 	}
 
+	gain := 0.0
+	if much {
+		gain, targets = l.worth/2, p.free() //nolint:mnd // What makes way must be worth half at most.
+	}
+
+	var best *Move
+
+	least := math.Inf(1)
+
 	for _, t := range targets {
-		if !p.busy[t.ID] && !holds(t, l.model.Name) && p.fits(t, l.model) {
-			p.begin(Move{Target: t.ID, Load: l.model.Name, Takes: l.model.FromStore, From: target.TierRemote, For: ForLater})
+		if p.busy[t.ID] || holds(t, l.model.Name) || t.AtHand[l.model.Name] != 0 || !much && !p.fits(t, l.model) {
+			continue
+		}
 
-			return
+		victims, loss, wait, ok := p.makeRoom(t, l.model, gain)
+		if !ok || loss > gain || wait >= runTime {
+			continue
 		}
+
+		if cost := lossWeight*loss + nearWeight*float64(len(t.AtHand)); cost < least {
+			least = cost
+			best = &Move{Target: t.ID, Unload: victims, Load: l.model.Name, Takes: l.model.FromStore, From: target.TierRemote, For: ForLater}
+		}
+	}
+
+	if best != nil {
+		p.begin(*best)
 	}
 }
 
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -68,6 +68,11 @@
 	// Rate is how many requests a second come for each model lately, those that
 	// are refused among them.
 	Rate map[string]float64
+	// Habit is the same over a longer time, for loads that are to last.
+	Habit map[string]float64
+	// Promised is since when callers are told from when on they can have a model
+	// that the weight store could not load yet.
+	Promised map[string]time.Time
 	// Risk is how likely a target is gone before a copy of what it holds is had
 	// elsewhere.
 	Risk float64
