--- a/internal/fleet/clock/clock.go
+++ b/internal/fleet/clock/clock.go
@@ -38,15 +38,6 @@
 	return b
 }
 
-// Soonest returns the earlier of two times of which zero means never.
-func Soonest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-
-	return a
-}
-
 // Wait waits for wg. It returns the context's error if that ends first; wg is
 // waited for on.
 func Wait(ctx context.Context, wg *sync.WaitGroup) error {
--- a/internal/placement/demand/demand.go
+++ b/internal/placement/demand/demand.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
@@ -113,8 +112,8 @@
 	into.Waiting += d.Waiting
 	into.Priority = max(into.Priority, d.Priority)
 
-	into.Deadline = clock.Soonest(into.Deadline, d.Deadline)
-	into.Goal = clock.Soonest(into.Goal, d.Goal)
+	into.Deadline = replica.Soonest(into.Deadline, d.Deadline)
+	into.Goal = replica.Soonest(into.Goal, d.Goal)
 }
 
 // Running returns how many requests run on the replica, over all entries.
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
+	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
 	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
@@ -230,8 +231,8 @@
 		sum.Running += w.Running
 		sum.Priority = max(sum.Priority, w.Priority)
 
-		sum.Deadline = clock.Soonest(sum.Deadline, w.Deadline)
-		sum.Goal = clock.Soonest(sum.Goal, w.Goal)
+		sum.Deadline = replica.Soonest(sum.Deadline, w.Deadline)
+		sum.Goal = replica.Soonest(sum.Goal, w.Goal)
 	}
 
 	out := make([]swap.Want, 0, len(order))
--- a/internal/placement/holder/replacement_test.go
+++ b/internal/placement/holder/replacement_test.go
@@ -52,7 +52,6 @@
 	began   time.Time
 	waiting []pending
 	arrived map[string]int
-	ended   map[demand.Use]int
 	running map[ledger.Key]int
 	// served and asked count them by whether they are for the busy model.
 	served, asked map[bool]int
--- a/internal/placement/replica/replica.go
+++ b/internal/placement/replica/replica.go
@@ -46,6 +46,15 @@
 	Priority       int
 }
 
+// Soonest returns the earlier of two times of which zero means never.
+func Soonest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+
+	return a
+}
+
 // Terms are the times and bounds of the policy. See Weigh.
 type Terms struct {
 	// Worth is how many seconds of one idle accelerator a second of a caller's
--- a/internal/serving/dispatch/line.go
+++ b/internal/serving/dispatch/line.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/queue"
@@ -400,10 +399,10 @@
 			d.Plan, d.Priority = req.Plan, req.Priority
 		}
 
-		d.Deadline = clock.Soonest(d.Deadline, it.Deadline)
+		d.Deadline = replica.Soonest(d.Deadline, it.Deadline)
 
 		if req.Goal.After(now) {
-			d.Goal = clock.Soonest(d.Goal, req.Goal)
+			d.Goal = replica.Soonest(d.Goal, req.Goal)
 		}
 	})
 
