--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -114,6 +114,7 @@
 	}
 }
 
+// noteLeft records that a target of the service leaves, or has gone.
 func (h *Holder) noteLeft(service string, now time.Time) {
 	if h.turnovers == nil {
 		h.turnovers = make(map[string]*turnover)
--- a/internal/placement/swap/store.go
+++ b/internal/placement/swap/store.go
@@ -52,9 +52,9 @@
 // most worth first, and foretells when the others can be had.
 //
 // It answers the replacement of targets by empty ones. The weights on their
-// disks go with them, and the store brings few models at a time: in the time
-// of the loads for six rare models the busiest one, which was on targets that
-// left, was refused to a third of all callers.
+// disks go with them, and the store brings few models at a time: while it is
+// busy with rare ones, all callers of a busy model are refused whose targets
+// have left.
 func (p *planner) loadFromStore() {
 	ahead := p.ahead()
 
@@ -88,8 +88,8 @@
 }
 
 // storeLoads returns what the weight store could load, the most worth first. Of
-// those that are worth about the same the first promised comes first, so that
-// what callers were told holds.
+// those that are worth the same within a factor of two the first promised comes
+// first, so that what callers were told holds.
 func (p *planner) storeLoads() []storeLoad {
 	var out []storeLoad
 
@@ -134,6 +134,7 @@
 	return out
 }
 
+// spreads returns the places of models that are worth the same.
 func (p *planner) spreads(loads []storeLoad) map[string]uint64 {
 	out := make(map[string]uint64, len(loads))
 	for _, l := range loads {
