--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -255,6 +255,21 @@
 	w.dark = id
 }
 
+// setSlow makes all orders take longer on their way.
+func (w *world) setSlow(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.slow = d
+}
+
+func (w *world) orderDelay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.slow
+}
+
 func (w *world) isDark(id instance.ID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -278,7 +293,7 @@
 		return holder.Rejected, errSilent
 	}
 
-	time.Sleep(way + e.w.slow)
+	time.Sleep(way + e.w.orderDelay())
 
 	out, answered := e.w.worker(t.ID).Order(o)
 	if !answered {
--- a/internal/placement/holder/replacement_test.go
+++ b/internal/placement/holder/replacement_test.go
@@ -223,7 +223,7 @@
 				one.Holding = []string{"m0"}
 			}
 
-			w.workers[instance.ID(fmt.Sprintf("old%d", i))] = one
+			w.join(instance.ID(fmt.Sprintf("old%d", i)), one)
 		}
 
 		for i := range replaced {
--- a/internal/placement/holder/store_test.go
+++ b/internal/placement/holder/store_test.go
@@ -52,10 +52,10 @@
 func TestStoreLoadsInHand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorldOf(t, 1, engine(), 0)
-		w.slow = 300 * time.Millisecond
+		w.setSlow(300 * time.Millisecond)
 
 		for i := range 8 {
-			w.workers[instance.ID(fmt.Sprintf("w%d", i))] = &worker.Worker{Engine: w.routes.Services["s"].Engine}
+			w.join(instance.ID(fmt.Sprintf("w%d", i)), &worker.Worker{Engine: w.routes.Services["s"].Engine})
 		}
 
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
@@ -81,7 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorldOf(t, 2, engine(), 0)
 		for i := range 5 {
-			w.workers[instance.ID(fmt.Sprintf("w%d", i))] = &worker.Worker{Engine: w.routes.Services["s"].Engine}
+			w.join(instance.ID(fmt.Sprintf("w%d", i)), &worker.Worker{Engine: w.routes.Services["s"].Engine})
 		}
 
 		models := []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"}
