fix: a holder that gives up its lease asks no engine any more

Orders were held back then, questions were not.

No test of its own: TestRollingStop under the race detector is what showed it, once in seven runs.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -76,7 +76,10 @@
 	h.rates.decay(now)
 	h.habits.decay(now)
 
-	h.inquireUnknown(ctx, now)
+	// A holder that waits for what it has in hand begins nothing more.
+	if !h.draining {
+		h.inquireUnknown(ctx, now)
+	}
 
 	if !now.Before(h.mayOrder) && !h.draining {
 		h.order(ctx, now)
