refactor: one free memory and one order of equals in the plan; comments without figures

The memory that is free on a target stood in fits and makeRoom, and the order of models that are worth the same in missing and storeLoads. Behaviour is the same. Figures that stood in comments: 83 entries that each assume the others to take their parts of 40 places; two of 60 targets with all requests of a model; 1.7 s until a first load.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -126,7 +126,7 @@
 
 // inquireUnknown asks the engines that have not said what they hold. A new
 // holder does so before it may order: asking is no order, and after a death
-// the first load comes 1.7 s sooner than when it waits first and asks then.
+// the first load comes sooner than when it waits first and asks then.
 func (h *Holder) inquireUnknown(ctx context.Context, now time.Time) {
 	for _, s := range h.stations {
 		if !s.known && !s.working && now.Sub(s.doubted) >= reportAgain {
--- a/internal/placement/swap/fill.go
+++ b/internal/placement/swap/fill.go
@@ -88,10 +88,7 @@
 		}
 	}
 
-	spread := make(map[string]uint64, len(out))
-	for _, m := range out {
-		spread[m.Name] = p.spread(m.Name)
-	}
+	spread := p.spreads(out)
 
 	slices.SortFunc(out, func(a, b route.Model) int {
 		return cmp.Or(-cmp.Compare(p.Rate[a.Name], p.Rate[b.Name]), cmp.Compare(spread[a.Name], spread[b.Name]), cmp.Compare(a.Name, b.Name))
@@ -100,6 +97,16 @@
 	return out
 }
 
+// spreads returns the places of models that are asked for equally often.
+func (p *planner) spreads(models []route.Model) map[string]uint64 {
+	out := make(map[string]uint64, len(models))
+	for _, m := range models {
+		out[m.Name] = p.spread(m.Name)
+	}
+
+	return out
+}
+
 // spread orders models that are asked for equally often, in another way in
 // each round, so that none is always last.
 func (p *planner) spread(model string) uint64 {
@@ -107,10 +114,5 @@
 }
 
 func (p *planner) fits(t *Target, m route.Model) bool {
-	free := p.room
-	for _, r := range t.Held {
-		free -= p.Engine.Models[r.Model].MB
-	}
-
-	return free >= m.MB
+	return p.freeMB(t) >= m.MB
 }
--- a/internal/placement/swap/room.go
+++ b/internal/placement/swap/room.go
@@ -38,14 +38,21 @@
 	loss float64
 }
 
-// makeRoom returns what must be unloaded so that the model fits, what that
-// costs others and how long it takes.
-func (p *planner) makeRoom(t *Target, m route.Model, c claim) (models []string, loss float64, wait time.Duration, ok bool) {
+// freeMB is a target's memory that no model takes and that is not kept for
+// adapters.
+func (p *planner) freeMB(t *Target) float64 {
 	free := p.room
 	for _, r := range t.Held {
 		free -= p.Engine.Models[r.Model].MB
 	}
 
+	return free
+}
+
+// makeRoom returns what must be unloaded so that the model fits, what that
+// costs others and how long it takes.
+func (p *planner) makeRoom(t *Target, m route.Model, c claim) (models []string, loss float64, wait time.Duration, ok bool) {
+	free := p.freeMB(t)
 	if free >= m.MB {
 		return nil, 0, 0, true
 	}
--- a/internal/placement/swap/store.go
+++ b/internal/placement/swap/store.go
@@ -91,7 +91,10 @@
 // those that are worth the same within a factor of two the first promised comes
 // first, so that what callers were told holds.
 func (p *planner) storeLoads() []storeLoad {
-	var out []storeLoad
+	var (
+		out    []storeLoad
+		models []route.Model
+	)
 
 	for _, m := range p.Engine.Models {
 		if m.MB > p.room {
@@ -117,10 +120,12 @@
 
 		if p.near[m.Name] == 0 || l.worth >= leastWorth {
 			out = append(out, l)
+			models = append(models, m)
 		}
 	}
 
-	spread := p.spreads(out)
+	spread := p.spreads(models)
+
 	slices.SortFunc(out, func(a, b storeLoad) int {
 		return cmp.Or(
 			-cmp.Compare(math.Round(math.Log2(a.worth)), math.Round(math.Log2(b.worth))),
@@ -134,16 +139,6 @@
 	return out
 }
 
-// spreads returns the places of models that are worth the same.
-func (p *planner) spreads(loads []storeLoad) map[string]uint64 {
-	out := make(map[string]uint64, len(loads))
-	for _, l := range loads {
-		out[l.model.Name] = p.spread(l.model.Name)
-	}
-
-	return out
-}
-
 // ahead returns the targets that may be given a load from the weight store for
 // which nobody waits: the blank ones first, and others while most have no
 // order.
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -247,13 +247,12 @@
 }
 
 // rivals is how many entries are counted at most that send to the same target
-// before the next report, as long as nobody waits here. Between two reports
-// 0.4 s apart a busy target gets some ten requests, whatever the number of
-// entries.
+// before the next report, as long as nobody waits here. Between two reports a
+// busy target gets requests of a few entries, however many there are.
 //
-// It answers the load of many entries: if each of 83 assumed that all the others
-// take their parts of 40 places, it could have one request on a target at a
-// time, and the second waited before a target with 39 places free.
+// It answers the load of many entries: if each assumed that all the others take
+// their parts of a target's places, it could have one request there at a time,
+// and the second would wait before a target that is nearly empty.
 const rivals = 8
 
 // part returns this entry's part of a target's free places. Where requests wait
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -348,8 +348,8 @@
 	t.reportedAt.Store(now.Add(-info.ReportAge).UnixNano())
 
 	// What was begun since the last count is not in it. Published anew with an old
-	// count, a target would get its free places each time: after a loss of power
-	// two of 60 targets got all requests of a model for as long as nobody counted.
+	// count, a target would get its free places each time: after a loss of power a
+	// few targets would get all requests of a model for as long as nobody counts.
 	if old != nil && info.Count != 0 && info.Count == old.Count {
 		return
 	}
