fix: a connection that carried a long body is not kept

Cause: TestEarlyAnswer, known to be red: a target answers before it has read a long body. Whether it did was taken from whether the body had been written by the end of the answer, and a target that reads on in between makes the two look the same.

--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -31,10 +31,11 @@
 
 	mark Mark
 	conn *conn
-	// written is closed once the whole request was written.
-	written chan struct{}
-	pool    *Pool
-	stop    func() bool
+	// long says that the target may have answered before it had read the whole
+	// request.
+	long bool
+	pool *Pool
+	stop func() bool
 }
 
 // DialError says that no byte of a request reached the target.
@@ -88,21 +89,12 @@
 
 func (c *conn) roundTrip(out *outgoing, proto Protocol) (*answer, error) {
 	c.uses++
-	written := make(chan struct{})
+	long := len(out.body) > writeInline
 
-	if len(out.body) <= writeInline {
-		if err := c.write(out); err != nil {
-			return nil, err
-		}
-
-		close(written)
-	} else {
-		go func() {
-			// A failed write shows as a missing answer.
-			if c.write(out) == nil {
-				close(written)
-			}
-		}()
+	if long {
+		go func() { _ = c.write(out) }() // A failed write shows as a missing answer.
+	} else if err := c.write(out); err != nil {
+		return nil, err
 	}
 
 	for range maxStray + 1 {
@@ -113,7 +105,7 @@
 
 		mark := proto.Answer(resp.StatusCode, resp.Header)
 		if mark.ID == "" || mark.ID == out.id {
-			return &answer{Response: resp, mark: mark, conn: c, written: written}, nil
+			return &answer{Response: resp, mark: mark, conn: c, long: long}, nil
 		}
 
 		if err := c.passOver(resp); err != nil {
@@ -204,17 +196,9 @@
 		return
 	}
 
-	select {
-	case <-a.written:
-	default:
-		// The target answered before it had read the whole request. What it
-		// would read next must not be taken for the rest of it.
-		a.conn.Close()
-
-		return
-	}
-
-	if a.Close || !a.framed() || a.ProtoMajor != 1 || a.ProtoMinor != 1 {
+	// A target that answered early takes what it reads next for the rest of the
+	// request, and nothing tells whether it did.
+	if a.long || a.Close || !a.framed() || a.ProtoMajor != 1 || a.ProtoMinor != 1 {
 		a.conn.Close()
 
 		return
