perf: a caller of a rare model does not wait for lots among all entries

Hypothesis: on a site of 195 entries dossiers are late although their model's load was ordered at once and took two seconds: with a request in line an entry counted all entries as rivals for the target's places, so that its part of 15 places was 0.08 and a lot drawn at each report, 0.4 s apart, had to be won first.

Change: the holder tells with each target at how many entries requests wait for one of its models, rounded up to a power of two of at least 8, so that it costs no news while few wait. Entries count that many rivals. Where nothing is told all entries count, as before (TestFullTargetDrains).

--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -189,7 +189,7 @@
 
 	info.Count = b.count
 	if s != nil {
-		info.Running = s.Running
+		info.Running, info.Lines = s.Running, s.Lines
 	}
 
 	b.snapshot.Targets = append(b.snapshot.Targets, info)
--- a/internal/placement/demand/demand.go
+++ b/internal/placement/demand/demand.go
@@ -116,6 +116,30 @@
 	into.Goal = replica.Soonest(into.Goal, d.Goal)
 }
 
+// Lines returns at how many entries requests wait, by the groups that their
+// models belong to.
+func (b *Book) Lines(now time.Time, group func(model string) string) map[string]int {
+	lines := make(map[string]int)
+
+	for _, e := range b.entries {
+		if now.Sub(e.at) > Expiry {
+			continue
+		}
+
+		seen := make(map[string]bool, len(e.Waiting))
+
+		for _, d := range e.Waiting {
+			g := group(d.Model)
+			if d.Waiting > 0 && !seen[g] {
+				seen[g] = true
+				lines[g]++
+			}
+		}
+	}
+
+	return lines
+}
+
 // Running returns how many requests run on the replica, over all entries.
 func (b *Book) Running(k ledger.Key) int {
 	n := 0
--- a/internal/placement/holder/delta.go
+++ b/internal/placement/holder/delta.go
@@ -61,7 +61,7 @@
 func (s *Station) like(o *Station) bool {
 	apart := s.Running - o.Running
 
-	return s.Born == o.Born && s.Sequence == o.Sequence && max(apart, -apart) < runningStep && slices.EqualFunc(s.Held, o.Held, Held.equal)
+	return s.Born == o.Born && s.Sequence == o.Sequence && s.Lines == o.Lines && max(apart, -apart) < runningStep && slices.EqualFunc(s.Held, o.Held, Held.equal)
 }
 
 func (h Held) equal(o Held) bool {
--- a/internal/placement/holder/news.go
+++ b/internal/placement/holder/news.go
@@ -62,7 +62,10 @@
 	Sequence uint64
 	// Running is how many requests run there over all entries.
 	Running int
-	Held    []Held
+	// Lines is at how many entries at most requests wait for one of the models,
+	// rounded up, so that it seldom changes.
+	Lines int
+	Held  []Held
 }
 
 // Held is a model that is loaded on an engine, or will be at Ready.
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -276,6 +276,27 @@
 // is asked what it holds.
 const lateLoad = 700 * time.Millisecond
 
+// leastLines is up to how many entries with requests in line are told as one
+// number.
+const leastLines = 8
+
+// roundLines rounds a number of entries up to a power of two.
+func roundLines(n int) int {
+	rounded := leastLines
+	for rounded < n {
+		rounded *= 2
+	}
+
+	return rounded
+}
+
+// modelKey returns the key of a key's model, without the adapter.
+func modelKey(key string) string {
+	service, model, _ := splitKey(key)
+
+	return service + "/" + model
+}
+
 // news returns the whole state for the entries. The caller holds the lock.
 func (h *Holder) news() News {
 	h.number++
@@ -285,6 +306,7 @@
 	}
 
 	running := h.usage().running
+	lines := h.asks.Lines(time.Now(), modelKey)
 
 	for id, s := range h.stations {
 		st := Station{Target: id, Born: s.target.Born, Sequence: s.sequence, Running: running[id]}
@@ -302,8 +324,11 @@
 
 			slices.SortFunc(held.Adapters, func(a, b Adapter) int { return cmp.Compare(a.Name, b.Name) })
 			st.Held = append(st.Held, held)
+			st.Lines = max(st.Lines, lines[s.target.Service+"/"+model])
 		}
 
+		st.Lines = roundLines(st.Lines)
+
 		slices.SortFunc(st.Held, func(a, b Held) int { return cmp.Compare(a.Model, b.Model) })
 		n.Stations = append(n.Stations, st)
 	}
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -243,7 +243,7 @@
 		return int64(share)
 	}
 
-	return max(int64(share), t.ownThen.Load()+t.part(free, entries, q.Waiting))
+	return max(int64(share), t.ownThen.Load()+t.part(free, entries, rivalsOf(info, entries, q.Waiting)))
 }
 
 // rivals is how many entries are counted at most that send to the same target
@@ -255,19 +255,33 @@
 // and the second would wait before a target that is nearly empty.
 const rivals = 8
 
-// part returns this entry's part of a target's free places. Where requests wait
-// here they wait elsewhere as well, so all entries count. What is left of the
-// division goes to entries by lot, drawn anew with each report.
-func (t *Target) part(free, entries, waiting int) int64 {
-	if entries <= rivals {
-		return int64(free / entries)
+// rivalsOf returns how many entries, this one included, are taken to send to the
+// target before the next report. Where requests wait here they wait elsewhere as
+// well: at as many entries as the report says, or at all if it does not.
+//
+// It answers the load of many entries and rare models: a single caller of a
+// model that has just been loaded would wait for seconds beside an empty target
+// if all entries were taken to have callers for it.
+func rivalsOf(info *TargetInfo, entries, waiting int) int {
+	switch {
+	case waiting == 0:
+		return min(entries, rivals)
+	case info.Lines > 0:
+		return min(entries, max(rivals, info.Lines))
+	default:
+		return entries
 	}
+}
 
-	if waiting == 0 {
-		entries = rivals
+// part returns this entry's part of a target's free places among its rivals.
+// Where there are more entries than that, what is left of the division goes to
+// entries by lot, drawn anew with each report.
+func (t *Target) part(free, entries, among int) int64 {
+	if entries <= rivals {
+		return int64(free / entries)
 	}
 
-	return int64(float64(free)/float64(entries) + math.Float64frombits(t.lot.Load()))
+	return int64(float64(free)/float64(among) + math.Float64frombits(t.lot.Load()))
 }
 
 // estimate returns the expected time to first token in nanoseconds: the
--- a/internal/serving/router/crowd_test.go
+++ b/internal/serving/router/crowd_test.go
@@ -170,3 +170,38 @@
 	// Two counts, each with a part of 40 places by eight and one by lot.
 	assert.Assert(t, begun <= 2*(40/rivals+1), "%d begun", begun)
 }
+
+// TestOneCallerAmongMany guards against a caller of a rare model that waits
+// beside an empty target because all entries are taken to have callers for it.
+func TestOneCallerAmongMany(t *testing.T) {
+	const entries = 195
+
+	for name, tc := range map[string]struct {
+		lines, least, most int
+	}{
+		"one entry has a line":    {lines: 8, least: 1, most: 2},
+		"all entries have a line": {lines: 256, least: 0, most: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var table Table
+
+			now := time.Unix(1000, 0)
+			table.Apply(&Snapshot{
+				Token: 1, Number: 1, Added: []Replica{{Target: "t", Model: "m"}},
+				Targets: []TargetInfo{{ID: "t", Slots: 12, Speed: 1, Lines: tc.lines}},
+			}, now)
+
+			begun := 0
+
+			for range 4 {
+				if target := Choose(table.Targets("m"), &Query{Entries: entries, Waiting: 1, Now: now}); target != nil {
+					target.Begin(false)
+
+					begun++
+				}
+			}
+
+			assert.Assert(t, begun >= tc.least && begun <= tc.most, "%d begun", begun)
+		})
+	}
+}
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -30,6 +30,9 @@
 	Slots   int
 	Running int
 	Waiting int
+	// Lines is how many entries at most have requests in line for one of the
+	// target's models; zero means unknown.
+	Lines int
 	// ReportAge is how old the report was when it was published.
 	ReportAge time.Duration
 	// Count tells the counts of Running apart; zero means that each publication
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -186,6 +186,7 @@
 	Born     int64
 	Sequence uint64
 	Running  int
+	Lines    int
 	Held     []HeldMessage
 }
 
@@ -225,7 +226,7 @@
 	}
 
 	for _, s := range n.Stations {
-		st := StationMessage{Target: string(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
+		st := StationMessage{Target: string(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running, Lines: s.Lines}
 
 		for _, held := range s.Held {
 			h := HeldMessage{Model: held.Model, LeftMs: leftMs(held.Ready, now)}
@@ -259,7 +260,7 @@
 	}
 
 	for _, s := range n.Stations {
-		st := holder.Station{Target: instance.ID(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running}
+		st := holder.Station{Target: instance.ID(s.Target), Born: s.Born, Sequence: s.Sequence, Running: s.Running, Lines: s.Lines}
 
 		for _, held := range s.Held {
 			h := holder.Held{Model: held.Model, Ready: at(held.LeftMs)}
