perf: loads are foretold by what an engine's host memory still has

The holder noted each load's copy in host memory and never that an older one made way; the list shows it up to a beat later.

Change: copies follow the operators' hostMB (host_mb of the configuration), the one loaded longest ago makes way, and a row of the list goes before the notes.

--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
-	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
 const (
@@ -52,10 +52,20 @@
 	}
 
 	// A load leaves copies in memory and on disk.
-	s.atHand[m.Load] = target.TierMemory
+	s.weights.load(m.Load, h.engineOf(s), now)
+	s.atHand = s.weights.tiers()
 	h.published = false
 }
 
+// engineOf returns what the operators say of the station's engine, or nil.
+func (h *Holder) engineOf(s *station) *route.Engine {
+	if routes := h.cfg.Routes(); routes != nil {
+		return routes.Services[s.target.Service].Engine
+	}
+
+	return nil
+}
+
 // sendAll hands over a swap's orders, and reports whether the load is begun.
 func (h *Holder) sendAll(ctx context.Context, s *station, m swap.Move) bool {
 	for _, model := range m.Unload {
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -31,7 +31,8 @@
 	sequence uint64
 	held     map[string]*residence
 	// atHand are the models whose weights are not in the weight store only.
-	atHand map[string]target.Tier
+	atHand  map[string]target.Tier
+	weights weights
 	// working says that a goroutine sends orders or asks for a report.
 	working bool
 	// reported is when an engine first reported reportedSequence, its newest.
@@ -77,7 +78,7 @@
 		s := h.stations[id]
 		if s == nil || s.target.Born != t.Born || s.target.Address != t.Address {
 			s = &station{origin: t, target: t, held: make(map[string]*residence)}
-			s.takeAtHand(t)
+			s.takeAtHand(t, now)
 			h.stations[id] = s
 			h.published = false
 		}
@@ -88,7 +89,7 @@
 			}
 
 			s.target = t
-			s.takeAtHand(t)
+			s.takeAtHand(t, now)
 			s.compare(t, now)
 		}
 
@@ -160,15 +161,9 @@
 }
 
 // takeAtHand learns from where the engine would load models.
-func (s *station) takeAtHand(t inventory.Target) {
-	s.atHand = make(map[string]target.Tier, len(t.OnDisk)+len(t.InMemory))
-	for _, m := range t.OnDisk {
-		s.atHand[m] = target.TierDisk
-	}
-
-	for _, m := range t.InMemory {
-		s.atHand[m] = target.TierMemory
-	}
+func (s *station) takeAtHand(t inventory.Target, now time.Time) {
+	s.weights.list(t, now)
+	s.atHand = s.weights.tiers()
 }
 
 // rowLag is how long after a load is expected to end the list must show it.
--- a/internal/serving/route/route.go
+++ b/internal/serving/route/route.go
@@ -108,6 +108,8 @@
 	CacheTokens int
 	// MemoryMB is a target's memory for weights and adapters.
 	MemoryMB float64
+	// HostMB is a target's memory for copies of weights; zero means unknown.
+	HostMB float64
 	// AdapterSlots is how many adapters a target holds.
 	AdapterSlots int
 	// LoadsPerSecond is the rate of the weight store, over all targets.
