fix: callers do not wait for a target that is always about to be free

The plan waited for the target with the copy in memory, which had a load from the weight store in hand that a former holder had begun; an order whose end is not known counted as 0.3 s, each time anew.

Change: such an order is taken to last as long again as it has. A new holder takes the ends of loads from the former's news.

TestBusyForLong plays it.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -285,6 +285,13 @@
 
 	if !t.Free {
 		t.FreeIn = max(orderTime, s.loading.Sub(now))
+
+		// Nothing tells how long an order of another holder lasts yet, so it is
+		// taken to last as long again. Callers would wait for this target, a
+		// moment at a time, while others could load their model.
+		if !s.busySince.IsZero() {
+			t.FreeIn = max(t.FreeIn, now.Sub(s.busySince))
+		}
 	}
 
 	for model, res := range s.held {
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -40,6 +40,9 @@
 	reportedSequence uint64
 	// doubted is when an entry last found something missing.
 	doubted time.Time
+	// busySince is since when the engine says that it has an order in hand of
+	// which this holder does not know the end; zero means that it does not.
+	busySince time.Time
 	// loading is until when the last model load is expected to last.
 	loading time.Time
 	// fromStore says that a load from the weight store was decided that has not
@@ -215,6 +218,13 @@
 	}
 
 	s.held, s.sequence, s.known = held, r.Sequence, !r.Busy
+
+	switch {
+	case !r.Busy:
+		s.busySince = time.Time{}
+	case s.busySince.IsZero():
+		s.busySince = now
+	}
 }
 
 func usedOf(p *placed) time.Time {
@@ -245,6 +255,8 @@
 			}
 
 			s.held[held.Model] = res
+			// Its load may be in hand yet.
+			s.loading = clock.Later(s.loading, held.Ready)
 		}
 
 		s.sequence = n.Sequence
--- a/internal/placement/holder/weights_test.go
+++ b/internal/placement/holder/weights_test.go
@@ -39,3 +39,24 @@
 	w.list(inventory.Target{OnDisk: []string{"a", "c"}, InMemory: []string{"c"}}, now.Add(time.Minute))
 	assert.DeepEqual(t, w.tiers(), map[string]target.Tier{"a": target.TierDisk, "c": target.TierMemory})
 }
+
+// TestBusyForLong guards against callers who wait for a target that is always
+// about to be free, because nobody knows how long its order lasts.
+func TestBusyForLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+
+	var s station
+
+	s.take(Report{Busy: true}, now)
+
+	for _, after := range []time.Duration{0, time.Second, 20 * time.Second} {
+		v := s.view(now.Add(after), 0, nil)
+		assert.Assert(t, !v.Free)
+		assert.Equal(t, v.FreeIn, max(orderTime, after))
+
+		s.take(Report{Busy: true}, now.Add(after))
+	}
+
+	s.take(Report{}, now.Add(30*time.Second))
+	assert.Assert(t, s.view(now.Add(30*time.Second), 0, nil).Free)
+}
