--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -152,7 +152,7 @@
 	})
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Lines: n.lines, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Log: cfg.Log, Metrics: n.metrics,
+		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Unreached: n.foundUnreached, Log: cfg.Log, Metrics: n.metrics,
 	}
 	n.holder = holder.New(holder.Config{
 		Self: cfg.Self, Strength: cfg.Strength, Process: n.process, Table: n.cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -292,6 +292,14 @@
 	poke(n.asked)
 }
 
+// foundUnreached tells the holder that a target takes no connection.
+func (n *Node) foundUnreached(t *router.Target) {
+	n.mu.Lock()
+	n.missing = append(n.missing, holder.Missing{Target: t.ID})
+	n.mu.Unlock()
+	poke(n.asked)
+}
+
 // foundMoved notes that another instance has a target's address.
 func (n *Node) foundMoved(t *router.Target) {
 	if t.Leave() {
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -139,7 +139,7 @@
 // unknown reports whether some engine has not said what it holds.
 func (h *Holder) unknown() bool {
 	for _, s := range h.stations {
-		if !s.known && !s.target.Leaving {
+		if !s.known && s.serves() {
 			return true
 		}
 	}
@@ -280,7 +280,7 @@
 func (s *station) view(now time.Time, running int, uses map[string]int) swap.Target {
 	t := swap.Target{
 		ID: s.target.ID, Free: s.known && !s.working && !now.Before(s.loading),
-		Serving: !s.target.Leaving, AtHand: s.atHand, Running: running,
+		Serving: s.serves(), AtHand: s.atHand, Running: running,
 	}
 
 	if !t.Free {
@@ -332,7 +332,7 @@
 // adapterPlaced reports whether an adapter is on a target, or on its way.
 func (h *Holder) adapterPlaced(w want) bool {
 	for _, s := range h.stations {
-		if s.target.Leaving || s.target.Service != w.service {
+		if !s.serves() || s.target.Service != w.service {
 			continue
 		}
 
@@ -347,7 +347,7 @@
 func (s *station) takesAdapter(model string, now time.Time) bool {
 	res := s.held[model]
 
-	return res != nil && s.known && !s.working && !s.target.Leaving && !now.Before(s.loading) && !now.Before(res.ready)
+	return res != nil && s.known && !s.working && s.serves() && !now.Before(s.loading) && !now.Before(res.ready)
 }
 
 func (s *station) site(id instance.ID, running int, uses map[string]int) swap.Site {
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -211,7 +211,11 @@
 	h.noteUses(r, clock.Now())
 
 	for _, m := range missing {
-		h.doubt(m)
+		if m.Key == "" {
+			h.suspect(m.Target, r.Entry)
+		} else {
+			h.doubt(m)
+		}
 	}
 
 	h.Wake()
--- a/internal/placement/holder/news.go
+++ b/internal/placement/holder/news.go
@@ -82,7 +82,7 @@
 }
 
 // Missing says that a target answered that it does not hold what the holder
-// says it does.
+// says it does, or, without a key, that it takes no connection.
 type Missing struct {
 	Target instance.ID
 	Key    string
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -259,12 +259,17 @@
 
 	if err != nil {
 		h.cfg.Log.Warn().Err(err).Str("target", string(s.origin.ID)).Msg("engine gave no report")
+		h.unreached(s, clock.Now())
 
 		return
 	}
 
 	now := clock.Now()
 
+	if s.down {
+		s.down, h.published = false, false
+	}
+
 	// A report that is older than the last order says nothing.
 	if r.Sequence < s.sequence {
 		return
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -38,6 +38,10 @@
 	// reported is when an engine first reported reportedSequence, its newest.
 	reported         time.Time
 	reportedSequence uint64
+	// down says that neither an entry nor this holder reaches the engine, and
+	// suspected is when an entry last did not.
+	down      bool
+	suspected time.Time
 	// doubted is when an entry last found something missing.
 	doubted time.Time
 	// busySince is since when the engine says that it has an order in hand of
@@ -279,6 +283,39 @@
 	s.doubted, s.known = now, false
 }
 
+// serves reports whether entries send requests to the engine.
+func (s *station) serves() bool { return !s.target.Leaving && !s.down }
+
+// suspect notes that an entry does not reach a target.
+//
+// It guards against targets that crashed and stand on the list for seconds yet:
+// their models would be loaded elsewhere only when they are gone from there. The
+// holder's own word alone does not count, nor that of its entry, since both may
+// be cut off.
+func (h *Holder) suspect(id, entry instance.ID) {
+	s := h.stations[id]
+	if s == nil || entry == h.cfg.Self {
+		return
+	}
+
+	s.suspected = clock.Now()
+	s.known = false
+}
+
+// suspicion is for how long an entry's word that it does not reach a target
+// counts.
+const suspicion = 3 * time.Second
+
+// unreached judges a station that gave no report. The caller holds the lock.
+func (h *Holder) unreached(s *station, now time.Time) {
+	if s.down || now.Sub(s.suspected) > suspicion {
+		return
+	}
+
+	s.down, h.published = true, false
+	h.cfg.Log.Warn().Str("target", string(s.origin.ID)).Int("models", len(s.held)).Msg("target down")
+}
+
 // lateLoad is how much later than foretold a load may end before the engine
 // is asked what it holds.
 const lateLoad = 700 * time.Millisecond
@@ -318,6 +355,13 @@
 	for id, s := range h.stations {
 		st := Station{Target: id, Born: s.target.Born, Sequence: s.sequence, Running: running[id]}
 
+		if s.down {
+			// Entries must not go by the list, on which it stands yet.
+			n.Stations = append(n.Stations, st)
+
+			continue
+		}
+
 		if !s.known && len(s.held) == 0 {
 			// Nothing is known yet, so entries go by the list.
 			continue
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -284,6 +284,13 @@
 
 	if t.Died(t.Info().Incarnation, now) {
 		d.Log.Warn().Str("target", string(t.ID)).Msg("target not reached")
+		d.tellUnreached(t)
+	}
+}
+
+func (d *delivery) tellUnreached(t *router.Target) {
+	if d.Unreached != nil {
+		d.Unreached(t)
 	}
 }
 
@@ -337,7 +344,10 @@
 	}
 
 	incarnation := t.Info().Incarnation
-	t.Died(incarnation, time.Now())
+	if t.Died(incarnation, time.Now()) {
+		d.tellUnreached(t)
+	}
+
 	d.Log.Warn().Str("id", d.ask.ID).Str("target", string(t.ID)).Msg("target died under a request")
 
 	if d.Lines.Died(d.req.Fingerprint(), crash.Death{Target: t.ID, Incarnation: incarnation}) {
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -35,7 +35,10 @@
 	// names, and Moved when another instance has its address.
 	Absent func(t *router.Target, key string)
 	Moved  func(t *router.Target)
-	Log    zerolog.Logger
+	// Unreached is called when a target takes no connection, once for a while.
+	// Nil means nobody is told.
+	Unreached func(t *router.Target)
+	Log       zerolog.Logger
 	// Metrics may be nil.
 	Metrics tally.Scope
 
