--- a/internal/cli/command/explaincmd.go
+++ b/internal/cli/command/explaincmd.go
@@ -73,17 +73,26 @@
 			strings.Join(g.Requests[:min(shown, len(g.Requests))], " "))
 	}
 
-	return t.Flush()
+	if err := t.Flush(); err != nil || len(sum.Calls) == 0 {
+		return err
+	}
+
+	_, err = fmt.Fprintln(s.out, "calls to the store, as told last:", listed(sum.Calls, len(sum.Calls)))
+
+	return err
 }
 
 // most names what was counted most, and how often.
-func most[K cmp.Ordered](counts map[K]int) string {
+func most[K cmp.Ordered](counts map[K]int) string { return listed(counts, shown) }
+
+// listed names so many of what was counted, what was counted most first.
+func listed[K cmp.Ordered](counts map[K]int, n int) string {
 	keys := slices.SortedFunc(maps.Keys(counts), func(a, b K) int {
 		return cmp.Or(-cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
 	})
 
 	var out []string
-	for _, k := range keys[:min(shown, len(keys))] {
+	for _, k := range keys[:min(n, len(keys))] {
 		out = append(out, fmt.Sprintf("%v:%d", k, counts[k]))
 	}
 
--- a/internal/room/story/line.go
+++ b/internal/room/story/line.go
@@ -49,6 +49,9 @@
 	// Holders is how many targets held the model when the request began to
 	// wait, and how many of them took nothing for which reason.
 	Holders, Full, Leaving, Dead, Ejected int
+	// Calls are how many calls to the store the process had made, by what they
+	// were for and why.
+	Calls map[string]int
 	// Details are all fields as text.
 	Details string
 
@@ -90,6 +93,7 @@
 	Quiet   float64         `json:"quiet"`
 	Events  int             `json:"events"`
 	Dropped int             `json:"dropped"`
+	Calls   map[string]int  `json:"calls"`
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -111,7 +115,7 @@
 		At: time.UnixMilli(t.Time), Node: t.Node, Message: t.Message, Request: t.ID, Target: t.Target, Key: t.Key,
 		Load: t.Load, Model: t.Model, Adapter: t.Adapter, Takes: millis(t.Takes), Error: t.Error, Why: t.Why,
 		Status: t.Status, Sends: t.Sends, Cold: t.Cold, Left: millis(t.Left), Goal: millis(t.Goal), Waited: millis(t.Waited), First: millis(t.First), Took: millis(t.Took),
-		Quiet: millis(t.Quiet), Events: t.Events, Dropped: t.Dropped,
+		Quiet: millis(t.Quiet), Events: t.Events, Dropped: t.Dropped, Calls: t.Calls,
 		Holders: t.Holders, Full: t.Full, Leaving: t.Leaving, Dead: t.Dead, Ejected: t.Ejected,
 		Details: details(text[at:]), up: millis(t.Up),
 	}
--- a/internal/room/story/story.go
+++ b/internal/room/story/story.go
@@ -29,6 +29,7 @@
 	// The lease then lapses by itself.
 	leaseNotReleased = "lease not released"
 	leaseNotRenewed  = "lease not renewed"
+	callsCounted     = "store calls"
 	targetDied       = "target died under a request"
 	stopMessage      = "stopping"
 	linesDropped     = "log lines dropped"
--- a/internal/room/story/summary.go
+++ b/internal/room/story/summary.go
@@ -37,6 +37,9 @@
 // Summary is what became of all requests of some logs.
 type Summary struct {
 	Requests, Late, Unserved int
+	// Calls are how many calls to the store all processes made, up to the last
+	// line of each that tells, by what they were for and why.
+	Calls map[string]int
 	// Groups are those that were not served in time, the largest first.
 	Groups []Group
 }
@@ -50,8 +53,7 @@
 
 	first := lines[0].At
 	groups := make(map[string]*Group)
-
-	var s Summary
+	s := Summary{Calls: storeCalls(lines)}
 
 	for _, f := range requests(lines) {
 		s.Requests++
@@ -90,6 +92,32 @@
 	return s
 }
 
+// storeCalls sums what each process told last of its calls to the store.
+func storeCalls(lines []Line) map[string]int {
+	type process struct {
+		node   string
+		number int
+	}
+
+	last := make(map[process]map[string]int)
+
+	for i := range lines {
+		if l := &lines[i]; l.Message == callsCounted {
+			last[process{l.Node, l.process}] = l.Calls
+		}
+	}
+
+	sums := make(map[string]int)
+
+	for _, calls := range last {
+		for name, n := range calls {
+			sums[name] += n
+		}
+	}
+
+	return sums
+}
+
 func (g *Group) add(f *facts, first time.Time) {
 	if f.model != "" {
 		g.Models[f.model]++
