--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -63,9 +64,11 @@
 	}
 
 	n.mu.Lock()
-	b := builder{now: now, count: 1 + uint64(n.heard.Sub(n.started)/reportEvery), next: now.Add(newsLast), absent: n.absent, coming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
+	b := builder{routed: &n.routed, now: now, count: 1 + uint64(n.heard.Sub(n.started)/reportEvery), next: now.Add(newsLast), absent: n.absent, coming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
 	n.number++
 	b.snapshot.Number = n.number
+	b.snapshot.Targets = make([]router.TargetInfo, 0, len(n.known))
+	n.routed.begin(&b.snapshot)
 
 	stations := make(map[instance.ID]*holder.Station, len(n.news.Stations))
 
@@ -93,76 +96,142 @@
 	n.mu.Unlock()
 	b.wait()
 
-	n.routed.reduce(&b.snapshot)
+	n.routed.finish(&b.snapshot)
 	n.targets.Apply(&b.snapshot, now)
 	n.lines.Kick()
 
 	return max(time.Millisecond, b.next.Sub(now))
 }
 
-// routed is the last snapshot that was applied. Only keepRouting uses it.
+// routed is what was applied last. Only keepRouting uses it. The zero value has
+// applied nothing.
 type routed struct {
+	number  uint64
+	targets map[instance.ID]*routedTarget
+	// keys are those that were made before.
+	keys map[keyParts]string
+}
+
+// routedTarget is a target with what it had ready.
+type routedTarget struct {
+	address netip.AddrPort
+	keys    []string
+	// number is that of the last snapshot that had it.
 	number uint64
-	// targets are the addresses of the targets, and replicas those of the
-	// targets of each replica.
-	targets  map[instance.ID]netip.AddrPort
-	replicas map[router.Replica]netip.AddrPort
 }
 
-// reduce turns a whole snapshot into what changed since the last one.
+type keyParts struct{ service, model, adapter string }
+
+// keysKept bounds the keys that are kept, those of models that are gone among
+// them.
+const keysKept = 16384
+
+// key returns the key of what a target holds.
+func (r *routed) key(service, model, adapter string) string {
+	parts := keyParts{service, model, adapter}
+	if key, ok := r.keys[parts]; ok {
+		return key
+	}
+
+	if r.keys == nil || len(r.keys) >= keysKept {
+		r.keys = make(map[keyParts]string)
+	}
+
+	key := relay.Key(service, model)
+	if adapter != "" {
+		key += "/" + adapter
+	}
+
+	r.keys[parts] = key
+
+	return key
+}
+
+// begin begins a snapshot that tells what has changed since the last one.
 //
 // It answers the load of many entries and engines: one of hundreds of engines
 // changes dozens of times a second, and to build all replicas anew each time
 // takes most of an entry's processor.
-func (r *routed) reduce(s *router.Snapshot) {
-	targets := make(map[instance.ID]netip.AddrPort, len(s.Targets))
-	for _, t := range s.Targets {
-		targets[t.ID] = t.Address
+func (r *routed) begin(s *router.Snapshot) {
+	s.Base = r.number
+	r.number = s.Number
+
+	if r.targets == nil {
+		r.targets = make(map[instance.ID]*routedTarget)
+	}
+}
+
+// note adds to the snapshot what has changed of a target.
+func (r *routed) note(s *router.Snapshot, id instance.ID, at netip.AddrPort, keys []string) {
+	t := r.targets[id]
+	if t == nil {
+		t = &routedTarget{address: at}
+		r.targets[id] = t
 	}
 
-	replicas := make(map[router.Replica]netip.AddrPort, len(s.Added))
+	// At a new address it is another target.
+	if t.address != at {
+		remove(s, id, t.keys)
+		t.address, t.keys = at, nil
+	}
 
-	var added []router.Replica
+	t.number = s.Number
 
-	for _, p := range s.Added {
-		at := targets[p.Target]
+	if slices.Equal(t.keys, keys) {
+		return
+	}
 
-		// At a new address it is another target.
-		if old, ok := r.replicas[p]; !ok || old != at {
-			added = append(added, p)
-		} else {
-			delete(r.replicas, p)
-		}
+	remove(s, id, without(t.keys, keys))
 
-		replicas[p] = at
+	for _, key := range without(keys, t.keys) {
+		s.Added = append(s.Added, router.Replica{Target: id, Model: key})
 	}
 
-	if r.number != 0 {
-		s.Base, s.Added = r.number, added
+	t.keys = slices.Clone(keys)
+}
 
-		for p := range r.replicas {
-			s.Removed = append(s.Removed, p)
+// finish adds to the snapshot the targets that are gone.
+func (r *routed) finish(s *router.Snapshot) {
+	for id, t := range r.targets {
+		if t.number != s.Number {
+			remove(s, id, t.keys)
+			s.Gone = append(s.Gone, id)
+			delete(r.targets, id)
 		}
+	}
+}
 
-		for id := range r.targets {
-			if _, ok := targets[id]; !ok {
-				s.Gone = append(s.Gone, id)
-			}
+func remove(s *router.Snapshot, id instance.ID, keys []string) {
+	for _, key := range keys {
+		s.Removed = append(s.Removed, router.Replica{Target: id, Model: key})
+	}
+}
+
+// without returns the keys that are not among the others.
+func without(keys, others []string) []string {
+	var out []string
+
+	for _, key := range keys {
+		if !slices.Contains(others, key) {
+			out = append(out, key)
 		}
 	}
 
-	r.number, r.targets, r.replicas = s.Number, targets, replicas
+	return out
 }
 
 // builder makes a routing snapshot of what is known of the targets.
 type builder struct {
-	now time.Time
+	routed *routed
+	now    time.Time
 	// next is when the snapshot is out of date by itself.
 	next   time.Time
 	absent map[holder.Missing]absence
 	// count tells apart the holder's counts of what runs on targets.
 	count    uint64
 	snapshot router.Snapshot
+	// keys are what the target that is added has ready.
+	keys []string
 	// coming is when the first replica of a key is ready that is not yet.
 	coming map[string]time.Time
 }
@@ -176,7 +245,8 @@
 	e := service.Engine
 	if e == nil {
 		b.snapshot.Targets = append(b.snapshot.Targets, info)
-		b.replica(t.ID, relay.Key(t.Service, ""), b.now)
+		b.keys = append(b.keys[:0], b.routed.key(t.Service, "", ""))
+		b.routed.note(&b.snapshot, t.ID, t.Address, b.keys)
 
 		return
 	}
@@ -194,13 +264,17 @@
 
 	b.snapshot.Targets = append(b.snapshot.Targets, info)
 
+	b.keys = b.keys[:0]
+
 	for _, h := range heldBy(t, s) {
-		b.replica(t.ID, relay.Key(t.Service, h.Model), h.Ready)
+		b.replica(t.ID, b.routed.key(t.Service, h.Model, ""), h.Ready)
 
 		for _, a := range h.Adapters {
-			b.replica(t.ID, relay.Key(t.Service, h.Model+"/"+a.Name), clock.Later(h.Ready, a.Ready))
+			b.replica(t.ID, b.routed.key(t.Service, h.Model, a.Name), clock.Later(h.Ready, a.Ready))
 		}
 	}
+
+	b.routed.note(&b.snapshot, t.ID, t.Address, b.keys)
 }
 
 // reportAge makes a death that was found stand until a newer process is
@@ -228,8 +302,10 @@
 
 // replica adds what is ready by now, and notes when the rest will be.
 func (b *builder) replica(id instance.ID, key string, ready time.Time) {
-	if a, ok := b.absent[holder.Missing{Target: id, Key: key}]; ok {
-		ready = clock.Later(ready, a.until)
+	if len(b.absent) > 0 {
+		if a, ok := b.absent[holder.Missing{Target: id, Key: key}]; ok {
+			ready = clock.Later(ready, a.until)
+		}
 	}
 
 	if ready.After(b.now) {
@@ -244,7 +320,7 @@
 		return
 	}
 
-	b.snapshot.Added = append(b.snapshot.Added, router.Replica{Target: id, Model: key})
+	b.keys = append(b.keys, key)
 }
 
 // expect notes models that the holder foretells.
