--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -52,7 +52,7 @@
 	}
 
 	// A load leaves copies in memory and on disk.
-	s.weights.load(m.Load, h.engineOf(s), now)
+	s.weights.load(m.Load, h.engineOf(s), s.loading)
 	s.atHand = s.weights.tiers()
 	h.published = false
 }
--- a/internal/placement/holder/weights.go
+++ b/internal/placement/holder/weights.go
@@ -18,11 +18,11 @@
 	memory []memoryCopy
 }
 
-// memoryCopy is a copy in host memory. Loaded is when its load was accepted;
-// zero means unknown.
+// memoryCopy is a copy in host memory.
 type memoryCopy struct {
-	model  string
-	loaded time.Time
+	model string
+	// ready is when its load ends; zero means that another holder ordered it.
+	ready time.Time
 }
 
 // list takes in a row of the list, which may be older than the last load.
@@ -36,7 +36,7 @@
 	w.memory = slices.DeleteFunc(w.memory, func(c memoryCopy) bool {
 		known[c.model] = true
 
-		return !slices.Contains(t.InMemory, c.model) && now.Sub(c.loaded) > slowestRow
+		return !slices.Contains(t.InMemory, c.model) && now.Sub(c.ready) > rowLag
 	})
 
 	for _, model := range t.InMemory {
@@ -46,23 +46,19 @@
 	}
 }
 
-// slowestRow is for how long after a load was accepted the list may not show
-// its copy yet: a load from the weight store takes longest.
-const slowestRow = 20 * time.Second
-
-// load notes a load that leaves copies on disk and in memory, where the one
-// that was loaded longest ago makes way.
+// load notes a load until the time given, which leaves copies on disk and in
+// memory, where the one that was loaded longest ago makes way.
 //
 // It guards against loads that are foretold from memory when their copies have
 // made way since the last row: requests would be sent before the model is there.
-func (w *weights) load(model string, e *route.Engine, now time.Time) {
+func (w *weights) load(model string, e *route.Engine, ready time.Time) {
 	if w.disk == nil {
 		w.disk = make(map[string]bool)
 	}
 
 	w.disk[model] = true
 	w.memory = slices.DeleteFunc(w.memory, func(c memoryCopy) bool { return c.model == model })
-	w.memory = append(w.memory, memoryCopy{model, now})
+	w.memory = append(w.memory, memoryCopy{model, ready})
 
 	if e == nil || e.HostMB <= 0 {
 		return
--- a/internal/placement/holder/weights_test.go
+++ b/internal/placement/holder/weights_test.go
@@ -31,11 +31,11 @@
 	w.load("c", e, now.Add(time.Second))
 	assert.DeepEqual(t, w.tiers(), map[string]target.Tier{"a": target.TierDisk, "b": target.TierMemory, "c": target.TierMemory})
 
-	// A row from before the last load.
+	// A row from before the last load ended.
 	w.list(inventory.Target{OnDisk: []string{"a", "b"}, InMemory: []string{"a", "b"}}, now.Add(2*time.Second))
 	assert.Equal(t, w.tiers()["c"], target.TierMemory)
 
-	// What the list does not show later is gone.
+	// What the list does not show later has made way.
 	w.list(inventory.Target{OnDisk: []string{"a", "c"}, InMemory: []string{"c"}}, now.Add(time.Minute))
 	assert.DeepEqual(t, w.tiers(), map[string]target.Tier{"a": target.TierDisk, "c": target.TierMemory})
 }
