feat: how many loads the weight store carries is learnt from how long they take

Taken for four everywhere, though the users' sheets say 2 to 13: where it feeds two, loads took twice as long as callers were told; where it feeds more, targets waited. The width begins at four, shrinks when loads take 1.3 times as long as said and grows by two while they do not; nothing is learnt while the list is silent. Loads are foretold by it.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -16,10 +16,6 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
-// storeLoads is how many loads the weight store is taken to carry at full
-// speed, which nobody says; more at once only make each other longer.
-const storeLoads = 4
-
 // adapterTime is what the load of an adapter takes, and the way of the order.
 const adapterTime = 20 * time.Millisecond
 
@@ -162,7 +158,7 @@
 
 func (h *Holder) orderModels(ctx context.Context, service string, e *route.Engine, wants []want, used usage, now time.Time) {
 	v := &swap.View{
-		Now: now, Engine: e, Wants: byModel(service, wants), Rate: h.rates.perSecond, Habit: h.habits.perSecond, Promised: h.promised(service), StoreLoads: storeLoads,
+		Now: now, Engine: e, Wants: byModel(service, wants), Rate: h.rates.perSecond, Habit: h.habits.perSecond, Promised: h.promised(service), StoreLoads: int(h.feed(service).carries()),
 	}
 	for id, s := range h.stations {
 		if s.target.Service != service {
@@ -179,6 +175,7 @@
 
 	slices.SortFunc(v.Targets, func(a, b swap.Target) int { return cmp.Compare(a.ID, b.ID) })
 
+	v.StoreSlower = h.feed(service).slower(len(v.StoreEnds))
 	v.Risk = h.risk(service, v)
 	round := swap.Plan(v)
 	h.foretell(service, round.Ready, now)
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -69,6 +69,8 @@
 	stations      map[instance.ID]*station
 	// turnovers tell how fast the targets of each service leave.
 	turnovers map[string]*turnover
+	// feeds tell how many loads the weight store carries for each service.
+	feeds map[string]*feed
 	// waits are the models that can be had only later, sorted by key.
 	waits []Wait
 	// last is the newest news that was heard or published.
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -52,6 +52,10 @@
 	}
 
 	// A load leaves copies in memory and on disk.
+	if s.fromStore {
+		h.feed(s.target.Service).begin(s.target.ID, m.Load, h.fromStore(s, m.Load), now)
+	}
+
 	s.weights.load(m.Load, h.engineOf(s), s.loading)
 	s.atHand = s.weights.tiers()
 	h.published = false
@@ -66,6 +70,16 @@
 	return nil
 }
 
+// fromStore returns how long a load from the weight store takes, as the
+// operators say.
+func (h *Holder) fromStore(s *station, model string) time.Duration {
+	if e := h.engineOf(s); e != nil {
+		return e.Models[model].FromStore
+	}
+
+	return 0
+}
+
 // sendAll hands over a swap's orders, and reports whether the load is begun.
 func (h *Holder) sendAll(ctx context.Context, s *station, m swap.Move) bool {
 	for _, model := range m.Unload {
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -88,6 +88,8 @@
 			s.takeAtHand(t, now)
 			h.stations[id] = s
 			h.published = false
+			// A new process has lost the load that the former one had in hand.
+			h.feed(t.Service).drop(id, now)
 		}
 
 		if s.target.Version != t.Version {
@@ -96,6 +98,7 @@
 			}
 
 			s.target = t
+			h.feed(t.Service).see(t, now)
 			s.takeAtHand(t, now)
 			s.compare(t, now)
 		}
@@ -117,9 +120,27 @@
 			h.noteLeft(s.target.Service, now)
 		}
 
+		h.feed(s.target.Service).drop(id, now)
 		delete(h.stations, id)
 		h.published = false
 	}
+
+	for _, f := range h.feeds {
+		f.overdue(now)
+	}
+}
+
+// feed returns what is known of the weight store's loads for a service.
+func (h *Holder) feed(service string) *feed {
+	if h.feeds == nil {
+		h.feeds = make(map[string]*feed)
+	}
+
+	if h.feeds[service] == nil {
+		h.feeds[service] = &feed{}
+	}
+
+	return h.feeds[service]
 }
 
 // noteLeft records that a target of the service leaves, or has gone.
@@ -244,6 +265,11 @@
 func (h *Holder) adopt() {
 	h.stations = make(map[instance.ID]*station)
 	now := clock.Now()
+
+	for _, f := range h.feeds {
+		f.loads = nil
+	}
+
 	h.sync(now)
 
 	for _, n := range h.last.Stations {
--- a/internal/placement/swap/fill.go
+++ b/internal/placement/swap/fill.go
@@ -42,7 +42,7 @@
 		}
 
 		t := free[at]
-		tier, takes := tierOf(t, m)
+		tier, takes := p.tierOf(t, m)
 
 		p.begin(Move{Target: t.ID, Load: m.Name, Takes: takes, From: tier, For: ForLater})
 
--- a/internal/placement/swap/store.go
+++ b/internal/placement/swap/store.go
@@ -111,7 +111,7 @@
 
 		switch {
 		case p.near[m.Name] == 0 && p.isSought(m.Name):
-			l.why, l.worth = ForWaiting, rate+float64(l.want.Waiting)/max(leastLoad, m.FromStore).Seconds()
+			l.why, l.worth = ForWaiting, rate+float64(l.want.Waiting)/max(leastLoad, p.fromStore(m)).Seconds()
 		case p.near[m.Name] == 0:
 			l.worth = rate
 		default:
@@ -192,7 +192,7 @@
 
 		if ok && loss <= gain && cost < least {
 			least = cost
-			best = Move{Target: t.ID, Unload: victims, Load: l.model.Name, Takes: l.model.FromStore, From: target.TierRemote, For: ForLater}
+			best = Move{Target: t.ID, Unload: victims, Load: l.model.Name, Takes: p.fromStore(l.model), From: target.TierRemote, For: ForLater}
 		}
 	}
 
@@ -213,6 +213,6 @@
 		}
 	}
 
-	p.ends[first] += m.FromStore
+	p.ends[first] += p.fromStore(m)
 	p.ready[m.Name] = p.ends[first]
 }
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -80,6 +80,9 @@
 	// StoreEnds how long those in hand are expected to take yet.
 	StoreLoads int
 	StoreEnds  []time.Duration
+	// StoreSlower is how many times as long as said a load from the weight store
+	// takes beside those in hand; zero means as long.
+	StoreSlower float64
 }
 
 // Move is a load and the unloads that make room for it.
@@ -272,7 +275,7 @@
 const loadWeight = 0.02
 
 func (p *planner) consider(t *Target, m route.Model, w Want, why Reason, cl claim) (choice, bool) {
-	tier, takes := tierOf(t, m)
+	tier, takes := p.tierOf(t, m)
 	if tier == target.TierRemote && (p.store <= 0 || why == ForLoad && !p.isPressed(w)) {
 		return choice{}, false
 	}
@@ -302,7 +305,7 @@
 	}, true
 }
 
-func tierOf(t *Target, m route.Model) (target.Tier, time.Duration) {
+func (p *planner) tierOf(t *Target, m route.Model) (target.Tier, time.Duration) {
 	switch t.AtHand[m.Name] {
 	case target.TierMemory:
 		return target.TierMemory, m.FromMemory
@@ -311,5 +314,11 @@
 	case target.TierRemote:
 	}
 
-	return target.TierRemote, m.FromStore
+	return target.TierRemote, p.fromStore(m)
+}
+
+// fromStore returns how long a load of the model from the weight store takes
+// now.
+func (p *planner) fromStore(m route.Model) time.Duration {
+	return time.Duration(float64(m.FromStore) * max(1, p.StoreSlower))
 }
