--- a/internal/fleet/node/pace.go
+++ b/internal/fleet/node/pace.go
@@ -35,12 +35,12 @@
 }
 
 // due reports whether an entry that looked so long ago looks again, where it
-// asks itself every step and has drawn a number from [0, 1).
+// asks itself at each turnCheck and has drawn a number from [0, 1).
 //
 // It answers the load of hundreds of entries whose holder has died or no longer
 // hears the store: all of them would look, each as often as one alone. The draw
 // keeps those that looked long ago from looking all at once.
-func (p pauses) due(waited, step time.Duration, s standing, draw float64) bool {
+func (p pauses) due(waited time.Duration, s standing, draw float64) bool {
 	switch {
 	case s.holding:
 		return p.polls || waited >= p.holding
@@ -49,7 +49,7 @@
 	case s.entries <= lookers:
 		return p.polls || waited >= p.alone
 	default:
-		return waited >= p.alone && draw < float64(step)/float64(spread(p.alone, s.entries))
+		return waited >= p.alone && draw < float64(turnCheck)/float64(spread(p.alone, s.entries))
 	}
 }
 
@@ -104,7 +104,7 @@
 
 	defer t.Stop()
 
-	for !p.due(time.Since(looked), turnCheck, n.standing(), rand.Float64()) { //nolint:gosec // No secret.
+	for !p.due(time.Since(looked), n.standing(), rand.Float64()) { //nolint:gosec // No secret.
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/fleet/node/pace_test.go
+++ b/internal/fleet/node/pace_test.go
@@ -18,7 +18,7 @@
 		waited := time.Duration(r.Int64N(int64(ago)))
 
 		for at := time.Duration(0); at < span; at += turnCheck {
-			if waited += turnCheck; p.due(waited, turnCheck, s, r.Float64()) {
+			if waited += turnCheck; p.due(waited, s, r.Float64()) {
 				out[at/time.Second]++
 				waited = 0
 			}
@@ -69,7 +69,7 @@
 
 		for at := time.Duration(0); at < time.Minute; at += turnCheck {
 			for i := range waited {
-				if waited[i] += turnCheck; targetsPauses.due(waited[i], turnCheck, s, r.Float64()) {
+				if waited[i] += turnCheck; targetsPauses.due(waited[i], s, r.Float64()) {
 					longest, last, waited[i] = max(longest, at-last), at, 0
 				}
 			}
@@ -84,7 +84,7 @@
 func TestHolderLooksMost(t *testing.T) {
 	for _, entries := range []int{3, 1191} {
 		s := standing{entries: entries, holding: true}
-		assert.Assert(t, targetsPauses.due(targetsPauseHolding, turnCheck, s, 1))
-		assert.Assert(t, configPauses.due(0, turnCheck, s, 1))
+		assert.Assert(t, targetsPauses.due(targetsPauseHolding, s, 1))
+		assert.Assert(t, configPauses.due(0, s, 1))
 	}
 }
--- a/internal/placement/holder/down_test.go
+++ b/internal/placement/holder/down_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,12 +21,11 @@
 	assert.NilError(w.t, m.Report(demand.Report{Entry: entry, Process: string(entry)}, []holder.Missing{{Target: target}}))
 }
 
-// models returns on how many targets the news have a model, and whether they
-// name the target.
-func (w *world) models(model string, target instance.ID) (copies int, named bool) {
-	for _, s := range w.heard().Stations {
-		named = named || s.Target == target
+// copies returns on how many targets the news have a model.
+func (w *world) copies(model string) int {
+	copies := 0
 
+	for _, s := range w.heard().Stations {
 		for _, h := range s.Held {
 			if h.Model == model {
 				copies++
@@ -33,7 +33,12 @@
 		}
 	}
 
-	return copies, named
+	return copies
+}
+
+// named reports whether the news name a target.
+func (w *world) named(target instance.ID) bool {
+	return slices.ContainsFunc(w.heard().Stations, func(s holder.Station) bool { return s.Target == target })
 }
 
 // TestTargetDown guards against models of a crashed target that are loaded
@@ -45,30 +50,26 @@
 
 		time.Sleep(5 * time.Second)
 
-		copies, _ := w.models("m0", "w0")
-		assert.Equal(t, copies, 1)
+		assert.Equal(t, w.copies("m0"), 1)
 
 		w.setDark("w0")
 		w.says("e1", "w0")
 		time.Sleep(1200 * time.Millisecond)
 
-		copies, named := w.models("m0", "w0")
-		assert.Equal(t, copies, 0, "entries still send to it")
-		assert.Assert(t, named, "entries go by the list")
+		assert.Equal(t, w.copies("m0"), 0, "entries still send to it")
+		assert.Assert(t, w.named("w0"), "entries go by the list")
 
 		for range 6 {
 			w.ask("m0")
 			time.Sleep(300 * time.Millisecond)
 		}
 
-		copies, _ = w.models("m0", "w0")
-		assert.Equal(t, copies, 1, "it is loaded nowhere else")
+		assert.Equal(t, w.copies("m0"), 1, "it is loaded nowhere else")
 
 		w.setDark("")
 		time.Sleep(1500 * time.Millisecond)
 
-		copies, _ = w.models("m1", "w0")
-		assert.Equal(t, copies, 1, "it is back")
+		assert.Equal(t, w.copies("m1"), 1, "it is back")
 		w.finish()
 	})
 }
@@ -91,8 +92,7 @@
 				play(w)
 				time.Sleep(2 * time.Second)
 
-				copies, _ := w.models("m0", "w0")
-				assert.Equal(t, copies, 1)
+				assert.Equal(t, w.copies("m0"), 1)
 				w.finish()
 			})
 		})
--- a/internal/placement/holder/tenure.go
+++ b/internal/placement/holder/tenure.go
@@ -18,10 +18,11 @@
 
 // look reads the lease and takes it if it is free.
 func (h *Holder) look(ctx context.Context) {
-	group := time.Duration(h.group())
+	times := 1 + h.group()
+	pause := lookEvery * time.Duration(times*times)
 
 	h.mu.Lock()
-	h.retry = clock.Now().Add(lookEvery * (1 + group) * (1 + group))
+	h.retry = clock.Now().Add(pause)
 	h.mu.Unlock()
 
 	key := record.LeaseKey(cell)
