perf: a model with much surplus demand takes the store's last load

Change: the last load goes to a model whose surplus (its rate times the part of its requests beyond two thirds of its places) is at least one request a second, the bound for spare copies. Cases in TestPressedModel: red before is 'much surplus takes the last load'. Not measured by itself.

--- a/internal/placement/swap/replica.go
+++ b/internal/placement/swap/replica.go
@@ -59,7 +59,15 @@
 //
 // It answers the loss of the targets that have a busy model's weights on disk:
 // the few that are left take all its requests, and no other could load it from a
-// disk of its own.
+// disk of its own. The last load that the store has is for models that are
+// nowhere, but for a model whose surplus is worth much.
 func (p *planner) isPressed(w Want) bool {
-	return p.store > urgentStore && w.Waiting+w.Running > pressed(p.Engine)*p.copies[w.Model]
+	asked := w.Waiting + w.Running
+	surplus := asked - pressed(p.Engine)*p.copies[w.Model]
+
+	if surplus <= 0 {
+		return false
+	}
+
+	return p.store > urgentStore || p.Rate[w.Model]*float64(surplus)/float64(asked) >= muchWorth
 }
--- a/internal/placement/swap/swap_test.go
+++ b/internal/placement/swap/swap_test.go
@@ -134,14 +134,20 @@
 func TestPressedModel(t *testing.T) {
 	for name, c := range map[string]struct {
 		running, store int
+		rate           float64
 		want           bool
 	}{
-		"crowded":                   {pressed(engine(1)), 4, false},
-		"pressed":                   {pressed(engine(1)) + 1, 4, true},
-		"pressed, the store is not": {pressed(engine(1)) + 1, urgentStore, false},
+		"crowded":                                     {pressed(engine(1)), 4, 0, false},
+		"pressed":                                     {pressed(engine(1)) + 1, 4, 0, true},
+		"pressed, the store is not":                   {pressed(engine(1)) + 1, urgentStore, 0, false},
+		"much surplus takes the last load":            {2 * pressed(engine(1)), urgentStore, 2 * muchWorth, true},
+		"much surplus, but no load is left":           {2 * pressed(engine(1)), 0, 2 * muchWorth, false},
+		"much demand, little of it is surplus":        {pressed(engine(1)) + 1, urgentStore, 2 * muchWorth, false},
+		"many wait, but hardly any have come of late": {4 * pressed(engine(1)), urgentStore, muchWorth / 2, false},
 	} {
 		moves := Plan(&View{
 			Now: now, Engine: engine(1), Targets: []Target{on("a", "m0"), on("b")}, Wants: []Want{{Model: "m0", Running: c.running}}, StoreLoads: c.store,
+			Rate: map[string]float64{"m0": c.rate},
 		}).Moves
 		assert.Equal(t, len(moves) == 1, c.want, name)
 	}
