fix: an engine that starts again under its id is known by its report

An engine that starts again counts its orders from zero; its reports looked older than the last order and were passed over until the list showed the new process.

Change: a report says when its process was born; another process holds nothing of before. TestRestartedBeforeTheList: red before (the disk is not used).

--- a/internal/placement/holder/down_test.go
+++ b/internal/placement/holder/down_test.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
 
 // says tells the holder that an entry does not reach a target.
@@ -98,3 +99,45 @@
 		})
 	}
 }
+
+// process returns which process a worker says it is.
+func (w *world) process(id instance.ID) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if p, ok := w.processes[id]; ok {
+		return p
+	}
+
+	return w.born
+}
+
+// TestRestartedBeforeTheList guards against entries that send to what a target
+// held before it started again, until the list shows its new process.
+func TestRestartedBeforeTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+
+		time.Sleep(5 * time.Second)
+
+		// Each target has carried out orders, so that its new process's count is
+		// lower.
+		for _, model := range []string{"m6", "m7", "m6", "m7"} {
+			w.ask(model)
+			time.Sleep(3 * time.Second)
+		}
+
+		w.mu.Lock()
+		w.workers["w0"] = &worker.Worker{Engine: engine(), OnDisk: []string{"m0", "m1"}}
+		w.processes = map[instance.ID]int64{"w0": 2}
+		w.mu.Unlock()
+
+		m := w.holders[w.holding()]
+		assert.NilError(t, m.Report(demand.Report{Entry: "e1"}, []holder.Missing{{Target: "w0", Key: "s/m0"}}))
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, w.copies("m0"), 0, "entries still send to it")
+
+		assert.Assert(t, w.served("m0", 4*time.Second), "its disk is not used")
+		w.finish()
+	})
+}
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -50,8 +50,10 @@
 	rows map[instance.ID]inventory.Target
 	// leaving are the workers that take no new work.
 	leaving map[instance.ID]bool
-	// born counts the workers' processes.
-	born int64
+	// born counts the workers' processes as they stand on the list, and processes
+	// those that say another in their reports.
+	born      int64
+	processes map[instance.ID]int64
 	// last is the newest news.
 	last holder.News
 	// held is how long the next publication is held up.
@@ -318,7 +320,10 @@
 
 	time.Sleep(way)
 
-	return e.w.worker(t.ID).Report(), nil
+	r := e.w.worker(t.ID).Report()
+	r.Born = e.w.process(t.ID)
+
+	return r, nil
 }
 
 // ask reports to every holder that requests wait for models, until one takes
--- a/internal/placement/holder/news.go
+++ b/internal/placement/holder/news.go
@@ -127,6 +127,9 @@
 
 // Report is what an engine says it holds.
 type Report struct {
+	// Born tells the engine's processes apart, as on the list; zero means that
+	// it did not say.
+	Born     int64
 	Busy     bool
 	Sequence uint64
 	Held     []inventory.Held
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -280,6 +280,12 @@
 
 	now := clock.Now()
 
+	if s.restarted(r) {
+		h.cfg.Log.Info().Str("target", string(s.origin.ID)).Int64("born", r.Born).Uint64("sequence", s.sequence).Msg("engine restarted")
+		h.feed(s.target.Service).drop(s.origin.ID, now)
+		h.published = false
+	}
+
 	if s.down {
 		s.down, h.published = false, false
 	}
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -26,6 +26,9 @@
 	origin inventory.Target
 	// target is the newest row of the list.
 	target inventory.Target
+	// process is when the process started that sequence and held are of; zero
+	// means the target's on the list.
+	process int64
 	// known says that sequence and held are the engine's.
 	known    bool
 	sequence uint64
@@ -83,7 +86,7 @@
 		}
 
 		s := h.stations[id]
-		if s == nil || s.target.Born != t.Born || s.target.Address != t.Address {
+		if s == nil || s.target.Born != t.Born && s.process != t.Born || s.target.Address != t.Address {
 			s = &station{origin: t, target: t, held: make(map[string]*residence)}
 			s.takeAtHand(t, now)
 			h.stations[id] = s
@@ -252,6 +255,32 @@
 	}
 }
 
+// restarted takes in that a report is of another process than what is known,
+// which holds and counts nothing of before. It reports whether it is.
+//
+// It guards against an engine that starts again under its id: its reports count
+// from zero and look older than the last order, so that entries would send to
+// what it held until the list shows the new process.
+func (s *station) restarted(r Report) bool {
+	known := s.process
+	if known == 0 {
+		known = s.target.Born
+	}
+
+	if r.Born == 0 || known == 0 || r.Born == known {
+		return false
+	}
+
+	s.process, s.sequence = r.Born, 0
+	s.reported, s.loading, s.busySince = time.Time{}, time.Time{}, time.Time{}
+	s.held = make(map[string]*residence)
+	s.known = false
+	s.weights.memory = nil
+	s.atHand = s.weights.tiers()
+
+	return true
+}
+
 func usedOf(p *placed) time.Time {
 	if p == nil {
 		return time.Time{}
