--- a/internal/fleet/node/calls.go
+++ b/internal/fleet/node/calls.go
@@ -41,13 +41,11 @@
 	causeAlone cause = "alone"
 )
 
-// cause returns why an entry looks at the store that knows it as of a version.
-func (s standing) cause(after uint64) cause {
+// cause returns why an entry that knows the store calls it.
+func (s standing) cause() cause {
 	switch {
 	case s.holding:
 		return causeHolding
-	case after == 0:
-		return causeStart
 	case s.led:
 		return causeLed
 	default:
@@ -55,6 +53,19 @@
 	}
 }
 
+// noteLook counts a look at the store by an entry that knows it as of a version,
+// or not at all if that is zero.
+func (n *Node) noteLook(what call, after uint64) {
+	s := n.standing()
+	if after == 0 && !s.holding {
+		n.calls.note(what, causeStart)
+
+		return
+	}
+
+	n.calls.note(what, s.cause())
+}
+
 // calls counts the calls to the platform's store, which are priced. Set metrics
 // before use.
 type calls struct {
@@ -122,17 +133,11 @@
 
 // noteTable counts a call for a key of the product's own table.
 func (n *Node) noteTable(key string) {
-	what, s := callLease, n.standing()
 	if strings.HasPrefix(key, entryPrefix) {
-		what = callEntries
-	}
-
-	after := uint64(1)
-	if what == callEntries {
-		after = 0
+		n.calls.note(callEntries, causeStart)
+	} else {
+		n.calls.note(callLease, n.standing().cause())
 	}
-
-	n.calls.note(what, s.cause(after))
 }
 
 // Read implements table.Service.
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -97,8 +97,9 @@
 }
 
 func (n *Node) nextConfig(ctx context.Context, after uint64) (*route.Config, uint64, error) {
+	n.noteLook(callConfig, after)
+
 	s := n.standing()
-	n.calls.note(callConfig, s.cause(after))
 
 	switch {
 	case after == 0:
@@ -200,7 +201,7 @@
 }
 
 func (n *Node) nextTargets(ctx context.Context, after uint64) ([]inventory.Change, uint64, error) {
-	n.calls.note(callTargets, n.standing().cause(after))
+	n.noteLook(callTargets, after)
 
 	if after == 0 {
 		return n.cfg.Source.Targets(ctx)
--- a/internal/placement/holder/feed.go
+++ b/internal/placement/holder/feed.go
@@ -13,9 +13,9 @@
 	firstWidth = 4
 	widthStep  = 2
 	// slowLoad is how many times as long as said a load takes when the store
-	// carries too many, and lateLoadStore the same for one that has not ended.
-	slowLoad      = 1.3
-	lateLoadStore = 1.6
+	// carries too many, and overdueLoad the same for one that has not ended.
+	slowLoad    = 1.3
+	overdueLoad = 1.6
 	// rowAge is how much later than a load ends the list shows it.
 	rowAge = 800 * time.Millisecond
 	// blindAfter is after how long without a row of the list nothing is learnt
@@ -120,8 +120,8 @@
 	f.count(now)
 
 	for _, l := range f.loads {
-		if now.Sub(l.began) > time.Duration(lateLoadStore*float64(l.expected)) {
-			f.learn(l, now, lateLoadStore)
+		if now.Sub(l.began) > time.Duration(overdueLoad*float64(l.expected)) {
+			f.learn(l, now, overdueLoad)
 		}
 	}
 }
