refactor: peers are drawn and counted in one place, a key's model is named in one

- How many entries are listed was found by copying the list, at each news and each look of the store: roll.Len.
- A peer at random was drawn in two ways, one with a counter over a list whose order is a map's: peers.draw serves both.
- holder.ModelOf does what relay.ModelOf did; the latter is gone.
- Died and the word to the holder stood together twice: noteDeath.
- A count in feed.learn added nothing; it stands where the row comes in, and says what learn rests on.
- nextConfig found its standing twice; two comments stood at the wrong place or told the former pause.

Tests as before, none changed.

--- a/internal/fleet/node/calls.go
+++ b/internal/fleet/node/calls.go
@@ -55,8 +55,7 @@
 
 // noteLook counts a look at the store by an entry that knows it as of a version,
 // or not at all if that is zero.
-func (n *Node) noteLook(what call, after uint64) {
-	s := n.standing()
+func (n *Node) noteLook(what call, s standing, after uint64) {
 	if after == 0 && !s.holding {
 		n.calls.note(what, causeStart)
 
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -39,7 +39,7 @@
 // operators' change is acknowledged and in force at the others, while callers
 // here would be routed by the old one, and to targets that left.
 func (n *Node) askPeers(ctx context.Context) {
-	for turn := rand.Int(); ctx.Err() == nil; { //nolint:gosec // No secret.
+	for ctx.Err() == nil {
 		needs, pause := n.needsPeers()
 		_ = clock.Sleep(ctx, jitter(pause))
 
@@ -47,14 +47,7 @@
 			continue
 		}
 
-		alive := n.peers.alive()
-		if len(alive) == 0 {
-			continue
-		}
-
-		turn++
-
-		if q := n.peers.of(alive[turn%len(alive)].ID); q != nil {
+		if q := n.peers.draw(); q != nil {
 			n.askPeer(ctx, q, n.versions())
 		}
 	}
@@ -114,28 +107,27 @@
 	for range tries {
 		_ = clock.Sleep(ctx, jitter(passOnEvery)) // The next call looks at ctx.
 
-		if alive := n.peers.alive(); len(alive) > 0 {
-			n.askConfig(ctx, alive[rand.IntN(len(alive))].ID) //nolint:gosec // No secret.
-		}
+		n.askConfig(ctx, n.peers.draw())
 
 		if n.inForce() {
 			return true
 		}
 	}
 
-	n.askConfig(ctx, n.holder.Known())
+	n.askConfig(ctx, n.peers.of(n.holder.Known()))
 
 	return n.inForce()
 }
 
-// askConfig asks an entry for a newer configuration.
-func (n *Node) askConfig(ctx context.Context, id instance.ID) {
+// askConfig asks a peer, if there is one, for a newer configuration.
+func (n *Node) askConfig(ctx context.Context, q *peer) {
+	if q == nil {
+		return
+	}
+
 	have := n.versions()
 	have.List = math.MaxUint64
-
-	if q := n.peers.of(id); q != nil {
-		n.askPeer(ctx, q, have)
-	}
+	n.askPeer(ctx, q, have)
 }
 
 // inForce reports whether the configuration that the holder told of is in force
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -147,7 +147,7 @@
 	n.cfg.Table = countedTable{cfg.Table, n.noteTable}
 	n.lines = dispatch.New(dispatch.Config{
 		Table: &n.targets, Entries: n.entries, CellOf: func(string) int { return 0 },
-		Needs:    relay.ModelOf,
+		Needs:    holder.ModelOf,
 		Demanded: func(string) { poke(n.asked) }, Idle: func() { poke(n.idled) }, Noticed: n.noticed, MaxWaiting: maxWaiting,
 	})
 	n.relay = &relay.Server{
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -252,6 +253,17 @@
 	return p.roll.Alive(time.Now())
 }
 
+// draw returns the way to one of the peers that are alive, drawn at random, or
+// nil if there is none.
+func (p *peers) draw() *peer {
+	alive := p.alive()
+	if len(alive) == 0 {
+		return nil
+	}
+
+	return p.of(alive[rand.IntN(len(alive))].ID) //nolint:gosec // No secret.
+}
+
 // likely returns the peers that are alive or may be, because nothing was heard
 // of them yet.
 func (p *peers) likely() []roll.Member {
@@ -266,7 +278,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	return len(p.roll.All())
+	return p.roll.Len()
 }
 
 // leave tells the peers that this process is about to end.
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -26,8 +26,8 @@
 	// pauseLed is the time between two looks of an entry that the holder tells
 	// of changes.
 	pauseLed = 15 * time.Second
-	// targetsPauseTold is the least time between two looks when the holder tells
-	// of changes and does not answer for them: at a site's start all targets
+	// targetsPauseTold is the time before a look when the holder tells of changes
+	// and does not answer for them: at a site's start all targets
 	// register within seconds, and all entries would look at each.
 	targetsPauseTold = 400 * time.Millisecond
 	// turnCheck is how often an entry looks whether the holder still tells of
@@ -97,9 +97,8 @@
 }
 
 func (n *Node) nextConfig(ctx context.Context, after uint64) (*route.Config, uint64, error) {
-	n.noteLook(callConfig, after)
-
 	s := n.standing()
+	n.noteLook(callConfig, s, after)
 
 	switch {
 	case after == 0:
@@ -201,7 +200,7 @@
 }
 
 func (n *Node) nextTargets(ctx context.Context, after uint64) ([]inventory.Change, uint64, error) {
-	n.noteLook(callTargets, after)
+	n.noteLook(callTargets, n.standing(), after)
 
 	if after == 0 {
 		return n.cfg.Source.Targets(ctx)
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -324,6 +324,9 @@
 	})
 }
 
+// Len returns how many members there are.
+func (r *Roll) Len() int { return len(r.members) }
+
 // All returns all members.
 func (r *Roll) All() []Member { return r.list(func(*entry) bool { return true }) }
 
--- a/internal/placement/holder/feed.go
+++ b/internal/placement/holder/feed.go
@@ -93,6 +93,7 @@
 	}
 
 	f.heard = now
+	f.count(now)
 
 	l, loads := f.loads[t.ID]
 	if !loads {
@@ -127,15 +128,13 @@
 }
 
 // learn judges the width by a load that lasted until the time given, or lasts
-// yet.
+// yet. The loads in flight must be counted up to now.
 func (f *feed) learn(l feedLoad, until time.Time, slow float64) {
 	took := until.Sub(l.began)
 	if l.blind || took <= 0 {
 		return
 	}
 
-	f.count(f.at)
-
 	beside := (f.sum - l.sum) / f.at.Sub(l.began).Seconds()
 	longer := took.Seconds() / l.expected.Seconds()
 
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -51,33 +51,27 @@
 		res.ready, res.used = s.loading, now
 	}
 
-	// A load leaves copies in memory and on disk.
+	e := h.engineOf(s)
+
 	if s.fromStore {
-		h.feed(s.target.Service).begin(s.target.ID, m.Load, h.fromStore(s, m.Load), now)
+		h.feed(s.target.Service).begin(s.target.ID, m.Load, e.Models[m.Load].FromStore, now)
 	}
 
-	s.weights.load(m.Load, h.engineOf(s), s.loading)
+	// A load leaves copies in memory and on disk.
+	s.weights.load(m.Load, e, s.loading)
 	s.atHand = s.weights.tiers()
 	h.published = false
 }
 
-// engineOf returns what the operators say of the station's engine, or nil.
+// engineOf returns what the operators say of the station's engine: nothing where
+// they have taken it out meanwhile.
 func (h *Holder) engineOf(s *station) *route.Engine {
-	if routes := h.cfg.Routes(); routes != nil {
-		return routes.Services[s.target.Service].Engine
-	}
-
-	return nil
-}
-
-// fromStore returns how long a load from the weight store takes, as the
-// operators say.
-func (h *Holder) fromStore(s *station, model string) time.Duration {
-	if e := h.engineOf(s); e != nil {
-		return e.Models[model].FromStore
+	routes := h.cfg.Routes()
+	if routes == nil || routes.Services[s.target.Service].Engine == nil {
+		return &route.Engine{}
 	}
 
-	return 0
+	return routes.Services[s.target.Service].Engine
 }
 
 // sendAll hands over a swap's orders, and reports whether the load is begun.
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -389,8 +389,8 @@
 	return rounded
 }
 
-// modelKey returns the key of a key's model, without the adapter.
-func modelKey(key string) string {
+// ModelOf returns the key of an adapter's model, and any other key as it is.
+func ModelOf(key string) string {
 	service, model, _ := splitKey(key)
 
 	return service + "/" + model
@@ -405,7 +405,7 @@
 	}
 
 	running := h.usage().running
-	lines := h.asks.Lines(time.Now(), modelKey)
+	lines := h.asks.Lines(time.Now(), ModelOf)
 
 	for id, s := range h.stations {
 		st := Station{Target: id, Born: s.target.Born, Sequence: s.sequence, Running: running[id]}
--- a/internal/placement/holder/weights.go
+++ b/internal/placement/holder/weights.go
@@ -60,7 +60,7 @@
 	w.memory = slices.DeleteFunc(w.memory, func(c memoryCopy) bool { return c.model == model })
 	w.memory = append(w.memory, memoryCopy{model, ready})
 
-	if e == nil || e.HostMB <= 0 {
+	if e.HostMB <= 0 {
 		return
 	}
 
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -282,16 +282,23 @@
 	now := time.Now()
 	t.Failed(now)
 
-	if t.Died(t.Info().Incarnation, now) {
+	if d.noteDeath(t, t.Info().Incarnation, now) {
 		d.Log.Warn().Str("target", string(t.ID)).Msg("target not reached")
-		d.tellUnreached(t)
 	}
 }
 
-func (d *delivery) tellUnreached(t *router.Target) {
+// noteDeath records that a target's process takes no connection, and reports
+// whether that is news, which is then passed on.
+func (d *delivery) noteDeath(t *router.Target, incarnation string, now time.Time) bool {
+	if !t.Died(incarnation, now) {
+		return false
+	}
+
 	if d.Unreached != nil {
 		d.Unreached(t)
 	}
+
+	return true
 }
 
 // rejected records that the target did not run the request.
@@ -344,10 +351,7 @@
 	}
 
 	incarnation := t.Info().Incarnation
-	if t.Died(incarnation, time.Now()) {
-		d.tellUnreached(t)
-	}
-
+	d.noteDeath(t, incarnation, time.Now())
 	d.Log.Warn().Str("id", d.ask.ID).Str("target", string(t.ID)).Msg("target died under a request")
 
 	if d.Lines.Died(d.req.Fingerprint(), crash.Death{Target: t.ID, Incarnation: incarnation}) {
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -50,14 +49,6 @@
 // the model or adapter.
 func Key(service, model string) string { return service + "/" + model }
 
-// ModelOf returns the key of an adapter's model, and any other key as it is.
-func ModelOf(key string) string {
-	service, model, _ := strings.Cut(key, "/")
-	name, _, _ := strings.Cut(model, "/")
-
-	return Key(service, name)
-}
-
 // Phase is how far an entry has come in stopping. It only grows.
 type Phase int32
 
