feat: keys are read and kept in one place; teams with keys and limits

Both fronts read an Authorization header by RFC 6750 and RFC 9110: the scheme in any case, one key, one line. The gateway took any bytes after "Bearer ", and of two lines the first. Keys are held as digests, as before, now of one type.

--- a/internal/cli/settings/settings.go
+++ b/internal/cli/settings/settings.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/wire/credential"
@@ -33,7 +33,7 @@
 	MaxConns     int
 	Operators    netip.AddrPort
 	OperatorsTLS credential.Files
-	OperatorKey  plan.KeyHash
+	OperatorKey  key.Digest
 	Peers        netip.AddrPort
 	PeersTLS     credential.Files
 
--- a/internal/customer/plan/plan.go
+++ b/internal/customer/plan/plan.go
@@ -3,15 +3,10 @@
 package plan
 
 import (
-	"crypto/sha256"
 	"time"
-)
-
-// KeyHash is the SHA-256 of a caller's key. Only the hash is kept.
-type KeyHash [sha256.Size]byte
 
-// HashKey returns the hash of a caller's key.
-func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
+)
 
 // Removal says what happens to a plan's running requests when the plan is
 // taken off the list. Waiting requests are always refused.
@@ -28,7 +23,7 @@
 	// Name is unique among plans.
 	Name     string
 	Customer string
-	Keys     []KeyHash
+	Keys     []key.Digest
 	// RequestsPerSecond, Concurrency and TokensPerMinute hold over all
 	// entries together. Zero means without limit.
 	RequestsPerSecond int
--- a/internal/customer/plan/plan_test.go
+++ b/internal/customer/plan/plan_test.go
@@ -8,12 +8,14 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 )
 
 func planOf(name string, keys ...string) Plan {
 	p := Plan{Name: name, Customer: name, RequestTimeout: time.Second}
 	for _, k := range keys {
-		p.Keys = append(p.Keys, HashKey(k))
+		p.Keys = append(p.Keys, key.DigestOf(k))
 	}
 
 	return p
@@ -27,10 +29,10 @@
 		Allow{Allowance{"a", Service, "s"}},
 	}})
 
-	p, ok := s.Authenticate(HashKey("k2"))
+	p, ok := s.Authenticate(key.DigestOf("k2"))
 	assert.Assert(t, ok && p.Name == "a")
 
-	_, ok = s.Authenticate(HashKey("k4"))
+	_, ok = s.Authenticate(key.DigestOf("k4"))
 	assert.Assert(t, !ok)
 	assert.Assert(t, s.Allows("a", Model, "m") && !s.Allows("a", Service, "m") && !s.Allows("b", Model, "m"))
 	assert.Equal(t, len(s.Allowances("a")), 2)
@@ -39,15 +41,15 @@
 	// changes come.
 	next := s.Apply(Edit{Version: 2, Changes: []Change{SetPlan{planOf("b", "k2", "k3")}, SetPlan{planOf("a", "k1")}}})
 
-	p, _ = next.Authenticate(HashKey("k2"))
+	p, _ = next.Authenticate(key.DigestOf("k2"))
 	assert.Equal(t, p.Name, "b")
 
-	p, _ = s.Authenticate(HashKey("k2"))
+	p, _ = s.Authenticate(key.DigestOf("k2"))
 	assert.Equal(t, p.Name, "a", "an old state does not change")
 
 	gone := next.Apply(Edit{Version: 3, Changes: []Change{RemovePlan{"a"}, Disallow{Allowance{"a", Model, "m"}}}})
 
-	_, ok = gone.Authenticate(HashKey("k1"))
+	_, ok = gone.Authenticate(key.DigestOf("k1"))
 	assert.Assert(t, !ok && !gone.Allows("a", Model, "m"))
 	assert.Equal(t, gone.Version(), uint64(3))
 }
--- a/internal/customer/plan/state.go
+++ b/internal/customer/plan/state.go
@@ -4,6 +4,8 @@
 	"strings"
 
 	"github.com/benbjohnson/immutable"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 )
 
 // State is the two lists at one version. It is immutable: Apply returns a new
@@ -12,25 +14,25 @@
 type State struct { //nolint:recvcheck // Only unshared copies are changed.
 	version uint64
 	plans   *immutable.SortedMap[string, Plan]
-	keys    *immutable.Map[KeyHash, string]
+	keys    *immutable.Map[key.Digest, string]
 	allowed *immutable.SortedMap[string, struct{}]
 }
 
 type keyHasher struct{}
 
 // Hash implements immutable.Hasher. Key hashes are spread evenly already.
-func (keyHasher) Hash(k KeyHash) uint32 {
+func (keyHasher) Hash(k key.Digest) uint32 {
 	return uint32(k[0])<<24 | uint32(k[1])<<16 | uint32(k[2])<<8 | uint32(k[3])
 }
 
 // Equal implements immutable.Hasher.
-func (keyHasher) Equal(a, b KeyHash) bool { return a == b }
+func (keyHasher) Equal(a, b key.Digest) bool { return a == b }
 
 // Version returns the lists' version, which starts at zero.
 func (s State) Version() uint64 { return s.version }
 
 // Authenticate returns the plan that the caller's key names.
-func (s State) Authenticate(k KeyHash) (Plan, bool) {
+func (s State) Authenticate(k key.Digest) (Plan, bool) {
 	if s.keys == nil {
 		return Plan{}, false
 	}
@@ -162,7 +164,7 @@
 func (s State) filled() State {
 	if s.plans == nil {
 		s.plans = immutable.NewSortedMap[string, Plan](nil)
-		s.keys = immutable.NewMap[KeyHash, string](keyHasher{})
+		s.keys = immutable.NewMap[key.Digest, string](keyHasher{})
 		s.allowed = immutable.NewSortedMap[string, struct{}](nil)
 	}
 
--- /dev/null
+++ b/internal/customer/team/team_test.go
@@ -0,0 +1,100 @@
+package team
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
+)
+
+func keys(names ...string) []key.Digest {
+	out := make([]key.Digest, len(names))
+	for i, name := range names {
+		out[i] = key.DigestOf(name)
+	}
+
+	return out
+}
+
+func TestSet(t *testing.T) {
+	s, err := NewSet([]Team{{Name: "a", Keys: keys("a1", "a2", "a1")}, {Name: "b", Keys: keys("b1")}, {Name: "c"}})
+	assert.NilError(t, err)
+	assert.Equal(t, s.Len(), 3)
+	assert.Equal(t, s.ByKey(key.DigestOf("a2")).Name, "a")
+	assert.Equal(t, s.ByKey(key.DigestOf("b1")).Name, "b")
+	assert.Assert(t, s.ByKey(key.DigestOf("b2")) == nil)
+	assert.Equal(t, s.ByName("c").Name, "c")
+	assert.Assert(t, s.ByName("d") == nil)
+
+	var none Set
+
+	assert.Assert(t, none.ByKey(key.DigestOf("a")) == nil && none.ByName("a") == nil && none.Len() == 0)
+}
+
+func TestFaults(t *testing.T) {
+	for name, tc := range map[string]struct {
+		teams []Team
+		want  string
+	}{
+		"team twice":        {[]Team{{Name: "a"}, {Name: "a"}}, "team a: named twice"},
+		"key of two":        {[]Team{{Name: "a", Keys: keys("k")}, {Name: "b", Keys: keys("k")}}, "team b: has a key of team a"},
+		"team without name": {[]Team{{}}, "team : no name"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := NewSet(tc.teams)
+
+			var fault *FaultError
+
+			assert.Assert(t, errors.As(err, &fault))
+			assert.Error(t, err, tc.want)
+		})
+	}
+}
+
+func TestNarrow(t *testing.T) {
+	s, err := NewSet([]Team{
+		{Name: "ample", Limit: Limit{PerSecond: 5, Burst: 5}},
+		{Name: "none"},
+		{Name: "requests", Limit: Limit{PerSecond: 0.5, Burst: 0.5}},
+		{Name: "tokens", Limit: Limit{PerSecond: 100, Burst: 100, Unit: Tokens, Plain: 200}},
+	})
+	assert.NilError(t, err)
+
+	faults := fmt.Sprint(s.Narrow())
+	assert.Equal(t, len(s.Narrow()), 2, faults)
+	assert.Assert(t, strings.Contains(faults, "team requests: the burst of 0.5 does not allow one request of 1"), faults)
+	assert.Assert(t, strings.Contains(faults, "team tokens: the burst of 100 does not allow one request of 200"), faults)
+}
+
+func TestCost(t *testing.T) {
+	tokens := Limit{Unit: Tokens, Plain: 200}
+
+	assert.Equal(t, Limit{}.Cost(1500, true), 1.0)
+	assert.Equal(t, tokens.Cost(1500, true), 1500.0)
+	assert.Equal(t, tokens.Cost(0, true), 0.0)
+	assert.Equal(t, tokens.Cost(0, false), 200.0)
+}
+
+// BenchmarkByKey is one look at 100 teams with 100 keys each, digest included.
+func BenchmarkByKey(b *testing.B) {
+	teams := make([]Team, 100)
+	for i := range teams {
+		teams[i].Name = fmt.Sprint("team-", i)
+		for j := range 100 {
+			teams[i].Keys = append(teams[i].Keys, key.DigestOf(fmt.Sprint(i, "-", j)))
+		}
+	}
+
+	s, err := NewSet(teams)
+	assert.NilError(b, err)
+
+	for b.Loop() {
+		if s.ByKey(key.DigestOf("57-31")) == nil {
+			b.Fatal("not found")
+		}
+	}
+}
--- a/internal/fleet/entry/operators.go
+++ b/internal/fleet/entry/operators.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/customer/list"
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
 	"github.com/fulmarcross/fulmarcross/internal/room/screen"
@@ -46,8 +47,8 @@
 // as the author of edits.
 func (e *Entry) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, key, _ := r.BasicAuth()
-		got := plan.HashKey(key)
+		_, text, _ := r.BasicAuth()
+		got := key.DigestOf(text)
 
 		if subtle.ConstantTimeCompare(got[:], e.cfg.OperatorKey[:]) != 1 {
 			w.Header().Set("WWW-Authenticate", `Basic realm="fulmarcross operators"`)
--- a/internal/serving/gateway/gateway.go
+++ b/internal/serving/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
 	"github.com/fulmarcross/fulmarcross/internal/customer/list"
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
@@ -89,7 +90,6 @@
 	timeoutHeader   = "Request-Timeout-Ms"
 	keyHeader       = "Idempotency-Key"
 	maxIDLen        = 128
-	bearer          = "Bearer "
 	maxTimeout      = 10 * time.Minute
 )
 
@@ -109,14 +109,14 @@
 	c := &call{w: w, r: r, id: requestID(r), arrived: time.Now()}
 	w.Header().Set(requestIDHeader, c.id)
 
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
-	if !ok {
-		g.refuse(c, request.Refuse(request.Unauthorized, 0, "no bearer key"))
+	k, err := key.FromHeader(r.Header["Authorization"])
+	if err != nil {
+		g.refuse(c, request.Refuse(request.Unauthorized, 0, err.Error()))
 
 		return nil
 	}
 
-	p, ok := g.cfg.Lists.Current().Authenticate(plan.HashKey(key))
+	p, ok := g.cfg.Lists.Current().Authenticate(k)
 	if !ok {
 		g.refuse(c, request.Refuse(request.Unauthorized, 0, "the key belongs to no plan"))
 
--- a/internal/standin/trial/demo.go
+++ b/internal/standin/trial/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/customer/list"
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -83,11 +84,11 @@
 func (t *Trial) fillLists(ctx context.Context) error {
 	changes := []plan.Change{
 		plan.SetPlan{Plan: plan.Plan{
-			Name: "day", Customer: "platero", Keys: []plan.KeyHash{plan.HashKey(CallerKey)}, Concurrency: 200,
+			Name: "day", Customer: "platero", Keys: []key.Digest{key.DigestOf(CallerKey)}, Concurrency: 200,
 			RequestsPerSecond: 2000, Priority: 5, RequestTimeout: 10 * time.Second, OnRemoval: plan.FinishRunning,
 		}},
 		plan.SetPlan{Plan: plan.Plan{
-			Name: "night", Customer: "vatuvola", Keys: []plan.KeyHash{plan.HashKey(nightKey)}, Concurrency: 100,
+			Name: "night", Customer: "vatuvola", Keys: []key.Digest{key.DigestOf(nightKey)}, Concurrency: 100,
 			Priority: 2, RequestTimeout: 15 * time.Second, OnRemoval: plan.CancelRunning,
 		}},
 		plan.Allow{Allowance: plan.Allowance{Plan: "day", Kind: plan.Service, Name: serviceName}},
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -20,7 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/fulmarcross/fulmarcross/internal/cli/settings"
-	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/entry"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
@@ -258,7 +258,7 @@
 		Peers:           free,
 		MaxBody:         1 << 20,
 		MaxConns:        1024,
-		OperatorKey:     plan.HashKey(OperatorKey),
+		OperatorKey:     key.DigestOf(OperatorKey),
 		Platform:        t.address,
 		ListLag:         3 * time.Second,
 		Cells:           t.opt.Cells,
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/customer/limit"
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -161,7 +162,7 @@
 	assert.Equal(t, granted, loads)
 
 	p := plan.Plan{
-		Name: "p", Customer: "c", Keys: []plan.KeyHash{plan.HashKey("k")}, RequestsPerSecond: 1, Concurrency: 2,
+		Name: "p", Customer: "c", Keys: []key.Digest{key.DigestOf("k")}, RequestsPerSecond: 1, Concurrency: 2,
 		TokensPerMinute: 3, Accelerators: 4, Priority: 5, RequestTimeout: time.Second, OnRemoval: plan.CancelRunning,
 	}
 	a := plan.Allowance{Plan: "p", Kind: plan.Model, Name: "m"}
--- a/internal/wire/record/record.go
+++ b/internal/wire/record/record.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
 	"github.com/fulmarcross/fulmarcross/internal/customer/plan"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
@@ -208,7 +209,7 @@
 	out := plan.Plan{
 		Name:              p.Name,
 		Customer:          p.Customer,
-		Keys:              make([]plan.KeyHash, len(p.KeyHashes)),
+		Keys:              make([]key.Digest, len(p.KeyHashes)),
 		RequestsPerSecond: p.RequestsPerSecond,
 		Concurrency:       p.Concurrency,
 		TokensPerMinute:   p.TokensPerMinute,
