feat: callers are known by their team's key, from the front to the targets

Cause: the users' front knew neither keys nor teams.

A configuration with teams opens a route only to a team's key, unless the route is public: none, unknown, withdrawn, twice, another scheme or malformed is 401 before anything reaches a target. The key never goes on; the team's name always does, and a name that a caller sent is dropped, also where a header's underscores may be read as hyphens. A team's rank goes before its route's, and lines are fair between teams.

A key that is unknown here may stand in a newer configuration: before the 401 the entry asks the store, or the holder where many share the store's calls, once for all callers, 0.2 s apart, 0.4 s at most. A configuration that the holder has told of is learnt from peers although the store's call still hangs.

Ruled out: to rest on a check that ended before the caller came (0.2 s old) - TestNewKey failed on the fourth key.

Tests: TestIdentified, TestTeamPriority, TestKeyOfNewerConfiguration, TestKeysAreInNoLog, TestOutgoingTeam, TestDecodeTeams, TestKeys, TestNewKey, TestWithdrawnKey.

--- /dev/null
+++ b/internal/fleet/node/confirm.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/wire/news"
+)
+
+const (
+	// confirmTime bounds one check of the configuration.
+	confirmTime = 400 * time.Millisecond
+	// confirmRest is the time between the beginnings of two checks, so that unknown
+	// keys, however many, cost few. A caller waits for this and for one check at
+	// most.
+	confirmRest = 200 * time.Millisecond
+)
+
+// confirmation is the check of the configuration that callers with unknown keys
+// share. The zero value has checked nothing.
+type confirmation struct {
+	mu sync.Mutex
+	// began is when the last check began, and next is closed when the one that has
+	// not begun yet has ended.
+	began time.Time
+	next  chan struct{}
+	// looked is when a check last went to the store.
+	looked time.Time
+}
+
+// confirm makes sure that the configuration in force here is as new as it was
+// when confirm was called, or returns when ctx ends or nobody answers.
+func (n *Node) confirm(ctx context.Context) {
+	c := &n.confirmed
+
+	c.mu.Lock()
+	if c.next == nil {
+		c.next = make(chan struct{})
+
+		go n.confirmAfter(time.Until(c.began.Add(confirmRest)), c.next)
+	}
+
+	done := c.next
+	c.mu.Unlock()
+
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// confirmAfter makes the next check, after a pause, and closes done.
+func (n *Node) confirmAfter(pause time.Duration, done chan<- struct{}) {
+	defer close(done)
+
+	if clock.Sleep(n.work, pause) != nil {
+		return
+	}
+
+	c := &n.confirmed
+
+	c.mu.Lock()
+	c.began, c.next = time.Now(), nil
+
+	// All entries together ask the store no more often than a few would.
+	store := c.began.Sub(c.looked) >= spread(confirmRest, n.entries())
+	if store {
+		c.looked = c.began
+	}
+	c.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(n.work, confirmTime)
+	defer cancel()
+
+	if store && n.lookedAtStore(ctx) || n.askedHolder(ctx) || store {
+		return
+	}
+
+	n.lookedAtStore(ctx)
+}
+
+// lookedAtStore puts in force what the store has, and reports whether it
+// answered.
+func (n *Node) lookedAtStore(ctx context.Context) bool {
+	// What the holder knows is asked when the store is silent.
+	ctx, cancel := context.WithTimeout(ctx, confirmTime/2) //nolint:mnd // Half of the time for either.
+	defer cancel()
+
+	n.mu.Lock()
+	after := n.configRead
+	n.mu.Unlock()
+
+	c, _, err := n.cfg.Source.ConfigurationAfter(ctx, after, 0)
+
+	switch {
+	case err != nil:
+		n.cfg.Log.Info().Err(err).Msg("configuration not confirmed by the store")
+
+		return false
+	case c != nil:
+		n.putInForce(c)
+	}
+
+	return true
+}
+
+// askedHolder asks the holder for a newer configuration, and reports whether it
+// answered.
+func (n *Node) askedHolder(ctx context.Context) bool {
+	q := n.peers.of(n.holder.Known())
+	if q == nil {
+		return false
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, holderAnswers)
+	defer cancel()
+
+	have := n.versions()
+	have.List = math.MaxUint64
+
+	v, err := q.client.View(ctx, have)
+	if err != nil {
+		n.cfg.Log.Debug().Err(err).Str("holder", string(q.ID)).Msg("holder not asked")
+
+		return false
+	}
+
+	n.takeConfig(v, q)
+
+	return true
+}
+
+// takeConfig puts a peer's configuration in force, if it has a newer one.
+func (n *Node) takeConfig(v news.View, q *peer) {
+	if len(v.Config) == 0 {
+		return
+	}
+
+	c, err := n.cfg.Source.Decode(v.Config)
+	if err != nil {
+		n.cfg.Log.Warn().Err(err).Str("peer", string(q.ID)).Msg("configuration of a peer cannot be read")
+
+		return
+	}
+
+	n.putInForce(c)
+}
--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -53,6 +53,7 @@
 
 	if c := n.config(); c == nil && latest.Config > 0 || c != nil && c.Version < latest.Config {
 		poke(n.configBehind)
+		poke(n.configTold)
 	}
 }
 
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -66,14 +66,7 @@
 		return
 	}
 
-	if len(v.Config) > 0 {
-		c, err := n.cfg.Source.Decode(v.Config)
-		if err != nil {
-			n.cfg.Log.Warn().Err(err).Str("peer", string(q.ID)).Msg("configuration of a peer cannot be read")
-		} else {
-			n.putInForce(c)
-		}
-	}
+	n.takeConfig(v, q)
 
 	if v.List > 0 {
 		_ = n.takeView(v, q) // What it could not take in is asked for again.
@@ -119,6 +112,32 @@
 	return n.inForce()
 }
 
+// toldPatience is for how long a configuration that the holder has told of may be
+// on its way by other means.
+const toldPatience = 300 * time.Millisecond
+
+// followConfig learns a configuration that the holder has told of, whatever the
+// store does.
+//
+// It guards against a store that is silent for this entry alone: the call that
+// waits for changes hangs for seconds, and a key that was withdrawn would open
+// the routes here for as long.
+func (n *Node) followConfig(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.configTold:
+		}
+
+		_ = clock.Sleep(ctx, toldPatience) // The loop looks at ctx.
+
+		if !n.inForce() {
+			n.catchUpConfig(ctx)
+		}
+	}
+}
+
 // askConfig asks a peer, if there is one, for a newer configuration.
 func (n *Node) askConfig(ctx context.Context, q *peer) {
 	if q == nil {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -89,6 +89,8 @@
 	page    metric.Page
 	metrics tally.Scope
 	calls   calls
+	// confirmed is the last check that no newer configuration is in force.
+	confirmed confirmation
 	// unscope ends the metrics' reports.
 	unscope io.Closer
 
@@ -97,6 +99,8 @@
 	stopping atomic.Bool
 	// listBehind and configBehind ask for a look at the store at once.
 	listBehind, configBehind chan struct{}
+	// configTold says that the holder has told of a newer configuration.
+	configTold chan struct{}
 	// changed asks for the routing to be built anew, asked for a report, and idled
 	// for one that may wait a little.
 	changed, asked, idled chan struct{}
@@ -120,6 +124,8 @@
 	// lookedConfig and lookedTargets are up to when this entry knows what the
 	// store held.
 	lookedConfig, lookedTargets time.Time
+	// configRead is the store's version at which the configuration was last read.
+	configRead uint64
 	// absent is what targets were found not to hold.
 	absent  map[holder.Missing]absence
 	missing []holder.Missing
@@ -131,7 +137,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, process: uuid.NewString(), started: time.Now(),
-		listBehind: make(chan struct{}, 1), configBehind: make(chan struct{}, 1),
+		listBehind: make(chan struct{}, 1), configBehind: make(chan struct{}, 1), configTold: make(chan struct{}, 1),
 		changed: make(chan struct{}, 1), asked: make(chan struct{}, 1), idled: make(chan struct{}, 1),
 		absent: make(map[holder.Missing]absence),
 	}
@@ -152,7 +158,7 @@
 	})
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Lines: n.lines, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, Absent: n.foundAbsent, Moved: n.foundMoved, Unreached: n.foundUnreached, Log: cfg.Log, Metrics: n.metrics,
+		Table: n.routes.Load, Confirm: n.confirm, Absent: n.foundAbsent, Moved: n.foundMoved, Unreached: n.foundUnreached, Log: cfg.Log, Metrics: n.metrics,
 	}
 	n.holder = holder.New(holder.Config{
 		Self: cfg.Self, Strength: cfg.Strength, Process: n.process, Table: n.cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
@@ -230,7 +236,7 @@
 	wg.Go(func() { n.served("metrics", metrics.Serve(metricsListener)) })
 	wg.Go(func() { n.served("peers", news.Serve(work, peerListener, n)) })
 
-	for _, loop := range []func(context.Context){n.watchConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep, n.logCalls} {
+	for _, loop := range []func(context.Context){n.watchConfig, n.followConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep, n.logCalls} {
 		wg.Go(func() { loop(work) })
 	}
 
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -264,6 +264,14 @@
 	return p.of(alive[rand.IntN(len(alive))].ID) //nolint:gosec // No secret.
 }
 
+// self returns this process as the others see it.
+func (p *peers) self() roll.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.roll.Self
+}
+
 // likely returns the peers that are alive or may be, because nothing was heard
 // of them yet.
 func (p *peers) likely() []roll.Member {
--- /dev/null
+++ b/internal/fleet/node/teams_test.go
@@ -0,0 +1,153 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/rows"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
+)
+
+// startTeams returns a ready site of three entries whose routes ask for keys.
+func startTeams(t *testing.T, log io.Writer, teams []team.Team, keys map[string][]string) *site.Site {
+	t.Helper()
+
+	s, err := site.Start(t.Context(), site.Options{Entries: 3, Log: log, Teams: teams, Keys: keys})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+
+	assert.NilError(t, s.WaitReady(ctx))
+
+	return s
+}
+
+// look is one request of a caller with a key, if it has one.
+func look(t *testing.T, e *site.Entry, id, key string) site.Reply {
+	t.Helper()
+
+	a := relay.Ask{ID: id, Left: 2 * time.Second}
+	if key != "" {
+		a.Credentials = []string{"Bearer " + key}
+	}
+
+	r, err := site.Ask(t.Context(), e, "/look/x", "", a)
+	assert.NilError(t, err)
+
+	return r
+}
+
+func ran(s *site.Site) []worker.Run {
+	var out []worker.Run
+	for _, d := range s.Desks {
+		out = append(out, d.Ran()...)
+	}
+
+	return out
+}
+
+// lockedBuffer gathers the lines of several entries.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.b.String()
+}
+
+// TestKeys holds who is let in at every entry, what targets get, and that no
+// entry writes a key.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+
+	var log lockedBuffer
+
+	s := startTeams(t, &log, []team.Team{{Name: "day"}, {Name: "night"}}, map[string][]string{"day": {"secret-day"}, "night": {"secret-night"}})
+
+	for i, e := range s.Entries {
+		assert.Equal(t, look(t, e, fmt.Sprint("day-", i), "secret-day").Status, http.StatusOK)
+		assert.Equal(t, look(t, e, fmt.Sprint("night-", i), "secret-night").Status, http.StatusOK)
+		assert.Equal(t, look(t, e, fmt.Sprint("none-", i), "").Status, http.StatusUnauthorized)
+		assert.Equal(t, look(t, e, fmt.Sprint("forged-", i), "secret-forged").Status, http.StatusUnauthorized)
+	}
+
+	for _, r := range ran(s) {
+		assert.Assert(t, strings.HasPrefix(r.ID, r.Team+"-") && r.Team != "", "%s ran for %q", r.ID, r.Team)
+		assert.Assert(t, !r.Keyed, "a key reached a target")
+	}
+
+	s.Close()
+	assert.Assert(t, strings.Contains(log.String(), `"team":"night"`))
+	assert.Assert(t, !strings.Contains(log.String(), "secret-"))
+}
+
+// TestNewKey: a key works at every entry from the moment at which the operators
+// know that it is in force, also at those that have not heard of it.
+func TestNewKey(t *testing.T) {
+	t.Parallel()
+
+	s := startTeams(t, io.Discard, []team.Team{{Name: "day"}}, map[string][]string{"day": {"old"}})
+
+	for i := range 6 {
+		text := fmt.Sprint("key-", i)
+		assert.NilError(t, s.PutTeams([]team.Team{{Name: "day"}}, map[string][]string{"day": {"old", text}}))
+		assert.Equal(t, look(t, s.Entries[i%3], text, text).Status, http.StatusOK, "key %d", i)
+	}
+}
+
+// TestWithdrawnKey: a key is withdrawn while the store turns one entry away, or
+// is silent for it. No entry lets it in for longer than the change may take.
+func TestWithdrawnKey(t *testing.T) {
+	cases := map[string]struct {
+		faults rows.Faults
+		bound  time.Duration
+	}{
+		"refused": {rows.Faults{Down: true}, 3 * time.Second},
+		// Three seconds, and as long again while the store is in trouble.
+		"silent": {rows.Faults{Silent: true}, 6 * time.Second},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s := startTeams(t, io.Discard, []team.Team{{Name: "day"}}, map[string][]string{"day": {"old", "kept"}})
+			s.Entries[2].Door.SetFaults(tc.faults)
+			assert.NilError(t, s.PutTeams([]team.Team{{Name: "day"}}, map[string][]string{"day": {"kept"}}))
+
+			withdrawn := time.Now()
+
+			for i, e := range s.Entries {
+				within(t, tc.bound-time.Since(withdrawn), "the key still works", func() bool {
+					return look(t, e, fmt.Sprint("old-", i), "old").Status == http.StatusUnauthorized
+				})
+				assert.Equal(t, look(t, e, fmt.Sprint("kept-", i), "kept").Status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -71,7 +71,7 @@
 		after = version
 
 		n.mu.Lock()
-		n.lookedConfig = time.Now()
+		n.lookedConfig, n.configRead = time.Now(), version
 		n.mu.Unlock()
 
 		if c != nil {
@@ -148,7 +148,12 @@
 	}
 
 	n.routes.Store(route.NewTable(c))
-	n.cfg.Log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Msg("configuration in force")
+	n.cfg.Log.Info().Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Int("teams", c.Teams.Len()).Msg("configuration in force")
+
+	for _, err := range c.Teams.Narrow() {
+		n.cfg.Log.Warn().Err(err).Uint64("version", c.Version).Msg("limit below one request")
+	}
+
 	poke(n.changed)
 	n.holder.Announce()
 }
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -236,7 +236,8 @@
 	out := &outgoing{
 		method: d.r.Method, uri: d.r.RequestURI, host: d.r.Host, id: d.ask.ID,
 		header: d.Protocol.Outgoing(d.r.Header, Sending{
-			Left: d.deadline.Sub(sent), Target: t.ID, After: last, Ranked: d.ranked, Priority: d.route.Priority,
+			Left: d.deadline.Sub(sent), Target: t.ID, After: last, Ranked: d.ranked, Priority: d.priority(),
+			Keyed: d.keyed, Team: d.teamName(),
 		}),
 		body: d.body, hasBody: d.r.ContentLength != 0, fresh: !d.route.Repeatable(),
 	}
--- /dev/null
+++ b/internal/serving/relay/identify_test.go
@@ -0,0 +1,270 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+)
+
+// keyedProtocol is testProtocol for callers with keys.
+type keyedProtocol struct{ testProtocol }
+
+func (p keyedProtocol) Parse(h http.Header) (Ask, error) {
+	a, err := p.testProtocol.Parse(h)
+	a.Credentials = h["Authorization"]
+	a.TokensIn, _ = strconv.Atoi(h.Get("Tokens"))
+	a.TokensNamed = h.Get("Tokens") != ""
+
+	return a, err
+}
+
+func (p keyedProtocol) Outgoing(in http.Header, s Sending) http.Header {
+	out := p.testProtocol.Outgoing(in, s)
+	if s.Keyed {
+		out.Del("Authorization")
+	}
+
+	out.Set("Team", s.Team)
+	out.Set("Priority", strconv.Itoa(s.Priority))
+
+	return out
+}
+
+func teams(t *testing.T, all ...team.Team) team.Set {
+	t.Helper()
+
+	s, err := team.NewSet(all)
+	assert.NilError(t, err)
+
+	return s
+}
+
+func one(name, text string) team.Team {
+	return team.Team{Name: name, Keys: []key.Digest{key.DigestOf(text)}}
+}
+
+// keyed is a world whose route asks for keys.
+func keyed(t *testing.T, public bool) *world {
+	t.Helper()
+
+	w := newWorld(t, func(_ int, _ call, out io.Writer, _ net.Conn) { say(out, "200 OK", "", "done") },
+		route.Route{Kind: route.Idempotent, Timeout: 5 * time.Second, Priority: 4, Public: public})
+	w.server.Protocol = keyedProtocol{}
+
+	urgent := one("b", "kb")
+	urgent.Ranked, urgent.Priority = true, 0
+	w.config.Teams = teams(t, one("a", "ka"), urgent)
+
+	return w
+}
+
+func TestIdentified(t *testing.T) {
+	cases := map[string]struct {
+		public        bool
+		authorization string
+		status        int
+		team          string
+	}{
+		"a team's key":                 {false, "Bearer ka", 200, "a"},
+		"another's":                    {false, "bearer  kb", 200, "b"},
+		"none":                         {false, "", 401, ""},
+		"unknown":                      {false, "Bearer kc", 401, ""},
+		"another scheme":               {false, "Basic ka", 401, ""},
+		"none on a public route":       {true, "", 200, ""},
+		"unknown on a public route":    {true, "Bearer kc", 200, ""},
+		"a team's key on public route": {true, "Bearer ka", 200, "a"},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := keyed(t, tc.public)
+				defer w.end()
+
+				header := []string{"Team", "forged"}
+				if tc.authorization != "" {
+					header = append(header, "Authorization", tc.authorization)
+				}
+
+				rec, _ := w.do(t.Context(), "x", header...)
+				assert.Equal(t, rec.Code, tc.status)
+
+				if tc.status == http.StatusUnauthorized {
+					assert.Equal(t, rec.Header().Get("WWW-Authenticate"), "Bearer")
+					assert.Equal(t, w.sends(), 0)
+
+					return
+				}
+
+				got := w.got()[0].header
+				assert.Equal(t, got.Get("Authorization"), "")
+				assert.Equal(t, got.Get("Team"), tc.team)
+			})
+		})
+	}
+}
+
+// TestTeamPriority: a team's rank goes before its route's.
+func TestTeamPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := keyed(t, false)
+		defer w.end()
+
+		_, _ = w.do(t.Context(), "x", "Authorization", "Bearer ka")
+		_, _ = w.do(t.Context(), "x", "Authorization", "Bearer kb")
+		assert.Equal(t, w.got()[0].header.Get("Priority"), "4")
+		assert.Equal(t, w.got()[1].header.Get("Priority"), "0")
+	})
+}
+
+// TestKeyOfNewerConfiguration guards against refusing a caller whose key stands
+// in a configuration that this entry has not heard of yet.
+func TestKeyOfNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := keyed(t, false)
+		defer w.end()
+		newer := *w.config
+		newer.Teams = teams(t, one("c", "kc"))
+		checks := 0
+
+		w.server.Confirm = func(context.Context) {
+			checks++
+			w.table = route.NewTable(&newer)
+		}
+
+		rec, _ := w.do(t.Context(), "x", "Authorization", "Bearer kc")
+		assert.Equal(t, rec.Code, http.StatusOK)
+		assert.Equal(t, w.got()[0].header.Get("Team"), "c")
+
+		rec, _ = w.do(t.Context(), "x", "Authorization", "Bearer ka")
+		assert.Equal(t, rec.Code, http.StatusUnauthorized)
+		assert.Equal(t, checks, 2)
+
+		// What is no key cannot become one.
+		rec, _ = w.do(t.Context(), "x", "Authorization", "Basic ka")
+		assert.Equal(t, rec.Code, http.StatusUnauthorized)
+		assert.Equal(t, checks, 2)
+	})
+}
+
+// ledger is a limiter that keeps account.
+type ledger struct {
+	left    float64
+	unknown bool
+}
+
+func (l *ledger) Charge(_ context.Context, _ *team.Team, cost float64) Charge {
+	if l.unknown || l.left < cost {
+		return Charge{Unknown: l.unknown, RetryAfter: 1500 * time.Millisecond}
+	}
+
+	l.left -= cost
+
+	return Charge{Granted: true}
+}
+
+func (l *ledger) Refund(_ *team.Team, cost float64) { l.left += cost }
+
+// limited is a world whose team has a limit, with what is left of it.
+func limited(t *testing.T, act script, left float64) (*world, *ledger) {
+	t.Helper()
+
+	w := keyed(t, false)
+	w.act = act
+
+	a := one("a", "ka")
+	a.Limit = team.Limit{PerSecond: 100, Burst: 100, Unit: team.Tokens, Plain: 30}
+	w.config.Teams = teams(t, a)
+
+	l := &ledger{left: left}
+	w.server.Limits = l
+
+	return w, l
+}
+
+func TestCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, l := limited(t, func(_ int, _ call, out io.Writer, _ net.Conn) { say(out, "200 OK", "", "done") }, 100)
+		defer w.end()
+
+		rec, _ := w.do(t.Context(), "x", "Authorization", "Bearer ka", "Tokens", "60")
+		assert.Equal(t, rec.Code, http.StatusOK)
+		assert.Equal(t, l.left, 40.0)
+
+		rec, _ = w.do(t.Context(), "x", "Authorization", "Bearer ka")
+		assert.Equal(t, rec.Code, http.StatusOK)
+		assert.Equal(t, l.left, 10.0, "a request that names no tokens counts as the operators say")
+
+		rec, _ = w.do(t.Context(), "x", "Authorization", "Bearer ka")
+		assert.Equal(t, rec.Code, http.StatusTooManyRequests)
+		assert.Equal(t, rec.Header().Get("Retry-After"), "1.500")
+		assert.Equal(t, w.sends(), 2)
+
+		l.unknown = true
+		rec, _ = w.do(t.Context(), "x", "Authorization", "Bearer ka")
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.sends(), 2)
+	})
+}
+
+// TestGivenBack: what was counted for a request that provably did not run is
+// given back, and nothing else is.
+func TestGivenBack(t *testing.T) {
+	for name, tc := range map[string]struct {
+		act  script
+		left float64
+	}{
+		"not run":      {func(_ int, _ call, out io.Writer, _ net.Conn) { say(out, "503 Full", "Not-Run: 1\r\n", "") }, 100},
+		"run":          {func(_ int, _ call, out io.Writer, _ net.Conn) { say(out, "500 No", "", "") }, 70},
+		"may have run": {func(_ int, _ call, _ io.Writer, conn net.Conn) { conn.Close() }, 70},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, l := limited(t, tc.act, 100)
+				defer w.end()
+
+				_, _ = w.do(t.Context(), "x", "Authorization", "Bearer ka")
+				assert.Equal(t, l.left, tc.left)
+			})
+		})
+	}
+}
+
+// TestKeysAreInNoLog guards against keys in what a process writes.
+func TestKeysAreInNoLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+
+		w, l := limited(t, func(n int, _ call, out io.Writer, conn net.Conn) {
+			if n%2 == 0 {
+				conn.Close()
+			}
+
+			say(out, "200 OK", "", "done")
+		}, 70)
+		defer w.end()
+		w.server.Log = zerolog.New(&log)
+
+		for _, text := range []string{"Bearer ka", "Bearer unknown-secret", "Basic ka", "Bearer ka", "Bearer ka", "Bearer ka", ""} {
+			_, _ = w.do(t.Context(), "x", "Authorization", text)
+		}
+
+		assert.Assert(t, l.left < 30)
+		assert.Assert(t, strings.Contains(log.String(), `"team":"a"`))
+		assert.Assert(t, !strings.Contains(log.String(), "ka") && !strings.Contains(log.String(), "unknown-secret"), log.String())
+	})
+}
--- a/internal/serving/relay/protocol.go
+++ b/internal/serving/relay/protocol.go
@@ -37,8 +37,12 @@
 	// have too.
 	Prompt, Shared string
 	// TokensIn and TokensOut are the prompt's size and the most that the
-	// answer may have.
+	// answer may have. Neither is negative.
 	TokensIn, TokensOut int
+	// TokensNamed says that the caller named them.
+	TokensNamed bool
+	// Credentials are the lines that say who the caller is. They are secret.
+	Credentials []string
 	// After is the last event that the caller has of a broken stream.
 	After string
 }
@@ -53,6 +57,10 @@
 	// Ranked says that the target orders its work by Priority.
 	Ranked   bool
 	Priority int
+	// Keyed says that callers' keys open the routes, so that none may go on, and
+	// Team is the caller's team, if it is known.
+	Keyed bool
+	Team  string
 }
 
 // Mark is what an answer says of itself.
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/room/metric"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
@@ -30,6 +31,11 @@
 	Budgets  *Budgets
 	// Table returns the routes in force, or nil while none are known.
 	Table func() *route.Table
+	// Confirm makes sure that Table returns what is now in force, within a moment.
+	// Nil means that it always does.
+	Confirm func(ctx context.Context)
+	// Limits may be nil, and then teams' limits do not hold.
+	Limits Limiter
 	// Absent is called when a target says that it does not hold what the key
 	// names, and Moved when another instance has its address.
 	Absent func(t *router.Target, key string)
@@ -129,29 +135,48 @@
 		return
 	}
 
-	rt := table.Match(r.Host, r.URL.EscapedPath())
-	if rt == nil {
+	ask, badAsk := s.Protocol.Parse(r.Header)
+
+	at, err := s.locate(r, table, ask)
+
+	switch {
+	case at.route == nil:
 		s.refuse(w, r, http.StatusNotFound, 0, "no route")
 
 		return
-	}
+	case err != nil:
+		w.Header().Set("WWW-Authenticate", challenge)
+		s.refuse(w, r, http.StatusUnauthorized, 0, err.Error())
 
-	ask, err := s.Protocol.Parse(r.Header)
-	if err != nil {
-		s.refuse(w, r, http.StatusBadRequest, 0, err.Error())
+		return
+	case badAsk != nil:
+		s.refuse(w, r, http.StatusBadRequest, 0, badAsk.Error())
 
 		return
 	}
 
+	s.serve(w, r, ask, at, arrived)
+}
+
+// serve answers a request whose route and caller are known.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, ask Ask, at place, arrived time.Time) {
+	rt, cfg := at.route, at.table.Config
+
 	left := rt.Timeout
 	if ask.Left > 0 && (left == 0 || ask.Left < left) {
 		left = ask.Left
 	}
 
-	d := &delivery{Server: s, w: w, r: r, route: rt, ask: ask, arrived: arrived, deadline: arrived.Add(left), version: table.Config.Version}
+	d := &delivery{Server: s, w: w, r: r, route: rt, ask: ask, arrived: arrived, deadline: arrived.Add(left), version: cfg.Version, team: at.team, keyed: cfg.Teams.Len() > 0}
 	d.service = rt.Pick(rand.Float64()) //nolint:gosec // No secret.
 
-	if err := d.readBody(table.Config.Limits); err != nil {
+	if !d.charge() {
+		return
+	}
+
+	defer d.refund()
+
+	if err := d.readBody(cfg.Limits); err != nil {
 		status := http.StatusBadRequest
 
 		var tooLarge *http.MaxBytesError
@@ -164,7 +189,7 @@
 		return
 	}
 
-	d.serve(table.Config.Services[d.service])
+	d.deliverFrom(cfg.Services[d.service])
 }
 
 // refuse answers a request that was never sent to a target.
@@ -219,6 +244,12 @@
 	deadline time.Time
 	// version is that of the configuration that the request is handled under.
 	version uint64
+	// team is the caller's, or nil where none is needed; keyed says that callers'
+	// keys open the routes.
+	team  *team.Team
+	keyed bool
+	// cost is what was counted against the team's limit.
+	cost    float64
 	service string
 	ranked  bool
 	body    []byte
@@ -273,7 +304,8 @@
 	return nil
 }
 
-func (d *delivery) serve(service route.Service) {
+// deliverFrom has the request answered by a target of the service.
+func (d *delivery) deliverFrom(service route.Service) {
 	model := ""
 	if service.Engine != nil {
 		model, d.ranked = d.ask.Model, true
@@ -282,10 +314,10 @@
 	d.req = &request.Request{
 		ID:       d.ask.ID,
 		EngineID: d.ask.ID,
-		Customer: d.route.Name,
+		Customer: d.customer(),
 		Model:    Key(d.service, model),
 		Prompt:   d.digest(),
-		Priority: max(0, maxWeight-d.route.Priority),
+		Priority: max(0, maxWeight-d.priority()),
 		Deadline: d.startBy(),
 		Arrived:  d.arrived,
 	}
@@ -354,7 +386,7 @@
 
 // end gives the request its final answer if it has none, and says so.
 func (d *delivery) end(err error) {
-	line := d.Log.Info().Str("id", d.ask.ID).Str("route", d.route.Name).Uint64("config", d.version).
+	line := d.Log.Info().Str("id", d.ask.ID).Str("route", d.route.Name).Str("team", d.teamName()).Float64("cost", d.cost).Uint64("config", d.version).
 		Str("key", d.req.Model).Int("sends", d.trail.Sends()).Bool("cold", d.cold).
 		Dur("goal", d.route.Goal).Dur("left", d.deadline.Sub(d.arrived)).Dur("waited", d.waited).Dur("first", d.first).Dur("took", time.Since(d.arrived))
 
--- a/internal/serving/route/route.go
+++ b/internal/serving/route/route.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
 )
 
 // Kind says how a request may be answered and whether it may be repeated.
@@ -44,6 +46,8 @@
 	Attempts int
 	// Resumable streams may go on at another target.
 	Resumable bool
+	// Public routes are open to callers without a key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run again after an
@@ -152,6 +156,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Teams are those whose keys open the routes. Without any, all routes are
+	// open.
+	Teams team.Set
 	// Text is what the configuration was decoded from, for peers that cannot
 	// read it themselves.
 	Text []byte
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -20,6 +20,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/key"
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/node"
@@ -58,6 +60,9 @@
 	// Entries is how many run in this process.
 	Entries int
 	Log     io.Writer
+	// Teams are in force from the start, with the keys of each by its name.
+	Teams []team.Team
+	Keys  map[string][]string
 	// Front returns the address under which a target is listed, which leads to
 	// its own. Nil lists its own.
 	Front func(id instance.ID, own netip.AddrPort) (netip.AddrPort, error)
@@ -70,8 +75,10 @@
 	Desks   map[instance.ID]*worker.Plain
 	Entries []*Entry
 
-	mu      sync.Mutex
-	config  *route.Config
+	mu     sync.Mutex
+	config *route.Config
+	// keys are the callers' of each team.
+	keys    map[string][]string
 	targets map[instance.ID]inventory.Target
 	handler map[instance.ID]platform.Worker
 	front   func(instance.ID, netip.AddrPort) (netip.AddrPort, error)
@@ -105,7 +112,12 @@
 		front: opt.Front,
 	}
 	s.config = demo()
-	s.PutConfig(func(*route.Config) {})
+
+	if err := s.PutTeams(opt.Teams, opt.Keys); err != nil {
+		cancel()
+
+		return nil, err
+	}
 
 	for i := range engines {
 		w := &worker.Worker{Engine: s.config.Services[Drafting].Engine, Holding: []string{Model(2 * i), Model(2*i + 1)}}
@@ -176,7 +188,26 @@
 	change(&next)
 	next.Version++
 	s.config = &next
-	s.Store.Put(platform.OperatorsTable, platform.ConfigKey, platform.EncodeConfig(&next))
+	s.Store.Put(platform.OperatorsTable, platform.ConfigKey, platform.EncodeConfig(&next, s.keys))
+}
+
+// PutTeams puts teams in force, with the keys of each by its name.
+func (s *Site) PutTeams(teams []team.Team, keys map[string][]string) error {
+	for i := range teams {
+		teams[i].Keys = nil
+		for _, text := range keys[teams[i].Name] {
+			teams[i].Keys = append(teams[i].Keys, key.DigestOf(text))
+		}
+	}
+
+	set, err := team.NewSet(teams)
+	if err != nil {
+		return err
+	}
+
+	s.PutConfig(func(c *route.Config) { c.Teams, s.keys = set, keys })
+
+	return nil
 }
 
 func listen() (net.Listener, netip.AddrPort, error) {
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,7 +50,29 @@
 }
 
 // Plain is a stand-in of a target of a plain service, with a book of its runs.
-type Plain struct{ Worker }
+type Plain struct {
+	Worker
+
+	// ran are its runs, in order.
+	ran []Run
+}
+
+// Run is one run of a request.
+type Run struct {
+	ID   string
+	Team string
+	// Keyed says that a caller's key came with it.
+	Keyed bool
+	At    time.Time
+}
+
+// Ran returns the runs in order.
+func (p *Plain) Ran() []Run {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return slices.Clone(p.ran)
+}
 
 // plainWork is how long a plain service works for a request.
 const plainWork = 15 * time.Millisecond
@@ -59,6 +82,7 @@
 	p.mu.Lock()
 	p.start()
 	p.runs[r.ID]++
+	p.ran = append(p.ran, Run{ID: r.ID, Team: r.Team, Keyed: len(r.Credentials) > 0, At: time.Now()})
 	p.mu.Unlock()
 
 	time.Sleep(plainWork)
