feat: teams' limits hold over all entries, in requests or tokens

Cause: nobody counted. A tenant's request counts about 1,500 tokens; with 84 entries an even share of a second of 104,072 is 1,239.

Every entry has an even share of each limit and lends it for 1.25 s at a time to a home, which pools what it was lent and decides request by request. A loan ends at a time of the home's own clock, as the entry last heard it, so one that arrives late is void; an entry lends a share elsewhere only after its own time for it is over, or when the home's process has ended or gave all back; a new process lends nothing for one term. So a share is in one place at any moment, without a lease or the store. Eight groups of limits, three homes among the strongest entries. What was counted and provably did not run is given back.

--- a/internal/cli/member/settings.go
+++ b/internal/cli/member/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
 )
@@ -25,6 +26,8 @@
 	// unknown.
 	Strength  float64
 	Allowance relay.Allowance
+	// Slack is what may pass beyond teams' limits.
+	Slack quota.Slack
 }
 
 // document is the settings file.
@@ -44,6 +47,8 @@
 		RepeatRatio         float64 `json:"repeatRatio"`
 		RepeatBurst         float64 `json:"repeatBurst"`
 		RepeatWindowSeconds float64 `json:"repeatWindowSeconds"`
+		LimitOverrun        float64 `json:"limitOverrun"`
+		LimitTolerance      float64 `json:"limitTolerance"`
 	} `json:"bounds"`
 }
 
@@ -123,6 +128,11 @@
 		},
 	}
 
+	s.Slack = quota.Slack{Overrun: d.Bounds.LimitOverrun, Tolerance: d.Bounds.LimitTolerance}
+	if s.Slack.Overrun < 0 || s.Slack.Tolerance < 0 {
+		c.fail("bounds", "limitOverrun and limitTolerance must not be below zero")
+	}
+
 	if d.Bounds.RepeatRatio < 0 || d.Bounds.RepeatBurst < 0 {
 		c.fail("bounds", "repeatRatio and repeatBurst must not be below zero")
 	}
--- /dev/null
+++ b/internal/customer/quota/quota_test.go
@@ -0,0 +1,482 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+// entry is one entry of a simulated fleet, with its process.
+type entry struct {
+	id      instance.ID
+	run     int
+	born    time.Time
+	lender  Lender
+	home    Home
+	started bool
+	// frozenUntil is until when its process does not run, and cutUntil until when
+	// it reaches no other entry and takes itself for the home.
+	frozenUntil, cutUntil time.Time
+	// choice is otherwise whom it takes for the home of all groups.
+	choice int
+}
+
+func (e *entry) process() Process { return Process{ID: e.id, Run: fmt.Sprint(e.run)} }
+
+func (e *entry) start(now time.Time) {
+	e.run++
+	e.born, e.lender, e.home, e.started = now, Lender{Started: now}, Home{Slack: e.home.Slack}, true
+}
+
+// fleet plays entries that lend, draw and fail, and keeps an exact account of
+// what ran.
+type fleet struct {
+	entries []*entry
+	now     time.Time
+	limit   team.Limit
+	// late are loans that are still on their way.
+	late []lateLoan
+	ran  []run
+}
+
+type lateLoan struct {
+	to   Process
+	loan Loan
+	at   time.Time
+}
+
+type run struct {
+	at   time.Time
+	cost float64
+}
+
+const simulated = "team"
+
+func newFleet(n int, limit team.Limit, slack Slack) *fleet {
+	f := &fleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), limit: limit}
+
+	for i := range n {
+		e := &entry{id: instance.ID(fmt.Sprint("e", i)), home: Home{Slack: slack}}
+		e.start(f.now)
+		f.entries = append(f.entries, e)
+	}
+
+	return f
+}
+
+func (f *fleet) runs(e *entry) bool { return e.started && !f.now.Before(e.frozenUntil) }
+
+func (f *fleet) reaches(a, b *entry) bool {
+	return a == b || f.runs(b) && !f.cut(a) && !f.cut(b)
+}
+
+func (f *fleet) cut(e *entry) bool { return f.now.Before(e.cutUntil) }
+
+func (f *fleet) homeOf(e *entry) *entry {
+	if f.cut(e) {
+		return e
+	}
+
+	return f.entries[e.choice]
+}
+
+func (f *fleet) stamp(e *entry) Stamp { return Stamp(f.now.Sub(e.born)) }
+
+// lend is one entry's round of loans. Each is lost, delayed or taken as the
+// schedule says.
+func (f *fleet) lend(e *entry, lost, delay bool) {
+	home := f.homeOf(e)
+
+	var homes [Groups]Process
+	for g := range homes {
+		homes[g] = home.process()
+	}
+
+	for to, loan := range e.lender.Loans(homes, e.id, len(f.entries), f.now) {
+		switch {
+		case !f.reaches(e, home) || lost:
+		case delay:
+			f.late = append(f.late, lateLoan{to: to, loan: loan, at: f.now.Add(2 * time.Second)})
+		default:
+			home.home.Lend(loan, len(f.entries), f.stamp(home))
+			e.lender.Heard(to, f.stamp(home), f.now)
+		}
+	}
+}
+
+// deliver hands over the loans that were delayed, to the process that they were
+// meant for.
+func (f *fleet) deliver() {
+	f.late = slices.DeleteFunc(f.late, func(l lateLoan) bool {
+		if f.now.Before(l.at) {
+			return false
+		}
+
+		for _, e := range f.entries {
+			if e.process() == l.to && f.runs(e) {
+				e.home.Lend(l.loan, len(f.entries), f.stamp(e))
+			}
+		}
+
+		return true
+	})
+}
+
+// draw asks a home for a request of an entry, and reports whether it ran.
+func (f *fleet) draw(e *entry, cost float64) (Answer, bool) {
+	to, bound := e.lender.With(GroupOf(simulated), f.now)
+	home := f.homeOf(e)
+
+	if bound {
+		for _, other := range f.entries {
+			if other.id == to.ID {
+				home = other
+			}
+		}
+	}
+
+	if !f.reaches(e, home) {
+		return Answer{}, false
+	}
+
+	a := home.home.Draw(simulated, f.limit, cost, len(f.entries), f.stamp(home))
+	if a.Granted {
+		f.ran = append(f.ran, run{f.now, cost})
+	}
+
+	return a, true
+}
+
+// doubled returns the entries whose share more than one home may use.
+func (f *fleet) doubled() []instance.ID {
+	var out []instance.ID
+
+	for _, lender := range f.entries {
+		homes := 0
+
+		for _, e := range f.entries {
+			if until := e.home.loans[lender.id]; until != nil && until[GroupOf(simulated)] > f.stamp(e) {
+				homes++
+			}
+		}
+
+		if homes > 1 {
+			out = append(out, lender.id)
+		}
+	}
+
+	return out
+}
+
+// ready returns what all homes together would grant at once.
+func (f *fleet) ready() float64 {
+	sum := 0.0
+
+	for _, e := range f.entries {
+		e.home.advance(len(f.entries), f.stamp(e))
+		sum += e.home.bucket(simulated, f.limit).level
+	}
+
+	return sum
+}
+
+// worst returns the most that ran in any window.
+func (f *fleet) worst(window time.Duration) float64 {
+	worst, sum, first := 0.0, 0.0, 0
+
+	for _, r := range f.ran {
+		sum += r.cost
+
+		for r.at.Sub(f.ran[first].at) > window {
+			sum -= f.ran[first].cost
+			first++
+		}
+
+		worst = max(worst, sum)
+	}
+
+	return worst
+}
+
+const (
+	window   = 8 * time.Second
+	rounding = 1e-6
+)
+
+// TestBoundHolds guards against more than the whole limit running in a window:
+// entries restart, all at once too, freeze, are cut off, disagree on the home,
+// and loans are lost or arrive late, while callers at every entry ask for
+// nothing and then for as much as they get.
+func TestBoundHolds(t *testing.T) {
+	served := 0
+
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)) //nolint:gosec // A schedule, no secret.
+		n := 3 + r.IntN(6)
+		// A small burst leaves no room for a share that is used in two places.
+		limit := team.Limit{PerSecond: 100, Burst: 10}
+		f := newFleet(n, limit, Slack{})
+
+		for range 400 {
+			f.now = f.now.Add(100 * time.Millisecond)
+			f.deliver()
+
+			for _, e := range f.entries {
+				if f.runs(e) && r.IntN(5) == 0 {
+					f.lend(e, r.IntN(20) == 0, r.IntN(20) == 0)
+				}
+			}
+
+			f.trouble(r)
+
+			if doubled := f.doubled(); len(doubled) > 0 {
+				t.Fatalf("shares of %v are in two places", doubled)
+			}
+
+			// Looking takes part in what the homes do, so it is seldom.
+			if r.IntN(30) == 0 && f.ready() > limit.Burst+rounding {
+				t.Fatalf("%.3f are ready, %.0f may", f.ready(), limit.Burst)
+			}
+
+			if f.now.Unix()%8 > 3 {
+				continue
+			}
+
+			for _, e := range f.entries {
+				for f.runs(e) {
+					if a, _ := f.draw(e, 1); !a.Granted {
+						break
+					}
+				}
+			}
+		}
+
+		served += len(f.ran)
+
+		most := limit.PerSecond*window.Seconds() + limit.Burst
+		if got := f.worst(window); got > most {
+			t.Fatalf("%.0f ran in a window, %.0f may", got, most)
+		}
+	})
+
+	assert.Assert(t, served > 0)
+}
+
+func (f *fleet) trouble(r *rand.Rand) {
+	e := f.entries[r.IntN(len(f.entries))]
+	choices := min(3, len(f.entries))
+
+	switch r.IntN(150) {
+	case 0, 1:
+		e.start(f.now)
+	case 2:
+		e.frozenUntil = f.now.Add(time.Duration(100+r.IntN(4000)) * time.Millisecond)
+	case 3, 4:
+		e.cutUntil = f.now.Add(time.Duration(500+r.IntN(4000)) * time.Millisecond)
+	case 5, 6:
+		e.choice = r.IntN(choices)
+	case 7, 8:
+		all := r.IntN(choices)
+		for _, one := range f.entries {
+			one.choice = all
+		}
+	case 9:
+		if r.IntN(4) == 0 {
+			for _, one := range f.entries {
+				one.start(f.now)
+			}
+		}
+	}
+}
+
+// TestServesTheLimit: with nothing wrong, a team gets all of its limit, however
+// its requests are spread over the entries, and one that asks for many times as
+// much gets no less.
+func TestServesTheLimit(t *testing.T) {
+	for name, demand := range map[string]float64{"below": 0.6, "beyond": 7.5} {
+		t.Run(name, func(t *testing.T) {
+			const (
+				rate = 104072.0
+				cost = 1540.0
+				span = 30 * time.Second
+			)
+
+			f := newFleet(84, team.Limit{PerSecond: rate, Burst: rate}, Slack{})
+
+			var asked, got, want float64
+
+			for step := range int(span / (50 * time.Millisecond)) {
+				f.now = f.now.Add(50 * time.Millisecond)
+
+				if step%10 == 0 {
+					for _, e := range f.entries {
+						f.lend(e, false, false)
+					}
+				}
+
+				// Before this nothing was lent.
+				if step < 100 {
+					continue
+				}
+
+				for want += demand * rate / 20; asked < want; asked += cost {
+					if a, _ := f.draw(f.entries[step*7%84], cost); a.Granted {
+						got += cost
+					} else {
+						assert.Assert(t, a.Wait > 0 && a.Wait < time.Second)
+					}
+				}
+			}
+
+			served := min(demand, 1) * rate * (span - 5*time.Second).Seconds()
+			assert.Assert(t, got > 0.99*served, "%.0f of %.0f", got, served)
+		})
+	}
+}
+
+// TestHomeDies guards against a limit that is gone with its home: the shares are
+// lent elsewhere at once where its end is known, or else after a term.
+func TestHomeDies(t *testing.T) {
+	for name, known := range map[string]bool{"known": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(12, team.Limit{PerSecond: 9000, Burst: 9000}, Slack{})
+			round := func() {
+				f.now = f.now.Add(Every(12))
+
+				for _, e := range f.entries[1:] {
+					f.lend(e, false, false)
+				}
+			}
+
+			for range 10 {
+				round()
+			}
+
+			a, _ := f.draw(f.entries[1], 1500)
+			assert.Assert(t, a.Granted)
+
+			dead := f.entries[0].process()
+			f.entries[0].started = false
+
+			for _, e := range f.entries[1:] {
+				e.choice = 1
+				if known {
+					e.lender.Ended(dead)
+				}
+			}
+
+			began := f.now
+			for {
+				round()
+
+				if a, _ := f.draw(f.entries[2], 1500); a.Granted {
+					break
+				}
+
+				assert.Assert(t, f.now.Sub(began) < 4*time.Second)
+			}
+
+			if known {
+				assert.Assert(t, f.now.Sub(began) <= 3*Every(12), "took %s", f.now.Sub(began))
+			} else {
+				assert.Assert(t, f.now.Sub(began) <= Term(12)+3*Every(12), "took %s", f.now.Sub(began))
+			}
+		})
+	}
+}
+
+// TestReturned: what was counted for a request that did not run can be used
+// again, and nobody gets more than the burst by returning.
+func TestReturned(t *testing.T) {
+	h := Home{}
+	l := team.Limit{PerSecond: 10, Burst: 10}
+	second := Stamp(time.Second)
+
+	h.Lend(Loan{Entry: "e", Groups: math.MaxUint8, Until: 100 * second}, 1, 0)
+
+	for range 10 {
+		assert.Assert(t, h.Draw("a", l, 1, 1, 2*second).Granted)
+	}
+
+	assert.Assert(t, !h.Draw("a", l, 1, 1, 2*second).Granted)
+	h.Return("a", l, 1, 1, 2*second)
+	assert.Assert(t, h.Draw("a", l, 1, 1, 2*second).Granted)
+	h.Return("a", l, 1000, 1, 2*second)
+
+	granted := 0
+	for h.Draw("a", l, 1, 1, 2*second).Granted {
+		granted++
+	}
+
+	assert.Equal(t, granted, 10)
+}
+
+// TestLowered guards against a burst that outlives a lowered limit.
+func TestLowered(t *testing.T) {
+	h := Home{}
+	second := Stamp(time.Second)
+
+	h.Lend(Loan{Entry: "e", Groups: math.MaxUint8, Until: 100 * second}, 1, 0)
+	assert.Assert(t, h.Draw("a", team.Limit{PerSecond: 1000, Burst: 1000}, 1, 1, 2*second).Granted)
+
+	low := team.Limit{PerSecond: 10, Burst: 10}
+	granted := 0
+
+	for h.Draw("a", low, 1, 1, 2*second).Granted {
+		granted++
+	}
+
+	assert.Equal(t, granted, 10)
+	assert.Equal(t, h.Draw("a", low, 1, 1, 2*second).Wait, 100*time.Millisecond)
+}
+
+// TestLargeRequest: a request larger than the burst runs once the burst is
+// full, within what the operators tolerate, and never without.
+func TestLargeRequest(t *testing.T) {
+	l := team.Limit{PerSecond: 2700, Burst: 2700}
+	loan := Loan{Entry: "e", Groups: math.MaxUint8, Until: Stamp(time.Hour)}
+
+	tolerant := Home{Slack: Slack{Tolerance: 11000}}
+	tolerant.Lend(loan, 1, 0)
+	assert.Assert(t, !tolerant.Draw("a", l, 4300, 1, Stamp(500*time.Millisecond)).Granted)
+	assert.Assert(t, tolerant.Draw("a", l, 4300, 1, Stamp(2*time.Second)).Granted)
+
+	strict := Home{}
+	strict.Lend(loan, 1, 0)
+
+	a := strict.Draw("a", l, 4300, 1, Stamp(time.Minute))
+	assert.Assert(t, !a.Granted && a.Wait > 0)
+}
+
+// BenchmarkDraw is one decision of a home of 1,200 entries and 1,000 teams.
+func BenchmarkDraw(b *testing.B) {
+	const entries = 1200
+
+	var h Home
+
+	for i := range entries {
+		h.Lend(Loan{Entry: instance.ID(fmt.Sprint(i)), Groups: math.MaxUint8, Until: Stamp(time.Hour)}, entries, 0)
+	}
+
+	names := make([]string, 1000)
+	for i := range names {
+		names[i] = fmt.Sprint("team-", i)
+	}
+
+	l := team.Limit{PerSecond: 1e9, Burst: 1e9}
+	now := Stamp(time.Second)
+
+	for i := 0; b.Loop(); i++ {
+		now += Stamp(time.Microsecond)
+		h.Draw(names[i%len(names)], l, 1, entries, now)
+	}
+}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
@@ -63,6 +64,8 @@
 	// Entries is how many entries there may be until the others are known.
 	Entries   int
 	Allowance relay.Allowance
+	// Slack is what may pass beyond teams' limits.
+	Slack quota.Slack
 	// Grace is how long a process may take to stop, and TurnPause for how long
 	// no two holders may take turns.
 	Grace, TurnPause time.Duration
@@ -89,6 +92,7 @@
 	page    metric.Page
 	metrics tally.Scope
 	calls   calls
+	quotas  quotas
 	// confirmed is the last check that no newer configuration is in force.
 	confirmed confirmation
 	// unscope ends the metrics' reports.
@@ -146,6 +150,8 @@
 	n.budgets.Share(sharersUnknown)
 	n.work, n.finish = context.WithCancel(context.Background())
 	n.peers.node = n
+	n.quotas.node, n.quotas.soon = n, make(chan struct{}, 1)
+	n.quotas.home.Slack, n.quotas.lender.Started = cfg.Slack, clock.Now()
 	n.peers.roll.Self = roll.Member{ID: cfg.Self, Address: cfg.Peers, Process: n.process, Born: time.Now(), Strength: cfg.Strength}
 
 	n.metrics, n.unscope = n.page.Scope()
@@ -158,7 +164,7 @@
 	})
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Lines: n.lines, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, Confirm: n.confirm, Absent: n.foundAbsent, Moved: n.foundMoved, Unreached: n.foundUnreached, Log: cfg.Log, Metrics: n.metrics,
+		Table: n.routes.Load, Confirm: n.confirm, Limits: &n.quotas, Absent: n.foundAbsent, Moved: n.foundMoved, Unreached: n.foundUnreached, Log: cfg.Log, Metrics: n.metrics,
 	}
 	n.holder = holder.New(holder.Config{
 		Self: cfg.Self, Strength: cfg.Strength, Process: n.process, Table: n.cfg.Table, Engines: cfg.Engines, Terms: terms, TurnPause: cfg.TurnPause,
@@ -236,7 +242,7 @@
 	wg.Go(func() { n.served("metrics", metrics.Serve(metricsListener)) })
 	wg.Go(func() { n.served("peers", news.Serve(work, peerListener, n)) })
 
-	for _, loop := range []func(context.Context){n.watchConfig, n.followConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.sweep, n.logCalls} {
+	for _, loop := range []func(context.Context){n.watchConfig, n.followConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.sweep, n.logCalls} {
 		wg.Go(func() { loop(work) })
 	}
 
@@ -292,6 +298,7 @@
 
 	n.stopping.Store(true)
 	n.relay.Enter(relay.Stopping)
+	n.quotas.release()
 	n.cfg.Log.Info().Int("running", n.relay.Running()).Msg("stopping")
 
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Grace-stopMargin)
--- /dev/null
+++ b/internal/fleet/node/quotas.go
@@ -0,0 +1,397 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
+	"github.com/fulmarcross/fulmarcross/internal/customer/team"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/wire/news"
+)
+
+const (
+	// homesOfLimits is how many entries decide on limits: a death among them
+	// touches a part of the teams only.
+	homesOfLimits = 3
+	// drawAnswers bounds the question whether a request is within its limit: a
+	// lost packet is sent again after 0.2 s.
+	drawAnswers = 250 * time.Millisecond
+	// lendAnswers bounds a loan, which no request waits for.
+	lendAnswers = 400 * time.Millisecond
+	// silentAfter is after how many calls without an answer, one after the other,
+	// an entry is passed over as a home, and silentFor for how long.
+	silentAfter = 2
+	silentFor   = 3 * time.Second
+	// mostOfLimit is the part of a limit from which on a home's refusal is final.
+	// Below it another home may have room.
+	mostOfLimit = 0.75
+)
+
+// quotas keeps this entry's part in the teams' limits: it lends its shares,
+// decides as a home, and asks homes for its own callers. It implements
+// relay.Limiter.
+type quotas struct {
+	node *Node
+	// soon asks for a round of loans at once.
+	soon chan struct{}
+
+	mu     sync.Mutex
+	home   quota.Home
+	lender quota.Lender
+	// homes are the present homes of the groups.
+	homes  [quota.Groups]quota.Process
+	silent map[instance.ID]silence
+	// returns are what was counted for requests that did not run, by team.
+	returns map[string]float64
+}
+
+// silence is how an entry did not answer.
+type silence struct {
+	calls int
+	until time.Time
+}
+
+func (q *quotas) stamp() quota.Stamp { return quota.Stamp(clock.Now().Sub(q.node.started)) }
+
+// known returns how many entries share the limits.
+func (q *quotas) known() int {
+	if !q.node.peers.scanned.Load() {
+		return sharersUnknown
+	}
+
+	return q.node.peers.listed() + 1
+}
+
+func (q *quotas) self() quota.Process {
+	return quota.Process{ID: q.node.cfg.Self, Run: q.node.process}
+}
+
+// run lends this entry's shares until ctx ends.
+func (q *quotas) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c := q.node.config(); c != nil && c.Teams.Limited() {
+			q.round(ctx)
+		}
+
+		t := time.NewTimer(jitter(quota.Every(q.known())))
+
+		select {
+		case <-ctx.Done():
+		case <-q.soon:
+			_ = clock.Sleep(ctx, soonPause) // The loop looks at ctx.
+		case <-t.C:
+		}
+
+		t.Stop()
+	}
+}
+
+// soonPause keeps rounds that are asked for at once apart.
+const soonPause = 20 * time.Millisecond
+
+// round lends once to all homes.
+func (q *quotas) round(ctx context.Context) {
+	homes := q.choose(q.node.peers.alive())
+
+	q.mu.Lock()
+	q.homes = homes
+	loans := q.lender.Loans(homes, q.node.cfg.Self, q.known(), clock.Now())
+	returns := q.returns
+	q.returns = nil
+	q.mu.Unlock()
+
+	for home, loan := range loans {
+		l := news.Lending{Loan: loan, Home: home.Run, Returns: make(map[string]float64)}
+
+		for name, amount := range returns {
+			if homes[quota.GroupOf(name)] == home {
+				l.Returns[name] = amount
+			}
+		}
+
+		go q.lend(ctx, home, l)
+	}
+}
+
+// choose returns the homes of all groups: a few of the strongest entries that
+// are alive and answer.
+func (q *quotas) choose(alive []roll.Member) [quota.Groups]quota.Process {
+	now := clock.Now()
+
+	q.mu.Lock()
+	alive = slices.DeleteFunc(alive, func(m roll.Member) bool { return now.Before(q.silent[m.ID].until) })
+	q.mu.Unlock()
+
+	if !q.node.stopping.Load() {
+		alive = append(alive, q.node.peers.self())
+	}
+
+	slices.SortFunc(alive, func(a, b roll.Member) int {
+		// Peers know each other's strength as a float32 only.
+		return cmp.Or(cmp.Compare(float32(b.Strength), float32(a.Strength)), cmp.Compare(instance.Score("limits", b.ID), instance.Score("limits", a.ID)))
+	})
+
+	strong := alive[:min(homesOfLimits, len(alive))]
+
+	var out [quota.Groups]quota.Process
+
+	for g := range out {
+		name := fmt.Sprint("limits/", g)
+
+		for _, m := range strong {
+			if out[g].ID == "" || instance.Score(name, m.ID) > instance.Score(name, out[g].ID) {
+				out[g] = quota.Process{ID: m.ID, Run: m.Process}
+			}
+		}
+	}
+
+	return out
+}
+
+// lend makes one loan.
+func (q *quotas) lend(ctx context.Context, home quota.Process, l news.Lending) {
+	r, err := q.callLend(ctx, home, l)
+	at := clock.Now()
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	switch {
+	case err != nil:
+		q.noteFailure(home, err)
+	case r.Released || r.Process != home.Run:
+		q.ended(home)
+	default:
+		delete(q.silent, home.ID)
+
+		if q.lender.Heard(home, r.Stamp, at) {
+			poke(q.soon)
+		}
+	}
+}
+
+func (q *quotas) callLend(ctx context.Context, home quota.Process, l news.Lending) (news.Receipt, error) {
+	if home == q.self() {
+		return q.takeLoan(l), nil
+	}
+
+	p := q.node.peers.of(home.ID)
+	if p == nil || p.Process != home.Run {
+		return news.Receipt{Process: processUnknown}, nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, lendAnswers)
+	defer cancel()
+
+	return p.client.Lend(ctx, l)
+}
+
+// processUnknown stands for a process that has taken the place of another.
+const processUnknown = ""
+
+// noteFailure notes a call to a home without an answer. The caller holds the
+// lock.
+func (q *quotas) noteFailure(home quota.Process, err error) {
+	// Only a process that has ended refuses connections.
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		q.ended(home)
+	}
+
+	if q.silent == nil {
+		q.silent = make(map[instance.ID]silence)
+	}
+
+	s := q.silent[home.ID]
+	s.calls++
+
+	if s.calls >= silentAfter || errors.Is(err, syscall.ECONNREFUSED) {
+		s.calls, s.until = 0, clock.Now().Add(silentFor)
+		q.node.cfg.Log.Info().Err(err).Str("home", string(home.ID)).Msg("home of limits passed over")
+		poke(q.soon)
+	}
+
+	q.silent[home.ID] = s
+}
+
+// ended notes that a home's process has ended or stops. The caller holds the
+// lock.
+func (q *quotas) ended(home quota.Process) {
+	q.lender.Ended(home)
+	poke(q.soon)
+}
+
+// Charge implements relay.Limiter.
+func (q *quotas) Charge(ctx context.Context, t *team.Team, cost float64) relay.Charge {
+	out := relay.Charge{Unknown: true}
+
+	for _, home := range q.candidates(quota.GroupOf(t.Name)) {
+		d, err := q.draw(ctx, home, news.Drawing{Team: t.Name, Cost: cost})
+
+		switch {
+		case err != nil || d.Stranger || d.Released || d.Part == 0:
+			continue
+		case d.Granted:
+			return relay.Charge{Granted: true}
+		case out.Unknown || d.Wait < out.RetryAfter:
+			out = relay.Charge{RetryAfter: d.Wait, Part: d.Part}
+		}
+
+		if d.Part >= mostOfLimit {
+			break
+		}
+	}
+
+	return out
+}
+
+// candidates returns whom to ask about a group: first who has this entry's own
+// share.
+func (q *quotas) candidates(group int) []quota.Process {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	out := make([]quota.Process, 0, 2) //nolint:mnd // Seldom more.
+	now := clock.Now()
+
+	if bound, ok := q.lender.With(group, now); ok {
+		out = append(out, bound)
+	}
+
+	if home := q.homes[group]; home.ID != "" && !slices.Contains(out, home) {
+		out = append(out, home)
+	}
+
+	answering := slices.DeleteFunc(slices.Clone(out), func(p quota.Process) bool { return now.Before(q.silent[p.ID].until) })
+	if len(answering) > 0 {
+		return answering
+	}
+
+	return out
+}
+
+// draw asks a home whether a request may run.
+func (q *quotas) draw(ctx context.Context, home quota.Process, d news.Drawing) (news.Drawn, error) {
+	if home == q.self() {
+		return q.decide(d), nil
+	}
+
+	p := q.node.peers.of(home.ID)
+	if p == nil || p.Process != home.Run {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+
+		q.ended(home)
+
+		return news.Drawn{Released: true}, nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, drawAnswers)
+	defer cancel()
+
+	got, err := p.client.Draw(ctx, d)
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	switch {
+	case err != nil && !errors.Is(err, context.Canceled):
+		q.noteFailure(home, err)
+	case err == nil && (got.Released || got.Process != home.Run):
+		q.ended(home)
+	case err == nil:
+		delete(q.silent, home.ID)
+	}
+
+	return got, err
+}
+
+// Refund implements relay.Limiter.
+func (q *quotas) Refund(t *team.Team, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if q.returns == nil {
+		q.returns = make(map[string]float64)
+	}
+
+	q.returns[t.Name] += cost
+}
+
+// decide decides as a home.
+func (q *quotas) decide(d news.Drawing) news.Drawn {
+	c, entries := q.node.config(), q.known()
+	out := news.Drawn{Process: q.node.process, Released: q.node.stopping.Load()}
+
+	if out.Released || c == nil {
+		out.Stranger = c == nil
+
+		return out
+	}
+
+	t := c.Teams.ByName(d.Team)
+	if t == nil {
+		out.Stranger = true
+
+		return out
+	}
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	out.Answer = q.home.Draw(t.Name, t.Limit, d.Cost, entries, q.stamp())
+
+	return out
+}
+
+// takeLoan takes in a loan as a home.
+func (q *quotas) takeLoan(l news.Lending) news.Receipt {
+	c, entries := q.node.config(), q.known()
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	out := news.Receipt{Process: q.node.process, Stamp: q.stamp(), Released: q.node.stopping.Load()}
+	if out.Released || l.Home != q.node.process {
+		return out
+	}
+
+	q.home.Lend(l.Loan, entries, q.stamp())
+
+	if c == nil {
+		return out
+	}
+
+	for name, amount := range l.Returns {
+		if t := c.Teams.ByName(name); t != nil {
+			q.home.Return(name, t.Limit, amount, entries, q.stamp())
+		}
+	}
+
+	q.home.Keep(func(name string) bool { return c.Teams.ByName(name) != nil })
+
+	return out
+}
+
+// release gives back all loans, before this process ends.
+func (q *quotas) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.home.Release(q.stamp())
+}
+
+// Lend implements news.Handler.
+func (n *Node) Lend(l news.Lending) news.Receipt { return n.quotas.takeLoan(l) }
+
+// Draw implements news.Handler.
+func (n *Node) Draw(d news.Drawing) news.Drawn { return n.quotas.decide(d) }
--- a/internal/fleet/node/teams_test.go
+++ b/internal/fleet/node/teams_test.go
@@ -151,3 +151,54 @@
 		})
 	}
 }
+
+// TestLimit: callers of two teams ask at all entries. The one with a limit gets
+// it, and no more; the other one is not held up.
+func TestLimit(t *testing.T) {
+	t.Parallel()
+
+	const (
+		perSecond = 20.0
+		burst     = 10.0
+		span      = 3 * time.Second
+	)
+
+	s := startTeams(t, io.Discard, []team.Team{{Name: "a", Limit: team.Limit{PerSecond: perSecond, Burst: burst}}, {Name: "b"}},
+		map[string][]string{"a": {"ka"}, "b": {"kb"}})
+
+	// By now all have lent their shares, and the burst is full.
+	within(t, 10*time.Second, "no limit was lent", func() bool { return look(t, s.Entries[0], "a-first", "ka").Status == http.StatusOK })
+	time.Sleep(2 * time.Second)
+
+	var (
+		wg  sync.WaitGroup
+		mu  sync.Mutex
+		got = make(map[int]int)
+	)
+
+	for i := range 6 {
+		wg.Go(func() {
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				r := look(t, s.Entries[i%3], "a-x", "ka")
+
+				mu.Lock()
+				got[r.Status]++
+				mu.Unlock()
+
+				if r.Status == http.StatusTooManyRequests {
+					assert.Assert(t, r.Header.Get("Retry-After") != "")
+				}
+
+				assert.Equal(t, look(t, s.Entries[i%3], "b-x", "kb").Status, http.StatusOK)
+			}
+		})
+	}
+
+	wg.Wait()
+
+	most := perSecond*(span+200*time.Millisecond).Seconds() + burst
+	assert.Assert(t, float64(got[http.StatusOK]) <= most, "%v", got)
+	assert.Assert(t, float64(got[http.StatusOK]) >= 0.8*perSecond*span.Seconds(), "%v", got)
+	assert.Assert(t, got[http.StatusTooManyRequests] > 0, "%v", got)
+	assert.Equal(t, len(got), 2, "%v", got)
+}
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -39,6 +39,10 @@
 	View(have Versions) View
 	// Block takes in a request that crashes the targets that run it.
 	Block(fp request.Fingerprint)
+	// Lend takes in a peer's shares of teams' limits.
+	Lend(l Lending) Receipt
+	// Draw decides whether a peer's request is within its team's limit.
+	Draw(d Drawing) Drawn
 }
 
 const serviceName = "Entry"
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
+	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
@@ -32,6 +33,8 @@
 	report   demand.Report
 	missing  []holder.Missing
 	blocked  request.Fingerprint
+	lending  Lending
+	drawing  Drawing
 }
 
 func (e *echo) Greet(g Greeting) Greeting {
@@ -58,6 +61,18 @@
 	}}}
 }
 
+func (e *echo) Lend(l Lending) Receipt {
+	e.lending = l
+
+	return Receipt{Process: "p", Stamp: quota.Stamp(1500 * time.Millisecond), Released: true}
+}
+
+func (e *echo) Draw(d Drawing) Drawn {
+	e.drawing = d
+
+	return Drawn{Answer: quota.Answer{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5}, Process: "p", Stranger: true, Released: true}
+}
+
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
 
 // TestCallsArrive holds that every call reaches the handler with all that it
@@ -130,6 +145,19 @@
 
 	assert.NilError(t, c.Block(t.Context(), 9))
 	assert.Equal(t, got.blocked, request.Fingerprint(9))
+
+	lending := Lending{
+		Loan: quota.Loan{Entry: "e", Groups: 5, Until: quota.Stamp(2 * time.Second)}, Home: "h", Returns: map[string]float64{"team": 1540},
+	}
+	receipt, err := c.Lend(t.Context(), lending)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.lending, lending)
+	assert.Equal(t, receipt, Receipt{Process: "p", Stamp: quota.Stamp(1500 * time.Millisecond), Released: true})
+
+	drawn, err := c.Draw(t.Context(), Drawing{Team: "team", Cost: 646})
+	assert.NilError(t, err)
+	assert.Equal(t, got.drawing, Drawing{Team: "team", Cost: 646})
+	assert.Equal(t, drawn, Drawn{Answer: quota.Answer{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5}, Process: "p", Stranger: true, Released: true})
 }
 
 // BenchmarkHear is one telling of a delta with one station over loopback, both
