feat: limits are lent in two parts, for 0.6 s, and waited for after a start

- Each share is lent in two parts to two homes; a request that one of them has no room for is put to the other.
- A loan lasts 0.6 s instead of 1.25 s.
- After a start the strongest eight are asked what they hold of the process before, instead of waiting a term; where nobody listens nothing is held.

Ruled out: to start with a part of the burst after a restart, which would fit into the operators' tolerance but give more than the whole.

--- a/internal/customer/quota/home.go
+++ b/internal/customer/quota/home.go
@@ -20,20 +20,30 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 )
 
-// Groups is how many groups of limits there are.
-const Groups = 8
+const (
+	// Groups is how many groups of limits there are.
+	Groups = 8
+	// Parts is in how many parts an entry lends its share of a group, to a home
+	// each: while one of them dies, the other has room for what is usual.
+	Parts = 2
+	// Slots is how many parts of shares an entry has.
+	Slots = Groups * Parts
+)
 
 // GroupOf returns the group of a team's limit.
 func GroupOf(name string) int { return int(xxhash.Sum64String(name) % Groups) }
 
-// GroupSet is a set of groups, one bit each.
-type GroupSet uint8
+// SlotOf returns the slot of a part of a group.
+func SlotOf(group, part int) int { return group*Parts + part }
+
+// SlotSet is a set of slots, one bit each.
+type SlotSet uint16
 
-// With returns the set with a group added.
-func (s GroupSet) With(group int) GroupSet { return s | 1<<group }
+// With returns the set with a slot added.
+func (s SlotSet) With(slot int) SlotSet { return s | 1<<slot }
 
-// Has reports whether a group is in the set.
-func (s GroupSet) Has(group int) bool { return s&(1<<group) != 0 }
+// Has reports whether a slot is in the set.
+func (s SlotSet) Has(slot int) bool { return s&(1<<slot) != 0 }
 
 // Slack is what the operators let pass beyond a limit.
 type Slack struct {
@@ -44,10 +54,10 @@
 // Stamp is a time on a home's own clock: how long its process has run.
 type Stamp time.Duration
 
-// Loan is an entry's word that a home may use its share of some groups.
+// Loan is an entry's word that a home may use parts of its share.
 type Loan struct {
-	Entry  instance.ID
-	Groups GroupSet
+	Entry instance.ID
+	Slots SlotSet
 	// Until is on the home's clock, as the entry last heard it, so that a loan
 	// that arrives late is void.
 	Until Stamp
@@ -67,9 +77,9 @@
 type Home struct {
 	Slack Slack
 
-	loans map[instance.ID]*[Groups]Stamp
-	// lent counts the loans of each group, as of the last count; the first of
-	// them ends at expiry.
+	loans map[instance.ID]*[Slots]Stamp
+	// lent counts the parts that are lent of each group, as of the last count; the
+	// first of them ends at expiry.
 	lent    [Groups]int
 	expiry  Stamp
 	pools   [Groups]pool
@@ -103,18 +113,18 @@
 	}
 
 	if h.loans == nil {
-		h.loans = make(map[instance.ID]*[Groups]Stamp)
+		h.loans = make(map[instance.ID]*[Slots]Stamp)
 	}
 
 	until := h.loans[l.Entry]
 	if until == nil {
-		until = new([Groups]Stamp)
+		until = new([Slots]Stamp)
 		h.loans[l.Entry] = until
 	}
 
-	for g := range Groups {
-		if l.Groups.Has(g) {
-			until[g] = max(until[g], l.Until)
+	for slot := range Slots {
+		if l.Slots.Has(slot) {
+			until[slot] = max(until[slot], l.Until)
 		}
 	}
 
@@ -122,6 +132,21 @@
 	h.advance(entries, now)
 }
 
+// Held returns the slots of an entry's share that are lent to this home.
+func (h *Home) Held(entry instance.ID, now Stamp) SlotSet {
+	var out SlotSet
+
+	if until := h.loans[entry]; until != nil {
+		for slot, t := range until {
+			if t > now {
+				out = out.With(slot)
+			}
+		}
+	}
+
+	return out
+}
+
 // Release forgets all loans. The entries may lend their shares elsewhere once
 // they hear of it.
 func (h *Home) Release(now Stamp) {
@@ -137,9 +162,9 @@
 	for id, until := range h.loans {
 		kept := false
 
-		for g, t := range until {
+		for slot, t := range until {
 			if t > now {
-				h.lent[g]++
+				h.lent[slot/Parts]++
 				h.expiry = min(h.expiry, t)
 
 				kept = true
@@ -160,25 +185,25 @@
 		h.count(now)
 	}
 
-	var shrunk GroupSet
+	var shrunk [Groups]bool
 
 	for g := range h.pools {
 		p := &h.pools[g]
-		part := min(1, float64(h.lent[g])/float64(max(1, entries)))
+		part := min(1, float64(h.lent[g])/float64(Parts*max(1, entries)))
 
 		if part < p.part {
-			shrunk = shrunk.With(g)
+			shrunk[g] = true
 		}
 
 		p.advance(part, now)
 	}
 
-	if shrunk == 0 {
+	if shrunk == [Groups]bool{} {
 		return
 	}
 
 	for _, b := range h.buckets {
-		if shrunk.Has(b.group) {
+		if shrunk[b.group] {
 			b.fill(&h.pools[b.group])
 		}
 	}
--- a/internal/customer/quota/lender.go
+++ b/internal/customer/quota/lender.go
@@ -8,8 +8,9 @@
 
 const (
 	// lendLeast is the least time between two loans to a home, and lendPace the
-	// same for each entry that there is: a home takes at most 500 a second.
-	lendLeast = 500 * time.Millisecond
+	// same for each entry that there is: a home takes at most 500 a second. Loans are
+	// short, because what is lent to a home that dies is not there until they end.
+	lendLeast = 250 * time.Millisecond
 	lendPace  = 2 * time.Millisecond
 	// termRounds is for how many rounds a share is lent, so that one that is lost
 	// does not end the loan.
@@ -17,6 +18,9 @@
 	// drift is how much longer an entry keeps to a loan than the home, whose
 	// clock may run slower.
 	drift = 50 * time.Millisecond
+	// forgetReceipts is after what time a home's clock is forgotten; loans are
+	// shorter.
+	forgetReceipts = time.Minute
 )
 
 // Every returns the time between two rounds of loans among so many entries.
@@ -34,19 +38,27 @@
 	Run string
 }
 
-// Lender decides to whom an entry lends its share of each group. Set Started
-// before use. It is not safe for concurrent use.
+// Homes are whom to lend each slot.
+type Homes [Slots]Process
+
+// Lender decides to whom an entry lends its share. Set Started before use. It is
+// not safe for concurrent use.
 type Lender struct {
 	// Started is when this process started. The process before it may have lent
-	// the same share a moment earlier, so that nothing is lent for one term.
+	// the same share a moment earlier.
 	Started time.Time
-
-	// bound are the homes that may still use this entry's share, until when.
-	bound [Groups]bond
+	// Former are the entries that may have been homes then.
+	Former []instance.ID
+
+	// held are what the processes on instances say that this entry has lent them.
+	// A process that started later than this one holds nothing.
+	held map[instance.ID]SlotSet
+	// bound are the homes that may still use a slot, until when.
+	bound [Slots]bond
 	heard map[Process]receipt
 }
 
-// bond is a share that is lent.
+// bond is a slot that is lent.
 type bond struct {
 	to    Process
 	until time.Time
@@ -58,30 +70,30 @@
 	at    time.Time
 }
 
-// Loans returns what to lend to whom, when the homes of all groups are known. A
-// home that was not heard lately is asked for its clock, by a loan of nothing.
-// What is returned counts as lent.
-func (l *Lender) Loans(homes [Groups]Process, self instance.ID, entries int, now time.Time) map[Process]Loan {
+// Loans returns what to lend to whom. A home that was not heard lately is asked
+// for its clock, by a loan of nothing. What is returned counts as lent.
+func (l *Lender) Loans(homes Homes, self instance.ID, entries int, now time.Time) map[Process]Loan {
 	out := make(map[Process]Loan)
 	term := Term(entries)
+	settled := now.Sub(l.Started) >= term+drift
 
-	for g, to := range homes {
+	for slot, to := range homes {
 		if to.ID == "" {
 			continue
 		}
 
-		loan, started := out[to]
-		if !started {
+		loan, begun := out[to]
+		if !begun {
 			loan = Loan{Entry: self}
 		}
 
-		r, heard := l.heard[to]
-		fresh := heard && now.Sub(r.at) < term
+		h, known := l.heard[to]
+		fresh := known && now.Sub(h.at) < term
 
-		if fresh && l.free(g, to, now, term) {
-			loan.Groups = loan.Groups.With(g)
-			loan.Until = r.stamp + Stamp(term)
-			l.bound[g] = bond{to: to, until: later(l.bound[g].until, r.at.Add(term+drift))}
+		if fresh && l.free(slot, to, now) && (settled || l.unlent(slot, to.ID)) {
+			loan.Slots = loan.Slots.With(slot)
+			loan.Until = h.stamp + Stamp(term)
+			l.bound[slot] = bond{to: to, until: later(l.bound[slot].until, h.at.Add(term+drift))}
 		}
 
 		out[to] = loan
@@ -90,19 +102,42 @@
 	return out
 }
 
-// free reports whether a share may be lent to a home: nobody else can use it.
-func (l *Lender) free(group int, to Process, now time.Time, term time.Duration) bool {
-	if now.Sub(l.Started) < term+drift {
-		return false
+// free reports whether a slot may be lent to a home: this process has lent it to
+// nobody else.
+func (l *Lender) free(slot int, to Process, now time.Time) bool {
+	b := l.bound[slot]
+
+	return b.to == to || !now.Before(b.until)
+}
+
+// unlent reports whether a former process of this entry has lent a slot to nobody
+// but the home: all that may have been homes have answered.
+//
+// It answers the restart of all entries at once, after which nothing was lent and
+// no team with a limit is served until shares are.
+func (l *Lender) unlent(slot int, home instance.ID) bool {
+	for _, id := range l.Former {
+		held, answered := l.held[id]
+		if id != home && (!answered || held.Has(slot)) {
+			return false
+		}
 	}
 
-	b := l.bound[group]
+	return len(l.Former) > 0
+}
 
-	return b.to == to || !now.Before(b.until)
+// Holds takes in what the process on an instance holds of this entry's share;
+// where no process runs, that is nothing.
+func (l *Lender) Holds(id instance.ID, held SlotSet) {
+	if l.held == nil {
+		l.held = make(map[instance.ID]SlotSet)
+	}
+
+	l.held[id] = held
 }
 
-// Heard takes in a home's clock. at is when its answer arrived. It reports
-// whether the home was not known before, so that a loan may follow at once.
+// Heard takes in a home's clock. at is when its answer arrived. It reports whether the
+// home was not known lately, so that a loan may follow at once.
 func (l *Lender) Heard(home Process, stamp Stamp, at time.Time) bool {
 	if l.heard == nil {
 		l.heard = make(map[Process]receipt)
@@ -111,8 +146,8 @@
 	old, known := l.heard[home]
 	l.heard[home] = receipt{stamp: stamp, at: at}
 
-	for p, r := range l.heard {
-		if at.Sub(r.at) > forgetReceipts {
+	for p, h := range l.heard {
+		if at.Sub(h.at) > forgetReceipts {
 			delete(l.heard, p)
 		}
 	}
@@ -120,25 +155,21 @@
 	return !known || at.Sub(old.at) > lendLeast*2 //nolint:mnd // Two rounds.
 }
 
-// forgetReceipts is after what time a home's clock is forgotten; loans are
-// shorter.
-const forgetReceipts = time.Minute
-
 // Ended frees what was lent to a home's process that has ended or that gave all
 // loans back.
 func (l *Lender) Ended(home Process) {
 	delete(l.heard, home)
 
-	for g := range l.bound {
-		if l.bound[g].to == home {
-			l.bound[g] = bond{}
+	for slot := range l.bound {
+		if l.bound[slot].to == home {
+			l.bound[slot] = bond{}
 		}
 	}
 }
 
-// With returns who may use this entry's share of a group now.
-func (l *Lender) With(group int, now time.Time) (Process, bool) {
-	b := l.bound[group]
+// With returns who may use a slot of this entry's share now.
+func (l *Lender) With(slot int, now time.Time) (Process, bool) {
+	b := l.bound[slot]
 
 	return b.to, b.to.ID != "" && now.Before(b.until)
 }
--- a/internal/customer/quota/quota_test.go
+++ b/internal/customer/quota/quota_test.go
@@ -61,6 +61,9 @@
 
 const simulated = "team"
 
+// choices is how many entries may be homes.
+const choices = 3
+
 func newFleet(n int, limit team.Limit, slack Slack) *fleet {
 	f := &fleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), limit: limit}
 
@@ -96,9 +99,19 @@
 func (f *fleet) lend(e *entry, lost, delay bool) {
 	home := f.homeOf(e)
 
-	var homes [Groups]Process
-	for g := range homes {
-		homes[g] = home.process()
+	var homes Homes
+	for slot := range homes {
+		homes[slot] = home.process()
+	}
+
+	// After a start all that may have been homes are asked.
+	e.lender.Former = nil
+	for _, other := range f.entries[:choices] {
+		e.lender.Former = append(e.lender.Former, other.id)
+
+		if f.reaches(e, other) && f.now.Sub(e.born) < time.Second {
+			e.lender.Holds(other.id, other.home.Held(e.id, f.stamp(other)))
+		}
 	}
 
 	for to, loan := range e.lender.Loans(homes, e.id, len(f.entries), f.now) {
@@ -133,7 +146,7 @@
 
 // draw asks a home for a request of an entry, and reports whether it ran.
 func (f *fleet) draw(e *entry, cost float64) (Answer, bool) {
-	to, bound := e.lender.With(GroupOf(simulated), f.now)
+	to, bound := e.lender.With(SlotOf(GroupOf(simulated), 0), f.now)
 	home := f.homeOf(e)
 
 	if bound {
@@ -164,7 +177,7 @@
 		homes := 0
 
 		for _, e := range f.entries {
-			if until := e.home.loans[lender.id]; until != nil && until[GroupOf(simulated)] > f.stamp(e) {
+			if until := e.home.loans[lender.id]; until != nil && until[SlotOf(GroupOf(simulated), 0)] > f.stamp(e) {
 				homes++
 			}
 		}
@@ -231,7 +244,7 @@
 			f.deliver()
 
 			for _, e := range f.entries {
-				if f.runs(e) && r.IntN(5) == 0 {
+				if f.runs(e) && r.IntN(3) == 0 {
 					f.lend(e, r.IntN(20) == 0, r.IntN(20) == 0)
 				}
 			}
@@ -273,8 +286,6 @@
 
 func (f *fleet) trouble(r *rand.Rand) {
 	e := f.entries[r.IntN(len(f.entries))]
-	choices := min(3, len(f.entries))
-
 	switch r.IntN(150) {
 	case 0, 1:
 		e.start(f.now)
@@ -317,7 +328,7 @@
 			for step := range int(span / (50 * time.Millisecond)) {
 				f.now = f.now.Add(50 * time.Millisecond)
 
-				if step%10 == 0 {
+				if step%5 == 0 {
 					for _, e := range f.entries {
 						f.lend(e, false, false)
 					}
@@ -401,7 +412,7 @@
 	l := team.Limit{PerSecond: 10, Burst: 10}
 	second := Stamp(time.Second)
 
-	h.Lend(Loan{Entry: "e", Groups: math.MaxUint8, Until: 100 * second}, 1, 0)
+	h.Lend(Loan{Entry: "e", Slots: math.MaxUint16, Until: 100 * second}, 1, 0)
 
 	for range 10 {
 		assert.Assert(t, h.Draw("a", l, 1, 1, 2*second).Granted)
@@ -425,7 +436,7 @@
 	h := Home{}
 	second := Stamp(time.Second)
 
-	h.Lend(Loan{Entry: "e", Groups: math.MaxUint8, Until: 100 * second}, 1, 0)
+	h.Lend(Loan{Entry: "e", Slots: math.MaxUint16, Until: 100 * second}, 1, 0)
 	assert.Assert(t, h.Draw("a", team.Limit{PerSecond: 1000, Burst: 1000}, 1, 1, 2*second).Granted)
 
 	low := team.Limit{PerSecond: 10, Burst: 10}
@@ -443,7 +454,7 @@
 // full, within what the operators tolerate, and never without.
 func TestLargeRequest(t *testing.T) {
 	l := team.Limit{PerSecond: 2700, Burst: 2700}
-	loan := Loan{Entry: "e", Groups: math.MaxUint8, Until: Stamp(time.Hour)}
+	loan := Loan{Entry: "e", Slots: math.MaxUint16, Until: Stamp(time.Hour)}
 
 	tolerant := Home{Slack: Slack{Tolerance: 11000}}
 	tolerant.Lend(loan, 1, 0)
@@ -464,7 +475,7 @@
 	var h Home
 
 	for i := range entries {
-		h.Lend(Loan{Entry: instance.ID(fmt.Sprint(i)), Groups: math.MaxUint8, Until: Stamp(time.Hour)}, entries, 0)
+		h.Lend(Loan{Entry: instance.ID(fmt.Sprint(i)), Slots: math.MaxUint16, Until: Stamp(time.Hour)}, entries, 0)
 	}
 
 	names := make([]string, 1000)
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -264,6 +264,14 @@
 	return p.of(alive[rand.IntN(len(alive))].ID) //nolint:gosec // No secret.
 }
 
+// all returns all peers that are listed, alive or not.
+func (p *peers) all() []roll.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.roll.All()
+}
+
 // self returns this process as the others see it.
 func (p *peers) self() roll.Member {
 	p.mu.Lock()
--- a/internal/fleet/node/quotas.go
+++ b/internal/fleet/node/quotas.go
@@ -23,17 +23,23 @@
 	// homesOfLimits is how many entries decide on limits: a death among them
 	// touches a part of the teams only.
 	homesOfLimits = 3
+	// formerHomes is how many of the strongest entries are asked after a start
+	// whether the process before had lent them something: a home is not among them
+	// only where more than half of them were passed over.
+	formerHomes = 8
 	// drawAnswers bounds the question whether a request is within its limit: a
 	// lost packet is sent again after 0.2 s.
 	drawAnswers = 250 * time.Millisecond
 	// lendAnswers bounds a loan, which no request waits for.
 	lendAnswers = 400 * time.Millisecond
 	// silentAfter is after how many calls without an answer, one after the other,
-	// an entry is passed over as a home, and silentFor for how long.
-	silentAfter = 2
-	silentFor   = 3 * time.Second
-	// mostOfLimit is the part of a limit from which on a home's refusal is final.
-	// Below it another home may have room.
+	// an entry is passed over as a home, and silentFor for how long, doubled each
+	// time up to eight times: one that lost power stays on the list for long.
+	silentAfter  = 2
+	silentFor    = 3 * time.Second
+	silentDouble = 3
+	// mostOfLimit is the part of a limit from which on the refusals of its homes
+	// are final. Below it another home may have room.
 	mostOfLimit = 0.75
 )
 
@@ -48,17 +54,20 @@
 	mu     sync.Mutex
 	home   quota.Home
 	lender quota.Lender
-	// homes are the present homes of the groups.
-	homes  [quota.Groups]quota.Process
+	// homes are the present homes of the limits.
+	homes  quota.Homes
 	silent map[instance.ID]silence
+	// answered are the entries that have answered since this process started.
+	answered map[instance.ID]bool
 	// returns are what was counted for requests that did not run, by team.
 	returns map[string]float64
 }
 
 // silence is how an entry did not answer.
 type silence struct {
-	calls int
-	until time.Time
+	// calls had no answer since it was last passed over, times how often it was.
+	calls, times int
+	until        time.Time
 }
 
 func (q *quotas) stamp() quota.Stamp { return quota.Stamp(clock.Now().Sub(q.node.started)) }
@@ -101,20 +110,27 @@
 
 // round lends once to all homes.
 func (q *quotas) round(ctx context.Context) {
-	homes := q.choose(q.node.peers.alive())
+	former := q.former()
+	homes := q.choose(q.present())
 
 	q.mu.Lock()
-	q.homes = homes
+	q.homes, q.lender.Former = homes, former
 	loans := q.lender.Loans(homes, q.node.cfg.Self, q.known(), clock.Now())
 	returns := q.returns
 	q.returns = nil
 	q.mu.Unlock()
 
+	if clock.Now().Sub(q.lender.Started) < formerAsked {
+		for _, id := range former {
+			go q.ask(ctx, id)
+		}
+	}
+
 	for home, loan := range loans {
 		l := news.Lending{Loan: loan, Home: home.Run, Returns: make(map[string]float64)}
 
 		for name, amount := range returns {
-			if homes[quota.GroupOf(name)] == home {
+			if homes[quota.SlotOf(quota.GroupOf(name), 0)] == home {
 				l.Returns[name] = amount
 			}
 		}
@@ -123,9 +139,87 @@
 	}
 }
 
-// choose returns the homes of all groups: a few of the strongest entries that
-// are alive and answer.
-func (q *quotas) choose(alive []roll.Member) [quota.Groups]quota.Process {
+// formerAsked is for how long after a start entries are asked what they hold of
+// the process before; by then its loans have ended.
+const formerAsked = 2 * time.Second
+
+// former returns the entries that may have been homes before this process
+// started, if all entries are known.
+func (q *quotas) former() []instance.ID {
+	if !q.node.peers.scanned.Load() {
+		return nil
+	}
+
+	strong := strongest(q.node.peers.all(), formerHomes)
+	out := make([]instance.ID, len(strong))
+
+	for i, m := range strong {
+		out[i] = m.ID
+	}
+
+	return out
+}
+
+// ask asks an entry what it holds of this entry's share.
+func (q *quotas) ask(ctx context.Context, id instance.ID) {
+	p := q.node.peers.of(id)
+	if p == nil {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, lendAnswers)
+	defer cancel()
+
+	r, err := p.client.Lend(ctx, news.Lending{Loan: quota.Loan{Entry: q.node.cfg.Self}})
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if err == nil && !q.answered[id] {
+		if q.answered == nil {
+			q.answered = make(map[instance.ID]bool)
+		}
+
+		q.answered[id] = true
+
+		poke(q.soon)
+	}
+
+	// Where nobody listens, whoever comes started after this process.
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		q.lender.Holds(id, r.Held)
+	}
+}
+
+// present returns the members that are known to be there: those that are alive,
+// and after a start, when few were heard yet, those that have answered.
+func (q *quotas) present() []roll.Member {
+	out := q.node.peers.alive()
+
+	if clock.Now().Sub(q.lender.Started) > formerAsked {
+		return out
+	}
+
+	known := make(map[instance.ID]bool, len(out))
+	for _, m := range out {
+		known[m.ID] = true
+	}
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, m := range q.node.peers.likely() {
+		if q.answered[m.ID] && !known[m.ID] {
+			out = append(out, m)
+		}
+	}
+
+	return out
+}
+
+// choose returns the homes of all limits: a few of the strongest entries that are
+// alive and answer. The parts of a group have different homes.
+func (q *quotas) choose(alive []roll.Member) quota.Homes {
 	now := clock.Now()
 
 	q.mu.Lock()
@@ -136,21 +230,36 @@
 		alive = append(alive, q.node.peers.self())
 	}
 
-	slices.SortFunc(alive, func(a, b roll.Member) int {
+	return divide(strongest(alive, homesOfLimits))
+}
+
+// strongest returns so many of the strongest members, in an order on which all
+// entries agree.
+func strongest(members []roll.Member, n int) []roll.Member {
+	slices.SortFunc(members, func(a, b roll.Member) int {
 		// Peers know each other's strength as a float32 only.
 		return cmp.Or(cmp.Compare(float32(b.Strength), float32(a.Strength)), cmp.Compare(instance.Score("limits", b.ID), instance.Score("limits", a.ID)))
 	})
 
-	strong := alive[:min(homesOfLimits, len(alive))]
+	return members[:min(n, len(members))]
+}
 
-	var out [quota.Groups]quota.Process
+// divide divides the limits among their homes.
+func divide(among []roll.Member) quota.Homes {
+	var out quota.Homes
 
-	for g := range out {
-		name := fmt.Sprint("limits/", g)
+	ids, runs := make([]instance.ID, len(among)), make(map[instance.ID]string)
+	for i, m := range among {
+		ids[i], runs[m.ID] = m.ID, m.Process
+	}
 
-		for _, m := range strong {
-			if out[g].ID == "" || instance.Score(name, m.ID) > instance.Score(name, out[g].ID) {
-				out[g] = quota.Process{ID: m.ID, Run: m.Process}
+	for g := range quota.Groups {
+		ranked := instance.Rank(fmt.Sprint("limits/", g), ids)
+
+		for part := range quota.Parts {
+			if len(ranked) > 0 {
+				id := ranked[part%len(ranked)]
+				out[quota.SlotOf(g, part)] = quota.Process{ID: id, Run: runs[id]}
 			}
 		}
 	}
@@ -169,8 +278,13 @@
 	switch {
 	case err != nil:
 		q.noteFailure(home, err)
-	case r.Released || r.Process != home.Run:
+	case r.Released:
+		q.ended(home)
+	case r.Process != home.Run:
 		q.ended(home)
+
+		// Whoever is on the list there has ended; a greeting brings its successor.
+		go func() { _ = q.node.peers.greet(ctx, home.ID) }() // The next round finds out.
 	default:
 		delete(q.silent, home.ID)
 
@@ -215,7 +329,8 @@
 	s.calls++
 
 	if s.calls >= silentAfter || errors.Is(err, syscall.ECONNREFUSED) {
-		s.calls, s.until = 0, clock.Now().Add(silentFor)
+		s.calls, s.until = 0, clock.Now().Add(silentFor<<min(s.times, silentDouble))
+		s.times++
 		q.node.cfg.Log.Info().Err(err).Str("home", string(home.ID)).Msg("home of limits passed over")
 		poke(q.soon)
 	}
@@ -230,9 +345,32 @@
 	poke(q.soon)
 }
 
-// Charge implements relay.Limiter.
+const (
+	// unknownPatience is for how long a request waits for homes that decide on most
+	// of its team's limit: after a restart of all entries shares are lent within a
+	// term.
+	unknownPatience = 800 * time.Millisecond
+	unknownPause    = 40 * time.Millisecond
+)
+
+// Charge implements relay.Limiter. It refuses at once what is beyond the limit,
+// and waits a moment only where most of it is lent to nobody yet.
 func (q *quotas) Charge(ctx context.Context, t *team.Team, cost float64) relay.Charge {
+	until := time.Now().Add(unknownPatience)
+
+	for {
+		out := q.chargeNow(ctx, t, cost)
+		known := out.Granted || !out.Unknown && out.Part >= mostOfLimit
+
+		if known || time.Now().After(until) || clock.Sleep(ctx, unknownPause) != nil {
+			return out
+		}
+	}
+}
+
+func (q *quotas) chargeNow(ctx context.Context, t *team.Team, cost float64) relay.Charge {
 	out := relay.Charge{Unknown: true}
+	part := 0.0
 
 	for _, home := range q.candidates(quota.GroupOf(t.Name)) {
 		d, err := q.draw(ctx, home, news.Drawing{Team: t.Name, Cost: cost})
@@ -243,32 +381,38 @@
 		case d.Granted:
 			return relay.Charge{Granted: true}
 		case out.Unknown || d.Wait < out.RetryAfter:
-			out = relay.Charge{RetryAfter: d.Wait, Part: d.Part}
+			out = relay.Charge{RetryAfter: d.Wait}
 		}
 
-		if d.Part >= mostOfLimit {
+		if part += d.Part; part >= mostOfLimit {
 			break
 		}
 	}
 
+	out.Part = part
+
 	return out
 }
 
-// candidates returns whom to ask about a group: first who has this entry's own
-// share.
+// candidates returns whom to ask about a group: first who have this entry's own
+// share, then who should.
 func (q *quotas) candidates(group int) []quota.Process {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	out := make([]quota.Process, 0, 2) //nolint:mnd // Seldom more.
+	out := make([]quota.Process, 0, 2*quota.Parts)
 	now := clock.Now()
 
-	if bound, ok := q.lender.With(group, now); ok {
-		out = append(out, bound)
+	for part := range quota.Parts {
+		if bound, ok := q.lender.With(quota.SlotOf(group, part), now); ok && !slices.Contains(out, bound) {
+			out = append(out, bound)
+		}
 	}
 
-	if home := q.homes[group]; home.ID != "" && !slices.Contains(out, home) {
-		out = append(out, home)
+	for part := range quota.Parts {
+		if home := q.homes[quota.SlotOf(group, part)]; home.ID != "" && !slices.Contains(out, home) {
+			out = append(out, home)
+		}
 	}
 
 	answering := slices.DeleteFunc(slices.Clone(out), func(p quota.Process) bool { return now.Before(q.silent[p.ID].until) })
@@ -360,12 +504,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	out := news.Receipt{Process: q.node.process, Stamp: q.stamp(), Released: q.node.stopping.Load()}
+	now := q.stamp()
+	out := news.Receipt{Process: q.node.process, Stamp: now, Held: q.home.Held(l.Entry, now), Released: q.node.stopping.Load()}
+
 	if out.Released || l.Home != q.node.process {
 		return out
 	}
 
-	q.home.Lend(l.Loan, entries, q.stamp())
+	q.home.Lend(l.Loan, entries, now)
 
 	if c == nil {
 		return out
@@ -373,7 +519,7 @@
 
 	for name, amount := range l.Returns {
 		if t := c.Teams.ByName(name); t != nil {
-			q.home.Return(name, t.Limit, amount, entries, q.stamp())
+			q.home.Return(name, t.Limit, amount, entries, now)
 		}
 	}
 
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -155,6 +155,7 @@
 	}
 
 	poke(n.changed)
+	poke(n.quotas.soon)
 	n.holder.Announce()
 }
 
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -64,7 +64,7 @@
 func (e *echo) Lend(l Lending) Receipt {
 	e.lending = l
 
-	return Receipt{Process: "p", Stamp: quota.Stamp(1500 * time.Millisecond), Released: true}
+	return Receipt{Process: "p", Stamp: quota.Stamp(1500 * time.Millisecond), Held: 0x8001, Released: true}
 }
 
 func (e *echo) Draw(d Drawing) Drawn {
@@ -147,12 +147,12 @@
 	assert.Equal(t, got.blocked, request.Fingerprint(9))
 
 	lending := Lending{
-		Loan: quota.Loan{Entry: "e", Groups: 5, Until: quota.Stamp(2 * time.Second)}, Home: "h", Returns: map[string]float64{"team": 1540},
+		Loan: quota.Loan{Entry: "e", Slots: 0x8005, Until: quota.Stamp(2 * time.Second)}, Home: "h", Returns: map[string]float64{"team": 1540},
 	}
 	receipt, err := c.Lend(t.Context(), lending)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got.lending, lending)
-	assert.Equal(t, receipt, Receipt{Process: "p", Stamp: quota.Stamp(1500 * time.Millisecond), Released: true})
+	assert.Equal(t, receipt, Receipt{Process: "p", Stamp: quota.Stamp(1500 * time.Millisecond), Held: 0x8001, Released: true})
 
 	drawn, err := c.Draw(t.Context(), Drawing{Team: "team", Cost: 646})
 	assert.NilError(t, err)
--- a/internal/wire/news/quota.go
+++ b/internal/wire/news/quota.go
@@ -23,6 +23,8 @@
 	// Process is the home's, and Stamp its clock.
 	Process string
 	Stamp   quota.Stamp
+	// Held is what the home holds of the sender's share.
+	Held quota.SlotSet
 	// Released says that the home stops and uses nothing that it was lent.
 	Released bool
 }
@@ -50,7 +52,7 @@
 	_ struct{} `cbor:",toarray"`
 
 	Entry   string
-	Groups  uint8
+	Slots   uint16
 	UntilMs int64
 	Home    string
 	Returns map[string]float64
@@ -62,6 +64,7 @@
 
 	Process  string
 	StampMs  int64
+	Held     uint16
 	Released bool
 }
 
@@ -89,11 +92,11 @@
 func (s service) Lend(in LendingMessage, out *ReceiptMessage) error {
 	r := s.h.Lend(Lending{
 		Loan: quota.Loan{
-			Entry: instance.ID(in.Entry), Groups: quota.GroupSet(in.Groups), Until: quota.Stamp(time.Duration(in.UntilMs) * time.Millisecond),
+			Entry: instance.ID(in.Entry), Slots: quota.SlotSet(in.Slots), Until: quota.Stamp(time.Duration(in.UntilMs) * time.Millisecond),
 		},
 		Home: in.Home, Returns: in.Returns,
 	})
-	*out = ReceiptMessage{Process: r.Process, StampMs: time.Duration(r.Stamp).Milliseconds(), Released: r.Released}
+	*out = ReceiptMessage{Process: r.Process, StampMs: time.Duration(r.Stamp).Milliseconds(), Held: uint16(r.Held), Released: r.Released}
 
 	return nil
 }
@@ -111,7 +114,7 @@
 // Lend lends shares of limits to the peer.
 func (c *Client) Lend(ctx context.Context, l Lending) (Receipt, error) {
 	in := LendingMessage{
-		Entry: string(l.Entry), Groups: uint8(l.Groups), UntilMs: time.Duration(l.Until).Milliseconds(), Home: l.Home, Returns: l.Returns,
+		Entry: string(l.Entry), Slots: uint16(l.Slots), UntilMs: time.Duration(l.Until).Milliseconds(), Home: l.Home, Returns: l.Returns,
 	}
 
 	var out ReceiptMessage
@@ -119,7 +122,9 @@
 		return Receipt{}, err
 	}
 
-	return Receipt{Process: out.Process, Stamp: quota.Stamp(time.Duration(out.StampMs) * time.Millisecond), Released: out.Released}, nil
+	return Receipt{
+		Process: out.Process, Stamp: quota.Stamp(time.Duration(out.StampMs) * time.Millisecond), Held: quota.SlotSet(out.Held), Released: out.Released,
+	}, nil
 }
 
 // Draw asks the peer whether a request may run.
