--- a/internal/customer/quota/home.go
+++ b/internal/customer/quota/home.go
@@ -70,6 +70,9 @@
 	Wait time.Duration
 	// Part is how much of the limit this home decides on, from 0 to 1.
 	Part float64
+	// Settling says that less has flowed in here than the burst, so that the team
+	// may be refused what it has not used.
+	Settling bool
 }
 
 // Home decides on the limits that entries have lent it. Set Slack before use.
@@ -248,7 +251,7 @@
 	case b.level < need:
 		wait := time.Duration((need - b.level) / (p.part * limit.PerSecond) * float64(time.Second))
 
-		return Answer{Wait: max(wait, leastWait), Part: p.part}
+		return Answer{Wait: max(wait, leastWait), Part: p.part, Settling: p.flow*limit.PerSecond < p.part*limit.Burst}
 	}
 
 	b.level -= cost
--- a/internal/customer/quota/quota_test.go
+++ b/internal/customer/quota/quota_test.go
@@ -491,3 +491,19 @@
 		h.Draw(names[i%len(names)], l, 1, entries, now)
 	}
 }
+
+// TestSettling guards against a team that is refused, as if it had used its
+// limit, by a home that was lent it a moment before.
+func TestSettling(t *testing.T) {
+	h := Home{}
+	l := team.Limit{PerSecond: 100, Burst: 100}
+	second := Stamp(time.Second)
+
+	h.Lend(Loan{Entry: "e", Slots: math.MaxUint16, Until: 100 * second}, 1, 10*second)
+
+	a := h.Draw("a", l, 50, 1, 10*second+second/4)
+	assert.Assert(t, !a.Granted && a.Settling)
+
+	a = h.Draw("a", l, 150, 1, 12*second)
+	assert.Assert(t, !a.Granted && !a.Settling)
+}
--- a/internal/fleet/node/quotas.go
+++ b/internal/fleet/node/quotas.go
@@ -354,23 +354,23 @@
 )
 
 // Charge implements relay.Limiter. It refuses at once what is beyond the limit,
-// and waits a moment only where most of it is lent to nobody yet.
+// and waits a moment only where its homes do not know yet what is left.
 func (q *quotas) Charge(ctx context.Context, t *team.Team, cost float64) relay.Charge {
 	until := time.Now().Add(unknownPatience)
 
 	for {
-		out := q.chargeNow(ctx, t, cost)
-		known := out.Granted || !out.Unknown && out.Part >= mostOfLimit
-
-		if known || time.Now().After(until) || clock.Sleep(ctx, unknownPause) != nil {
+		out, known := q.chargeNow(ctx, t, cost)
+		if known || time.Now().After(until) || clock.Sleep(ctx, max(unknownPause, out.RetryAfter)) != nil {
 			return out
 		}
 	}
 }
 
-func (q *quotas) chargeNow(ctx context.Context, t *team.Team, cost float64) relay.Charge {
-	out := relay.Charge{Unknown: true}
-	part := 0.0
+// chargeNow puts the request to the homes of its team's limit. It reports whether
+// their answer is final.
+func (q *quotas) chargeNow(ctx context.Context, t *team.Team, cost float64) (out relay.Charge, known bool) {
+	out.Unknown = true
+	settling := false
 
 	for _, home := range q.candidates(quota.GroupOf(t.Name)) {
 		d, err := q.draw(ctx, home, news.Drawing{Team: t.Name, Cost: cost})
@@ -379,19 +379,21 @@
 		case err != nil || d.Stranger || d.Released || d.Part == 0:
 			continue
 		case d.Granted:
-			return relay.Charge{Granted: true}
+			return relay.Charge{Granted: true}, true
 		case out.Unknown || d.Wait < out.RetryAfter:
-			out = relay.Charge{RetryAfter: d.Wait}
+			out.RetryAfter = d.Wait
 		}
 
-		if part += d.Part; part >= mostOfLimit {
+		out.Unknown = false
+		out.Part += d.Part
+		settling = settling || d.Settling
+
+		if out.Part >= mostOfLimit {
 			break
 		}
 	}
 
-	out.Part = part
-
-	return out
+	return out, out.Part >= mostOfLimit && !settling
 }
 
 // candidates returns whom to ask about a group: first who have this entry's own
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -70,7 +70,7 @@
 func (e *echo) Draw(d Drawing) Drawn {
 	e.drawing = d
 
-	return Drawn{Answer: quota.Answer{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5}, Process: "p", Stranger: true, Released: true}
+	return Drawn{Answer: quota.Answer{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5, Settling: true}, Process: "p", Stranger: true, Released: true}
 }
 
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
@@ -157,7 +157,7 @@
 	drawn, err := c.Draw(t.Context(), Drawing{Team: "team", Cost: 646})
 	assert.NilError(t, err)
 	assert.Equal(t, got.drawing, Drawing{Team: "team", Cost: 646})
-	assert.Equal(t, drawn, Drawn{Answer: quota.Answer{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5}, Process: "p", Stranger: true, Released: true})
+	assert.Equal(t, drawn, Drawn{Answer: quota.Answer{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5, Settling: true}, Process: "p", Stranger: true, Released: true})
 }
 
 // BenchmarkHear is one telling of a delta with one station over loopback, both
--- a/internal/wire/news/quota.go
+++ b/internal/wire/news/quota.go
@@ -83,6 +83,7 @@
 	Granted  bool
 	WaitMs   int64
 	Part     float64
+	Settling bool
 	Process  string
 	Stranger bool
 	Released bool
@@ -105,7 +106,7 @@
 func (s service) Draw(in DrawingMessage, out *DrawnMessage) error {
 	d := s.h.Draw(Drawing{Team: in.Team, Cost: in.Cost})
 	*out = DrawnMessage{
-		Granted: d.Granted, WaitMs: d.Wait.Milliseconds(), Part: d.Part, Process: d.Process, Stranger: d.Stranger, Released: d.Released,
+		Granted: d.Granted, WaitMs: d.Wait.Milliseconds(), Part: d.Part, Settling: d.Settling, Process: d.Process, Stranger: d.Stranger, Released: d.Released,
 	}
 
 	return nil
@@ -135,7 +136,7 @@
 	}
 
 	return Drawn{
-		Answer:  quota.Answer{Granted: out.Granted, Wait: time.Duration(out.WaitMs) * time.Millisecond, Part: out.Part},
+		Answer:  quota.Answer{Granted: out.Granted, Wait: time.Duration(out.WaitMs) * time.Millisecond, Part: out.Part, Settling: out.Settling},
 		Process: out.Process, Stranger: out.Stranger, Released: out.Released,
 	}, nil
 }
