test: the soak's callers have teams, one of them with a limit it asks beyond

What ran is held against the teams' names, keys that nobody knows, keys that reach targets, and the limit in every window.

--- a/internal/fleet/node/quotas.go
+++ b/internal/fleet/node/quotas.go
@@ -331,6 +331,7 @@
 	if s.calls >= silentAfter || errors.Is(err, syscall.ECONNREFUSED) {
 		s.calls, s.until = 0, clock.Now().Add(silentFor<<min(s.times, silentDouble))
 		s.times++
+
 		q.node.cfg.Log.Info().Err(err).Str("home", string(home.ID)).Msg("home of limits passed over")
 		poke(q.soon)
 	}
--- a/internal/serving/relay/identify_test.go
+++ b/internal/serving/relay/identify_test.go
@@ -137,6 +137,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := keyed(t, false)
 		defer w.end()
+
 		newer := *w.config
 		newer.Teams = teams(t, one("c", "kc"))
 		checks := 0
@@ -257,6 +258,7 @@
 			say(out, "200 OK", "", "done")
 		}, 70)
 		defer w.end()
+
 		w.server.Log = zerolog.New(&log)
 
 		for _, text := range []string{"Bearer ka", "Bearer unknown-secret", "Basic ka", "Bearer ka", "Bearer ka", "Bearer ka", ""} {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -451,6 +451,18 @@
 	return append(out, worker.Turns(turnPause, all...)...)
 }
 
+// Ran returns the runs on the plain targets, in order.
+func (s *Site) Ran() []worker.Run {
+	var out []worker.Run
+	for _, d := range s.Desks {
+		out = append(out, d.Ran()...)
+	}
+
+	slices.SortFunc(out, func(a, b worker.Run) int { return a.At.Compare(b.At) })
+
+	return out
+}
+
 // Runs returns how often a request ran, over all targets.
 func (s *Site) Runs(id string) int {
 	n := 0
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/cli/member"
 	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
 
 // asEntry makes this test's program an entry, so that the soak runs the real
@@ -155,3 +156,41 @@
 func (r runs) Runs(id string) int { return r[id] }
 
 func (runs) Broken() []string { return nil }
+
+func (runs) Ran() []worker.Run { return nil }
+
+// TestTeamsAreJudged guards against a soak that passes over requests of the wrong
+// team, keys that reach targets and limits that do not hold.
+func TestTeamsAreJudged(t *testing.T) {
+	run := func(id, team string, at time.Duration) worker.Run {
+		return worker.Run{ID: id, Team: team, At: time.Unix(0, 0).Add(at)}
+	}
+
+	flood := make([]worker.Run, 80)
+	for i := range flood {
+		flood[i] = run("soak-tight-0-1", tight, time.Duration(i)*time.Millisecond)
+	}
+
+	steady := []worker.Run{run("soak-free-1-1", free, 0)}
+	for i := range 80 {
+		steady = append(steady, run("soak-tight-0-1", tight, time.Duration(i)*time.Second/tightRate))
+	}
+
+	for name, tc := range map[string]struct {
+		runs []worker.Run
+		want int
+	}{
+		"all well":       {steady, 0},
+		"another's team": {[]worker.Run{run("soak-free-1-1", tight, 0)}, 1},
+		"a forged key":   {[]worker.Run{run("soak-forged-1-1", "", 0)}, 1},
+		"a key":          {[]worker.Run{{ID: "soak-free-1-1", Team: free, Keyed: true}}, 1},
+		"a flood":        {flood, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b book
+
+			b.checkTeams(tc.runs)
+			assert.Equal(t, len(b.seen.Broken), tc.want, "%v", b.seen.Broken)
+		})
+	}
+}
