fix: a large configuration is fetched once, and compressed

Cause: with the loop that follows the holder beside the one that follows the store, each entry fetched a configuration of 1,730 routes from its peers twice over at the same time, on links of 10 Mbit/s.

The second loop only acts while a call to the store hangs, for which it was made.

Ruled out: the decoding, which took 0.2 s on the weakest machine.

--- a/internal/fleet/node/confirm.go
+++ b/internal/fleet/node/confirm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
@@ -139,7 +140,13 @@
 		return
 	}
 
-	c, err := n.cfg.Source.Decode(v.Config)
+	text, err := unpack(v.Config)
+
+	var c *route.Config
+	if err == nil {
+		c, err = n.cfg.Source.Decode(text)
+	}
+
 	if err != nil {
 		n.cfg.Log.Warn().Err(err).Str("peer", string(q.ID)).Msg("configuration of a peer cannot be read")
 
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -116,12 +116,13 @@
 // on its way by other means.
 const toldPatience = 300 * time.Millisecond
 
-// followConfig learns a configuration that the holder has told of, whatever the
-// store does.
+// followConfig learns a configuration that the holder has told of while a call to
+// the store hangs.
 //
 // It guards against a store that is silent for this entry alone: the call that
 // waits for changes hangs for seconds, and a key that was withdrawn would open
-// the routes here for as long.
+// the routes here for as long. At all other times watchConfig follows, so that a
+// large configuration is fetched once.
 func (n *Node) followConfig(ctx context.Context) {
 	for {
 		select {
@@ -132,7 +133,7 @@
 
 		_ = clock.Sleep(ctx, toldPatience) // The loop looks at ctx.
 
-		if !n.inForce() {
+		if n.askingConfig.Load() && !n.inForce() {
 			n.catchUpConfig(ctx)
 		}
 	}
@@ -280,7 +281,12 @@
 	var out news.View
 
 	if c := n.config(); c != nil && c.Version > have.Config {
-		out.Config = c.Text
+		data, err := n.packed.of(c.Version, c.Text)
+		if err != nil {
+			n.cfg.Log.Warn().Err(err).Uint64("version", c.Version).Msg("configuration cannot be packed")
+		}
+
+		out.Config = data
 	}
 
 	n.mu.Lock()
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -103,6 +103,10 @@
 	stopping atomic.Bool
 	// listBehind and configBehind ask for a look at the store at once.
 	listBehind, configBehind chan struct{}
+	packed                   packed
+	// askingConfig says that a call to the store for the configuration is under
+	// way.
+	askingConfig atomic.Bool
 	// configTold says that the holder has told of a newer configuration.
 	configTold chan struct{}
 	// changed asks for the routing to be built anew, asked for a report, and idled
--- /dev/null
+++ b/internal/fleet/node/packed_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPacked(t *testing.T) {
+	var p packed
+
+	first, err := p.of(1, []byte("one"))
+	assert.NilError(t, err)
+
+	text, err := unpack(first)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "one")
+
+	second, err := p.of(2, []byte("two"))
+	assert.NilError(t, err)
+
+	text, err = unpack(second)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "two")
+
+	_, err = unpack([]byte("no such thing"))
+	assert.Assert(t, err != nil)
+}
+
+// TestUnpackIsBounded guards against a peer's message that unpacks to more memory
+// than the machine has.
+func TestUnpackIsBounded(t *testing.T) {
+	data, err := pack(make([]byte, maxConfigText+1))
+	assert.NilError(t, err)
+
+	_, err = unpack(data)
+
+	var long *TooLongError
+
+	assert.Assert(t, errors.As(err, &long))
+}
+
+// BenchmarkPack packs a configuration of 1,700 routes, and tells by how much it
+// shrinks.
+func BenchmarkPack(b *testing.B) {
+	var text bytes.Buffer
+	for i := range 1700 {
+		_, _ = fmt.Fprintf(&text, `{"name":"r-%07x","host":"ficu95.example","prefix":"/%07x/","type":"streaming","timeout_ms":15000,"goal_ms":600,"priority":1,"service":"huvo11a","max_attempts":2},`, i*7919, i*104729)
+	}
+
+	var data []byte
+
+	for b.Loop() {
+		data, _ = pack(text.Bytes())
+	}
+
+	b.ReportMetric(float64(text.Len()), "bytes")
+	b.ReportMetric(float64(len(data)), "packed")
+}
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -57,7 +57,9 @@
 	)
 
 	for ctx.Err() == nil {
+		n.askingConfig.Store(true)
 		c, version, err := n.nextConfig(ctx, after)
+		n.askingConfig.Store(false)
 		link.note(n, "configuration", err)
 		n.lostConfig.Store(link.lost)
 
--- a/internal/wire/news/view.go
+++ b/internal/wire/news/view.go
@@ -19,7 +19,8 @@
 // View is what an entry learnt from the store, for a peer that the store turns
 // away.
 type View struct {
-	// Config is the configuration's text, if it is newer than the peer's.
+	// Config is the configuration's compressed text, if it is newer than the
+	// peer's.
 	Config []byte
 	// List is the version of Targets. Zero means that the peer's list is as
 	// new.
