--- /dev/null
+++ b/internal/fleet/node/homes.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
+)
+
+const (
+	// homesOfLimits is how many entries decide on limits: a death among them
+	// touches a part of the teams only.
+	homesOfLimits = 3
+	// formerHomes is how many of the strongest entries are asked after a start
+	// whether the process before had lent them something: a home is not among them
+	// only where more than half of them were passed over.
+	formerHomes = 8
+	// formerAsked is for how long after a start they are asked; by then the loans of
+	// the process before have ended.
+	formerAsked = 2 * time.Second
+)
+
+// former returns the entries that may have been homes before this process
+// started, if all entries are known.
+func (q *quotas) former() []instance.ID {
+	if !q.node.peers.scanned.Load() {
+		return nil
+	}
+
+	strong := strongest(q.node.peers.all(), formerHomes)
+	out := make([]instance.ID, len(strong))
+
+	for i, m := range strong {
+		out[i] = m.ID
+	}
+
+	return out
+}
+
+// present returns the members that are known to be there: those that are alive,
+// and after a start, when few were heard yet, those that have answered.
+func (q *quotas) present() []roll.Member {
+	out := q.node.peers.alive()
+
+	if clock.Now().Sub(q.lender.Started) > formerAsked {
+		return out
+	}
+
+	known := make(map[instance.ID]bool, len(out))
+	for _, m := range out {
+		known[m.ID] = true
+	}
+
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for _, m := range q.node.peers.likely() {
+		if q.answered[m.ID] && !known[m.ID] {
+			out = append(out, m)
+		}
+	}
+
+	return out
+}
+
+// choose returns the homes of all limits: a few of the strongest entries that are
+// alive and answer. The parts of a group have different homes.
+func (q *quotas) choose(alive []roll.Member) quota.Homes {
+	now := clock.Now()
+
+	q.mu.Lock()
+	alive = slices.DeleteFunc(alive, func(m roll.Member) bool { return now.Before(q.silent[m.ID].until) })
+	q.mu.Unlock()
+
+	if !q.node.stopping.Load() {
+		alive = append(alive, q.node.peers.self())
+	}
+
+	return divide(strongest(alive, homesOfLimits))
+}
+
+// strongest returns so many of the strongest members, in an order on which all
+// entries agree.
+func strongest(members []roll.Member, n int) []roll.Member {
+	slices.SortFunc(members, func(a, b roll.Member) int {
+		// Peers know each other's strength as a float32 only.
+		return cmp.Or(cmp.Compare(float32(b.Strength), float32(a.Strength)), cmp.Compare(instance.Score("limits", b.ID), instance.Score("limits", a.ID)))
+	})
+
+	return members[:min(n, len(members))]
+}
+
+// divide divides the limits among their homes.
+func divide(among []roll.Member) quota.Homes {
+	var out quota.Homes
+
+	ids, runs := make([]instance.ID, len(among)), make(map[instance.ID]string)
+	for i, m := range among {
+		ids[i], runs[m.ID] = m.ID, m.Process
+	}
+
+	for g := range quota.Groups {
+		ranked := instance.Rank(fmt.Sprint("limits/", g), ids)
+
+		for part := range quota.Parts {
+			if len(ranked) > 0 {
+				id := ranked[part%len(ranked)]
+				out[quota.SlotOf(g, part)] = quota.Process{ID: id, Run: runs[id]}
+			}
+		}
+	}
+
+	return out
+}
--- a/internal/fleet/node/quotas.go
+++ b/internal/fleet/node/quotas.go
@@ -1,43 +1,24 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
 	"github.com/fulmarcross/fulmarcross/internal/customer/team"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
-	"github.com/fulmarcross/fulmarcross/internal/fleet/roll"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
 const (
-	// homesOfLimits is how many entries decide on limits: a death among them
-	// touches a part of the teams only.
-	homesOfLimits = 3
-	// formerHomes is how many of the strongest entries are asked after a start
-	// whether the process before had lent them something: a home is not among them
-	// only where more than half of them were passed over.
-	formerHomes = 8
 	// drawAnswers bounds the question whether a request is within its limit: a
 	// lost packet is sent again after 0.2 s.
 	drawAnswers = 250 * time.Millisecond
-	// lendAnswers bounds a loan, which no request waits for.
-	lendAnswers = 400 * time.Millisecond
-	// silentAfter is after how many calls without an answer, one after the other,
-	// an entry is passed over as a home, and silentFor for how long, doubled each
-	// time up to eight times: one that lost power stays on the list for long.
-	silentAfter  = 2
-	silentFor    = 3 * time.Second
-	silentDouble = 3
 	// mostOfLimit is the part of a limit from which on the refusals of its homes
 	// are final. Below it another home may have room.
 	mostOfLimit = 0.75
@@ -85,267 +66,6 @@
 	return quota.Process{ID: q.node.cfg.Self, Run: q.node.process}
 }
 
-// run lends this entry's shares until ctx ends.
-func (q *quotas) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if c := q.node.config(); c != nil && c.Teams.Limited() {
-			q.round(ctx)
-		}
-
-		t := time.NewTimer(jitter(quota.Every(q.known())))
-
-		select {
-		case <-ctx.Done():
-		case <-q.soon:
-			_ = clock.Sleep(ctx, soonPause) // The loop looks at ctx.
-		case <-t.C:
-		}
-
-		t.Stop()
-	}
-}
-
-// soonPause keeps rounds that are asked for at once apart.
-const soonPause = 20 * time.Millisecond
-
-// round lends once to all homes.
-func (q *quotas) round(ctx context.Context) {
-	former := q.former()
-	homes := q.choose(q.present())
-
-	q.mu.Lock()
-	q.homes, q.lender.Former = homes, former
-	loans := q.lender.Loans(homes, q.node.cfg.Self, q.known(), clock.Now())
-	returns := q.returns
-	q.returns = nil
-	q.mu.Unlock()
-
-	if clock.Now().Sub(q.lender.Started) < formerAsked {
-		for _, id := range former {
-			go q.ask(ctx, id)
-		}
-	}
-
-	for home, loan := range loans {
-		l := news.Lending{Loan: loan, Home: home.Run, Returns: make(map[string]float64)}
-
-		for name, amount := range returns {
-			if homes[quota.SlotOf(quota.GroupOf(name), 0)] == home {
-				l.Returns[name] = amount
-			}
-		}
-
-		go q.lend(ctx, home, l)
-	}
-}
-
-// formerAsked is for how long after a start entries are asked what they hold of
-// the process before; by then its loans have ended.
-const formerAsked = 2 * time.Second
-
-// former returns the entries that may have been homes before this process
-// started, if all entries are known.
-func (q *quotas) former() []instance.ID {
-	if !q.node.peers.scanned.Load() {
-		return nil
-	}
-
-	strong := strongest(q.node.peers.all(), formerHomes)
-	out := make([]instance.ID, len(strong))
-
-	for i, m := range strong {
-		out[i] = m.ID
-	}
-
-	return out
-}
-
-// ask asks an entry what it holds of this entry's share.
-func (q *quotas) ask(ctx context.Context, id instance.ID) {
-	p := q.node.peers.of(id)
-	if p == nil {
-		return
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, lendAnswers)
-	defer cancel()
-
-	r, err := p.client.Lend(ctx, news.Lending{Loan: quota.Loan{Entry: q.node.cfg.Self}})
-
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	if err == nil && !q.answered[id] {
-		if q.answered == nil {
-			q.answered = make(map[instance.ID]bool)
-		}
-
-		q.answered[id] = true
-
-		poke(q.soon)
-	}
-
-	// Where nobody listens, whoever comes started after this process.
-	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-		q.lender.Holds(id, r.Held)
-	}
-}
-
-// present returns the members that are known to be there: those that are alive,
-// and after a start, when few were heard yet, those that have answered.
-func (q *quotas) present() []roll.Member {
-	out := q.node.peers.alive()
-
-	if clock.Now().Sub(q.lender.Started) > formerAsked {
-		return out
-	}
-
-	known := make(map[instance.ID]bool, len(out))
-	for _, m := range out {
-		known[m.ID] = true
-	}
-
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	for _, m := range q.node.peers.likely() {
-		if q.answered[m.ID] && !known[m.ID] {
-			out = append(out, m)
-		}
-	}
-
-	return out
-}
-
-// choose returns the homes of all limits: a few of the strongest entries that are
-// alive and answer. The parts of a group have different homes.
-func (q *quotas) choose(alive []roll.Member) quota.Homes {
-	now := clock.Now()
-
-	q.mu.Lock()
-	alive = slices.DeleteFunc(alive, func(m roll.Member) bool { return now.Before(q.silent[m.ID].until) })
-	q.mu.Unlock()
-
-	if !q.node.stopping.Load() {
-		alive = append(alive, q.node.peers.self())
-	}
-
-	return divide(strongest(alive, homesOfLimits))
-}
-
-// strongest returns so many of the strongest members, in an order on which all
-// entries agree.
-func strongest(members []roll.Member, n int) []roll.Member {
-	slices.SortFunc(members, func(a, b roll.Member) int {
-		// Peers know each other's strength as a float32 only.
-		return cmp.Or(cmp.Compare(float32(b.Strength), float32(a.Strength)), cmp.Compare(instance.Score("limits", b.ID), instance.Score("limits", a.ID)))
-	})
-
-	return members[:min(n, len(members))]
-}
-
-// divide divides the limits among their homes.
-func divide(among []roll.Member) quota.Homes {
-	var out quota.Homes
-
-	ids, runs := make([]instance.ID, len(among)), make(map[instance.ID]string)
-	for i, m := range among {
-		ids[i], runs[m.ID] = m.ID, m.Process
-	}
-
-	for g := range quota.Groups {
-		ranked := instance.Rank(fmt.Sprint("limits/", g), ids)
-
-		for part := range quota.Parts {
-			if len(ranked) > 0 {
-				id := ranked[part%len(ranked)]
-				out[quota.SlotOf(g, part)] = quota.Process{ID: id, Run: runs[id]}
-			}
-		}
-	}
-
-	return out
-}
-
-// lend makes one loan.
-func (q *quotas) lend(ctx context.Context, home quota.Process, l news.Lending) {
-	r, err := q.callLend(ctx, home, l)
-	at := clock.Now()
-
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	switch {
-	case err != nil:
-		q.noteFailure(home, err)
-	case r.Released:
-		q.ended(home)
-	case r.Process != home.Run:
-		q.ended(home)
-
-		// Whoever is on the list there has ended; a greeting brings its successor.
-		go func() { _ = q.node.peers.greet(ctx, home.ID) }() // The next round finds out.
-	default:
-		delete(q.silent, home.ID)
-
-		if q.lender.Heard(home, r.Stamp, at) {
-			poke(q.soon)
-		}
-	}
-}
-
-func (q *quotas) callLend(ctx context.Context, home quota.Process, l news.Lending) (news.Receipt, error) {
-	if home == q.self() {
-		return q.takeLoan(l), nil
-	}
-
-	p := q.node.peers.of(home.ID)
-	if p == nil || p.Process != home.Run {
-		return news.Receipt{Process: processUnknown}, nil
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, lendAnswers)
-	defer cancel()
-
-	return p.client.Lend(ctx, l)
-}
-
-// processUnknown stands for a process that has taken the place of another.
-const processUnknown = ""
-
-// noteFailure notes a call to a home without an answer. The caller holds the
-// lock.
-func (q *quotas) noteFailure(home quota.Process, err error) {
-	// Only a process that has ended refuses connections.
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		q.ended(home)
-	}
-
-	if q.silent == nil {
-		q.silent = make(map[instance.ID]silence)
-	}
-
-	s := q.silent[home.ID]
-	s.calls++
-
-	if s.calls >= silentAfter || errors.Is(err, syscall.ECONNREFUSED) {
-		s.calls, s.until = 0, clock.Now().Add(silentFor<<min(s.times, silentDouble))
-		s.times++
-
-		q.node.cfg.Log.Info().Err(err).Str("home", string(home.ID)).Msg("home of limits passed over")
-		poke(q.soon)
-	}
-
-	q.silent[home.ID] = s
-}
-
-// ended notes that a home's process has ended or stops. The caller holds the
-// lock.
-func (q *quotas) ended(home quota.Process) {
-	q.lender.Ended(home)
-	poke(q.soon)
-}
-
 const (
 	// unknownPatience is for how long a request waits for homes that decide on most
 	// of its team's limit: after a restart of all entries shares are lent within a
