--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -98,11 +98,10 @@
 	}
 
 	for range tries {
-		// A peer whose link is full answers late, and the next one may answer at once.
-		go n.askConfig(ctx, n.peers.draw())
-
 		_ = clock.Sleep(ctx, jitter(passOnEvery)) // The next call looks at ctx.
 
+		n.askConfig(ctx, n.peers.draw())
+
 		if n.inForce() {
 			return true
 		}
