refactor: the holder is asked in one place, and so is the way to a home

- Checking a configuration and learning the list of targets asked the holder by two copies of one function; both call holderView now.
What takes a peer's configuration in stands beside what takes its list in.
- Loans and requests looked for a home's present process each by itself, and two places judged an entry's silence.
- Buckets of teams that are gone are dropped with a round of loans, not with each loan that comes.

Also figures out of comments.

--- a/internal/fleet/node/confirm.go
+++ b/internal/fleet/node/confirm.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
-	"github.com/fulmarcross/fulmarcross/internal/serving/route"
-	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
 const (
@@ -76,16 +74,32 @@
 	ctx, cancel := context.WithTimeout(n.work, confirmTime)
 	defer cancel()
 
-	if store && n.lookedAtStore(ctx) || n.askedHolder(ctx) || store {
-		return
+	if store {
+		_ = n.confirmedByStore(ctx) || n.confirmedByHolder(ctx) // What nobody answers stays as it is.
+	} else {
+		_ = n.confirmedByHolder(ctx) || n.confirmedByStore(ctx)
 	}
+}
+
+// confirmedByHolder puts in force what the holder has, if it is newer, and
+// reports whether it answered.
+func (n *Node) confirmedByHolder(ctx context.Context) bool {
+	have := n.versions()
+	have.List = math.MaxUint64
+
+	v, q := n.holderView(ctx, have)
+	if q == nil {
+		return false
+	}
+
+	n.takeConfig(v, q)
 
-	n.lookedAtStore(ctx)
+	return true
 }
 
-// lookedAtStore puts in force what the store has, and reports whether it
-// answered.
-func (n *Node) lookedAtStore(ctx context.Context) bool {
+// confirmedByStore puts in force what the store has, if it is newer, and reports
+// whether it answered.
+func (n *Node) confirmedByStore(ctx context.Context) bool {
 	// What the holder knows is asked when the store is silent.
 	ctx, cancel := context.WithTimeout(ctx, confirmTime/2) //nolint:mnd // Half of the time for either.
 	defer cancel()
@@ -107,51 +121,3 @@
 
 	return true
 }
-
-// askedHolder asks the holder for a newer configuration, and reports whether it
-// answered.
-func (n *Node) askedHolder(ctx context.Context) bool {
-	q := n.peers.of(n.holder.Known())
-	if q == nil {
-		return false
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, holderAnswers)
-	defer cancel()
-
-	have := n.versions()
-	have.List = math.MaxUint64
-
-	v, err := q.client.View(ctx, have)
-	if err != nil {
-		n.cfg.Log.Debug().Err(err).Str("holder", string(q.ID)).Msg("holder not asked")
-
-		return false
-	}
-
-	n.takeConfig(v, q)
-
-	return true
-}
-
-// takeConfig puts a peer's configuration in force, if it has a newer one.
-func (n *Node) takeConfig(v news.View, q *peer) {
-	if len(v.Config) == 0 {
-		return
-	}
-
-	text, err := unpack(v.Config)
-
-	var c *route.Config
-	if err == nil {
-		c, err = n.cfg.Source.Decode(text)
-	}
-
-	if err != nil {
-		n.cfg.Log.Warn().Err(err).Str("peer", string(q.ID)).Msg("configuration of a peer cannot be read")
-
-		return
-	}
-
-	n.putInForce(c)
-}
--- a/internal/fleet/node/homes.go
+++ b/internal/fleet/node/homes.go
@@ -20,8 +20,7 @@
 	// whether the process before had lent them something: a home is not among them
 	// only where more than half of them were passed over.
 	formerHomes = 8
-	// formerAsked is for how long after a start they are asked; by then the loans of
-	// the process before have ended.
+	// formerAsked is for how long after a start they are asked.
 	formerAsked = 2 * time.Second
 )
 
@@ -74,7 +73,7 @@
 	now := clock.Now()
 
 	q.mu.Lock()
-	alive = slices.DeleteFunc(alive, func(m roll.Member) bool { return now.Before(q.silent[m.ID].until) })
+	alive = slices.DeleteFunc(alive, func(m roll.Member) bool { return q.passedOver(m.ID, now) })
 	q.mu.Unlock()
 
 	if !q.node.stopping.Load() {
@@ -84,6 +83,12 @@
 	return divide(strongest(alive, homesOfLimits))
 }
 
+// passedOver reports whether an entry has been silent too often to be a home. The
+// caller holds the lock.
+func (q *quotas) passedOver(id instance.ID, now time.Time) bool {
+	return now.Before(q.silent[id].until)
+}
+
 // strongest returns so many of the strongest members, in an order on which all
 // entries agree.
 func strongest(members []roll.Member, n int) []roll.Member {
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
@@ -185,25 +186,55 @@
 // It answers the load of many entries: while targets are replaced one after the
 // other, each of them would look at the store at each change.
 func (n *Node) askHolder(ctx context.Context) bool {
+	have := n.versions()
+	have.Config = math.MaxUint64 // Its text is larger, and the store's link wider.
+
+	v, q := n.holderView(ctx, have)
+
+	return q != nil && (v.List == 0 || n.takeView(v, q))
+}
+
+// holderView returns what the holder has that is newer than what is said to be
+// had, and the way to it; nil means that it does not answer.
+func (n *Node) holderView(ctx context.Context, have news.Versions) (news.View, *peer) {
 	q := n.peers.of(n.holder.Known())
 	if q == nil {
-		return false
+		return news.View{}, nil
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, holderAnswers)
 	defer cancel()
 
-	have := n.versions()
-	have.Config = math.MaxUint64 // Its text is larger, and the store's link wider.
-
 	v, err := q.client.View(ctx, have)
 	if err != nil {
 		n.cfg.Log.Debug().Err(err).Str("holder", string(q.ID)).Msg("holder not asked")
 
-		return false
+		return news.View{}, nil
+	}
+
+	return v, q
+}
+
+// takeConfig puts a peer's configuration in force, if it has a newer one.
+func (n *Node) takeConfig(v news.View, q *peer) {
+	if len(v.Config) == 0 {
+		return
+	}
+
+	text, err := unpack(v.Config)
+
+	var c *route.Config
+	if err == nil {
+		c, err = n.cfg.Source.Decode(text)
+	}
+
+	if err != nil {
+		n.cfg.Log.Warn().Err(err).Str("peer", string(q.ID)).Msg("configuration of a peer cannot be read")
+
+		return
 	}
 
-	return v.List == 0 || n.takeView(v, q)
+	n.putInForce(c)
 }
 
 // takeView takes in a peer's list of targets, if it is newer. It reports
--- a/internal/fleet/node/lending.go
+++ b/internal/fleet/node/lending.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
@@ -29,6 +30,7 @@
 func (q *quotas) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if c := q.node.config(); c != nil && c.Teams.Limited() {
+			q.forget(c)
 			q.round(ctx)
 		}
 
@@ -47,22 +49,19 @@
 
 // round lends once to all homes.
 func (q *quotas) round(ctx context.Context) {
-	former := q.former()
+	if clock.Now().Sub(q.lender.Started) < formerAsked {
+		q.askFormer(ctx)
+	}
+
 	homes := q.choose(q.present())
 
 	q.mu.Lock()
-	q.homes, q.lender.Former = homes, former
+	q.homes = homes
 	loans := q.lender.Loans(homes, q.node.cfg.Self, q.known(), clock.Now())
 	returns := q.returns
 	q.returns = nil
 	q.mu.Unlock()
 
-	if clock.Now().Sub(q.lender.Started) < formerAsked {
-		for _, id := range former {
-			go q.ask(ctx, id)
-		}
-	}
-
 	for home, loan := range loans {
 		l := news.Lending{Loan: loan, Home: home.Run, Returns: make(map[string]float64)}
 
@@ -76,6 +75,28 @@
 	}
 }
 
+// forget drops what is kept of teams that are no longer in force.
+func (q *quotas) forget(c *route.Config) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.home.Keep(func(name string) bool { return c.Teams.ByName(name) != nil })
+}
+
+// askFormer asks the entries that may have been homes before this process
+// started.
+func (q *quotas) askFormer(ctx context.Context) {
+	former := q.former()
+
+	q.mu.Lock()
+	q.lender.Former = former
+	q.mu.Unlock()
+
+	for _, id := range former {
+		go q.ask(ctx, id)
+	}
+}
+
 // ask asks an entry what it holds of this entry's share.
 func (q *quotas) ask(ctx context.Context, id instance.ID) {
 	p := q.node.peers.of(id)
@@ -139,9 +160,10 @@
 		return q.takeLoan(l), nil
 	}
 
-	p := q.node.peers.of(home.ID)
-	if p == nil || p.Process != home.Run {
-		return news.Receipt{Process: processUnknown}, nil
+	p := q.way(home)
+	if p == nil {
+		// No process has this receipt's name, so the home counts as ended.
+		return news.Receipt{}, nil
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, lendAnswers)
@@ -150,8 +172,15 @@
 	return p.client.Lend(ctx, l)
 }
 
-// processUnknown stands for a process that has taken the place of another.
-const processUnknown = ""
+// way returns the way to a home, or nil if another process has taken its place.
+func (q *quotas) way(home quota.Process) *peer {
+	p := q.node.peers.of(home.ID)
+	if p == nil || p.Process != home.Run {
+		return nil
+	}
+
+	return p
+}
 
 // noteFailure notes a call to a home without an answer. The caller holds the
 // lock.
--- a/internal/fleet/node/packed.go
+++ b/internal/fleet/node/packed.go
@@ -15,8 +15,7 @@
 // once for all of them. The zero value has none.
 //
 // It answers the load of a large configuration on many small machines: the text
-// of thousands of routes takes a good part of a second on a link of 10 Mbit/s,
-// and whoever asks a peer that is still sending it to others gives up and asks
+// of thousands of routes takes long on a small machine's link, and whoever asks a peer that is still sending it to others gives up and asks
 // again.
 type packed struct {
 	mu      sync.Mutex
--- a/internal/fleet/node/quotas.go
+++ b/internal/fleet/node/quotas.go
@@ -17,7 +17,7 @@
 
 const (
 	// drawAnswers bounds the question whether a request is within its limit: a
-	// lost packet is sent again after 0.2 s.
+	// lost packet is sent again within it.
 	drawAnswers = 250 * time.Millisecond
 	// mostOfLimit is the part of a limit from which on the refusals of its homes
 	// are final. Below it another home may have room.
@@ -138,7 +138,7 @@
 		}
 	}
 
-	answering := slices.DeleteFunc(slices.Clone(out), func(p quota.Process) bool { return now.Before(q.silent[p.ID].until) })
+	answering := slices.DeleteFunc(slices.Clone(out), func(p quota.Process) bool { return q.passedOver(p.ID, now) })
 	if len(answering) > 0 {
 		return answering
 	}
@@ -152,8 +152,8 @@
 		return q.decide(d), nil
 	}
 
-	p := q.node.peers.of(home.ID)
-	if p == nil || p.Process != home.Run {
+	p := q.way(home)
+	if p == nil {
 		q.mu.Lock()
 		defer q.mu.Unlock()
 
@@ -246,8 +246,6 @@
 		}
 	}
 
-	q.home.Keep(func(name string) bool { return c.Teams.ByName(name) != nil })
-
 	return out
 }
 
