--- a/internal/serving/relay/identify.go
+++ b/internal/serving/relay/identify.go
@@ -136,8 +136,7 @@
 		Float64("perSecond", d.team.Limit.PerSecond).Float64("burst", d.team.Limit.Burst).Float64("part", got.Part).Dur("asked", took).
 		Int("status", status).Dur("retryAfter", retry).Str("why", why).Msg("request refused")
 	d.count(kindNames[d.route.Kind], status)
-	d.w.Header().Set("Retry-After", seconds(retry))
-	d.w.WriteHeader(status)
+	turnAway(d.w, status, retry)
 
 	return false
 }
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -194,12 +194,18 @@
 
 // refuse answers a request that was never sent to a target.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, retry time.Duration, why string) {
+	s.count("none", status)
+	s.Log.Info().Str("path", r.URL.Path).Int("status", status).Str("why", why).Msg("request refused")
+	turnAway(w, status, retry)
+}
+
+// turnAway writes an answer without a body, and when to come back if that is
+// known.
+func turnAway(w http.ResponseWriter, status int, retry time.Duration) {
 	if retry > 0 {
 		w.Header().Set("Retry-After", seconds(retry))
 	}
 
-	s.count("none", status)
-	s.Log.Info().Str("path", r.URL.Path).Int("status", status).Str("why", why).Msg("request refused")
 	w.WriteHeader(status)
 }
 
@@ -422,11 +428,7 @@
 	d.measure(status)
 	line.Err(err).Int("status", status).Dur("retryAfter", retry).Msg("request refused")
 
-	if retry > 0 {
-		d.w.Header().Set("Retry-After", seconds(retry))
-	}
-
-	d.w.WriteHeader(status)
+	turnAway(d.w, status, retry)
 }
 
 // verdict returns the status that says no more than is proved. Only 503
