--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -23,7 +23,16 @@
 func start(t *testing.T) *site.Site {
 	t.Helper()
 
-	s, err := site.Start(t.Context(), site.Options{Entries: 3, Log: io.Discard})
+	return startWith(t, site.Options{Log: io.Discard})
+}
+
+// startWith returns a ready site of three entries.
+func startWith(t *testing.T, opt site.Options) *site.Site {
+	t.Helper()
+
+	opt.Entries = 3
+
+	s, err := site.Start(t.Context(), opt)
 	assert.NilError(t, err)
 	t.Cleanup(s.Close)
 
--- a/internal/fleet/node/teams_test.go
+++ b/internal/fleet/node/teams_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,16 +22,7 @@
 func startTeams(t *testing.T, log io.Writer, teams []team.Team, keys map[string][]string) *site.Site {
 	t.Helper()
 
-	s, err := site.Start(t.Context(), site.Options{Entries: 3, Log: log, Teams: teams, Keys: keys})
-	assert.NilError(t, err)
-	t.Cleanup(s.Close)
-
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-
-	assert.NilError(t, s.WaitReady(ctx))
-
-	return s
+	return startWith(t, site.Options{Log: log, Teams: teams, Keys: keys})
 }
 
 // look is one request of a caller with a key, if it has one.
