fix: a wait of nothing makes no timer

The stack of the crash names clock.Sleep with a duration of 0 in Holder.Run, where a round took no time on a test's clock. Ruled out: the tests' own goroutines (a loop of Sleep(0) alone crashes), timers of a nanosecond (0 of 3 plays of 3,000 bubbles). The cell's loop began with such a timer too. Sleep also took a context that had ended for a wait that passed, by chance.

--- a/internal/fleet/clock/clock.go
+++ b/internal/fleet/clock/clock.go
@@ -9,6 +9,12 @@
 
 // Sleep waits for d. It returns the context's error if that ends first.
 func Sleep(ctx context.Context, d time.Duration) error {
+	// A timer that is due as it is made ends a process in which the race detector
+	// watches a test's clock.
+	if d <= 0 {
+		return ctx.Err()
+	}
+
 	t := time.NewTimer(d)
 	defer t.Stop()
 
--- a/internal/placement/cell/tenure.go
+++ b/internal/placement/cell/tenure.go
@@ -122,19 +122,18 @@
 		}
 	}
 
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(decideEvery)
 	defer timer.Stop()
 
-	for {
+	for t.ctx.Err() == nil {
+		t.round()
+		timer.Reset(decideEvery)
+
 		select {
 		case <-t.ctx.Done():
-			return
 		case <-t.kick:
 		case <-timer.C:
 		}
-
-		t.round()
-		timer.Reset(decideEvery)
 	}
 }
 
