feat: bytes between entries are counted by kind of message

The counting stands in the codec, so that bodies and headers both count; a test holds the sizes. Ruled out: counting at each message's own place, seven times over.

--- a/internal/cli/command/explaincmd.go
+++ b/internal/cli/command/explaincmd.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -73,11 +74,24 @@
 			strings.Join(g.Requests[:min(shown, len(g.Requests))], " "))
 	}
 
-	if err := t.Flush(); err != nil || len(sum.Calls) == 0 {
+	if err := t.Flush(); err != nil {
+		return err
+	}
+
+	if err := printCounts(s.out, "calls to the store", sum.Calls); err != nil {
 		return err
 	}
 
-	_, err = fmt.Fprintln(s.out, "calls to the store, as told last:", listed(sum.Calls, len(sum.Calls)))
+	return printCounts(s.out, "bytes between entries", sum.Bytes)
+}
+
+// printCounts prints what processes told last of some counts, if they did.
+func printCounts(w io.Writer, what string, counts map[string]int) error {
+	if len(counts) == 0 {
+		return nil
+	}
+
+	_, err := fmt.Fprintln(w, what+", as told last:", listed(counts, len(counts)))
 
 	return err
 }
--- a/internal/fleet/node/calls.go
+++ b/internal/fleet/node/calls.go
@@ -95,32 +95,35 @@
 	return maps.Clone(c.counts)
 }
 
-// callsEvery is the time between two lines that tell the calls so far.
+// callsEvery is the time between two lines that tell the counts so far.
 const callsEvery = 10 * time.Second
 
-// logCalls tells how many calls were made since the process started.
+// logCalls tells how many calls to the store were made since the process
+// started, and how many bytes were exchanged with other entries.
 func (n *Node) logCalls(ctx context.Context) {
-	last := 0
+	var calls, bytes int
 
 	for clock.Sleep(ctx, callsEvery) == nil {
-		counts, sum := n.calls.counted(), 0
-		for _, count := range counts {
-			sum += count
-		}
-
-		if sum == last {
-			continue
-		}
+		calls = n.logCounts("store calls", "calls", n.calls.counted(), calls)
+		bytes = n.logCounts("bytes between entries", "bytes", n.traffic.counted(), bytes)
+	}
+}
 
-		last = sum
-		line := zerolog.Dict()
+// logCounts tells counts unless their sum is the last one, and returns it.
+func (n *Node) logCounts(message, name string, counts map[string]int, last int) int {
+	sum := 0
+	line := zerolog.Dict()
 
-		for name, count := range counts {
-			line.Int(name, count)
-		}
+	for what, count := range counts {
+		sum += count
+		line.Int(what, count)
+	}
 
-		n.cfg.Log.Info().Int("sum", sum).Dict("calls", line).Msg("store calls")
+	if sum != last {
+		n.cfg.Log.Info().Int("sum", sum).Dict(name, line).Msg(message)
 	}
+
+	return sum
 }
 
 // countedTable counts the calls to the product's own table.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -92,6 +92,7 @@
 	page    metric.Page
 	metrics tally.Scope
 	calls   calls
+	traffic traffic
 	quotas  quotas
 	// confirmed is the last check that no newer configuration is in force.
 	confirmed confirmation
@@ -159,7 +160,7 @@
 	n.peers.roll.Self = roll.Member{ID: cfg.Self, Address: cfg.Peers, Process: n.process, Born: time.Now(), Strength: cfg.Strength}
 
 	n.metrics, n.unscope = n.page.Scope()
-	n.calls.metrics = n.metrics
+	n.calls.metrics, n.traffic.metrics = n.metrics, n.metrics
 	n.cfg.Table = countedTable{cfg.Table, n.noteTable}
 	n.lines = dispatch.New(dispatch.Config{
 		Table: &n.targets, Entries: n.entries, CellOf: func(string) int { return 0 },
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -105,7 +105,7 @@
 		}
 
 		go func() {
-			c := &news.Client{Caller: frame.Caller{Address: address}}
+			c := &news.Client{Caller: frame.Caller{Address: address, Count: p.node.traffic.note}}
 			defer c.Close()
 
 			g, err := c.Greet(ctx, p.greeting())
@@ -344,7 +344,7 @@
 	}
 
 	ctx, cancel := context.WithCancel(p.node.work)
-	q := &peer{Member: m, kick: make(chan struct{}, 1), cancel: cancel, client: &news.Client{Caller: frame.Caller{Address: m.Address}}}
+	q := &peer{Member: m, kick: make(chan struct{}, 1), cancel: cancel, client: &news.Client{Caller: frame.Caller{Address: m.Address, Count: p.node.traffic.note}}}
 
 	if p.ways == nil {
 		p.ways = make(map[instance.ID]*peer)
--- a/internal/room/story/line.go
+++ b/internal/room/story/line.go
@@ -50,8 +50,9 @@
 	// wait, and how many of them took nothing for which reason.
 	Holders, Full, Leaving, Dead, Ejected int
 	// Calls are how many calls to the store the process had made, by what they
-	// were for and why.
-	Calls map[string]int
+	// were for and why, and Bytes how many it had exchanged with other entries,
+	// by the kind of message.
+	Calls, Bytes map[string]int
 	// Details are all fields as text.
 	Details string
 
@@ -94,6 +95,7 @@
 	Events  int             `json:"events"`
 	Dropped int             `json:"dropped"`
 	Calls   map[string]int  `json:"calls"`
+	Bytes   map[string]int  `json:"bytes"`
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -115,7 +117,7 @@
 		At: time.UnixMilli(t.Time), Node: t.Node, Message: t.Message, Request: t.ID, Target: t.Target, Key: t.Key,
 		Load: t.Load, Model: t.Model, Adapter: t.Adapter, Takes: millis(t.Takes), Error: t.Error, Why: t.Why,
 		Status: t.Status, Sends: t.Sends, Cold: t.Cold, Left: millis(t.Left), Goal: millis(t.Goal), Waited: millis(t.Waited), First: millis(t.First), Took: millis(t.Took),
-		Quiet: millis(t.Quiet), Events: t.Events, Dropped: t.Dropped, Calls: t.Calls,
+		Quiet: millis(t.Quiet), Events: t.Events, Dropped: t.Dropped, Calls: t.Calls, Bytes: t.Bytes,
 		Holders: t.Holders, Full: t.Full, Leaving: t.Leaving, Dead: t.Dead, Ejected: t.Ejected,
 		Details: details(text[at:]), up: millis(t.Up),
 	}
--- a/internal/room/story/story.go
+++ b/internal/room/story/story.go
@@ -30,6 +30,7 @@
 	leaseNotReleased = "lease not released"
 	leaseNotRenewed  = "lease not renewed"
 	callsCounted     = "store calls"
+	bytesCounted     = "bytes between entries"
 	targetDied       = "target died under a request"
 	stopMessage      = "stopping"
 	linesDropped     = "log lines dropped"
--- a/internal/room/story/summary.go
+++ b/internal/room/story/summary.go
@@ -38,8 +38,9 @@
 type Summary struct {
 	Requests, Late, Unserved int
 	// Calls are how many calls to the store all processes made, up to the last
-	// line of each that tells, by what they were for and why.
-	Calls map[string]int
+	// line of each that tells, by what they were for and why, and Bytes how many
+	// they exchanged with each other, by the kind of message.
+	Calls, Bytes map[string]int
 	// Groups are those that were not served in time, the largest first.
 	Groups []Group
 }
@@ -53,7 +54,7 @@
 
 	first := lines[0].At
 	groups := make(map[string]*Group)
-	s := Summary{Calls: storeCalls(lines)}
+	s := Summary{Calls: lastCounts(lines, callsCounted), Bytes: lastCounts(lines, bytesCounted)}
 
 	for _, f := range requests(lines) {
 		s.Requests++
@@ -92,8 +93,8 @@
 	return s
 }
 
-// storeCalls sums what each process told last of its calls to the store.
-func storeCalls(lines []Line) map[string]int {
+// lastCounts sums the counts that each process told last in such a line.
+func lastCounts(lines []Line, message string) map[string]int {
 	type process struct {
 		node   string
 		number int
@@ -102,15 +103,23 @@
 	last := make(map[process]map[string]int)
 
 	for i := range lines {
-		if l := &lines[i]; l.Message == callsCounted {
-			last[process{l.Node, l.process}] = l.Calls
+		l := &lines[i]
+		if l.Message != message {
+			continue
+		}
+
+		counts := l.Calls
+		if message == bytesCounted {
+			counts = l.Bytes
 		}
+
+		last[process{l.Node, l.process}] = counts
 	}
 
 	sums := make(map[string]int)
 
-	for _, calls := range last {
-		for name, n := range calls {
+	for _, counts := range last {
+		for name, n := range counts {
 			sums[name] += n
 		}
 	}
--- a/internal/wire/frame/caller.go
+++ b/internal/wire/frame/caller.go
@@ -24,6 +24,8 @@
 	Address netip.AddrPort
 	// TLS is nil for plain TCP.
 	TLS *tls.Config
+	// Count, if set, is told the size of each message that is sent or received.
+	Count func(method string, bytes int)
 
 	// dialing lets one call dial at a time. Nothing else waits for it.
 	dialing sync.Mutex
@@ -76,7 +78,7 @@
 		return nil, err
 	}
 
-	client = rpc.NewClientWithCodec(clientCodec{newFrames(conn)})
+	client = rpc.NewClientWithCodec(clientCodec{newFrames(conn), c.Count})
 	if err := c.keep(client, closes); err != nil {
 		_ = client.Close()
 
--- a/internal/wire/frame/caller_test.go
+++ b/internal/wire/frame/caller_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,3 +58,57 @@
 	assert.Assert(t, client == nil)
 	assert.NilError(t, c.keep(&rpc.Client{}, now))
 }
+
+// Echo answers with what it is given.
+type Echo struct{}
+
+// Same is the remote call.
+func (Echo) Same(in []byte, out *[]byte) error {
+	*out = in
+
+	return nil
+}
+
+// Messages were counted without their bodies.
+func TestCount(t *testing.T) {
+	const (
+		size     = 10_000
+		headMost = 100
+	)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	defer func() { _ = l.Close() }()
+
+	go func() { _ = Serve(t.Context(), l, "Echo", Echo{}) }() // Ends with the listener.
+
+	var (
+		mu  sync.Mutex
+		got []int
+	)
+
+	c := &Caller{Address: netip.MustParseAddrPort(l.Addr().String()), Count: func(method string, bytes int) {
+		mu.Lock()
+		defer mu.Unlock()
+
+		assert.Check(t, method == "Echo.Same", method)
+
+		got = append(got, bytes)
+	}}
+	defer c.Close()
+
+	var out []byte
+
+	assert.NilError(t, c.Call(t.Context(), "Echo.Same", make([]byte, size), &out))
+	assert.Equal(t, len(out), size)
+
+	mu.Lock()
+	defer mu.Unlock()
+
+	assert.Equal(t, len(got), 2, "the call and its answer")
+
+	for _, n := range got {
+		assert.Assert(t, n > size && n < size+headMost, "%d bytes", n)
+	}
+}
--- a/internal/wire/frame/frame.go
+++ b/internal/wire/frame/frame.go
@@ -60,6 +60,8 @@
 	r    *bufio.Reader
 	w    *bufio.Writer
 	body cbor.RawMessage
+	// got is the size of the message that was read last.
+	got int
 }
 
 func newFrames(conn io.ReadWriteCloser) *frames {
@@ -81,6 +83,7 @@
 	}
 
 	f.body, err = f.readFrame()
+	f.got = 2*prefixLen + len(head) + len(f.body)
 
 	return err
 }
@@ -114,28 +117,31 @@
 	return data, err
 }
 
-func (f *frames) write(h header, body any) error {
+// write returns the size of the message.
+func (f *frames) write(h header, body any) (int, error) {
 	h.Version = Version
 
-	if err := f.writeFrame(h); err != nil {
-		return err
+	head, err := f.writeFrame(h)
+	if err != nil {
+		return 0, err
 	}
 
-	if err := f.writeFrame(body); err != nil {
-		return err
+	rest, err := f.writeFrame(body)
+	if err != nil {
+		return 0, err
 	}
 
-	return f.w.Flush()
+	return head + rest, f.w.Flush()
 }
 
-func (f *frames) writeFrame(v any) error {
+func (f *frames) writeFrame(v any) (int, error) {
 	data, err := encoding.Marshal(v)
 	if err != nil {
-		return err
+		return 0, err
 	}
 
 	if len(data) > MaxFrame {
-		return &SizeError{Size: uint64(len(data))}
+		return 0, &SizeError{Size: uint64(len(data))}
 	}
 
 	var prefix [prefixLen]byte
@@ -143,19 +149,32 @@
 	binary.BigEndian.PutUint32(prefix[:], uint32(len(data))) //nolint:gosec // Bounded above.
 
 	if _, err := f.w.Write(prefix[:]); err != nil {
-		return err
+		return 0, err
 	}
 
 	_, err = f.w.Write(data)
 
-	return err
+	return prefixLen + len(data), err
 }
 
 // clientCodec implements rpc.ClientCodec.
-type clientCodec struct{ *frames }
+type clientCodec struct {
+	*frames
+
+	count func(method string, bytes int)
+}
+
+func (c clientCodec) note(method string, bytes int) {
+	if c.count != nil {
+		c.count(method, bytes)
+	}
+}
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq}, body)
+	n, err := c.write(header{Method: r.ServiceMethod, Seq: r.Seq}, body)
+	c.note(r.ServiceMethod, n)
+
+	return err
 }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
@@ -165,6 +184,7 @@
 	}
 
 	r.ServiceMethod, r.Seq, r.Error = h.Method, h.Seq, h.Error
+	c.note(h.Method, c.got)
 
 	return nil
 }
@@ -190,7 +210,9 @@
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+	_, err := c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+
+	return err
 }
 
 func (c serverCodec) Close() error { return c.conn.Close() }
--- a/internal/wire/frame/frame_test.go
+++ b/internal/wire/frame/frame_test.go
@@ -40,7 +40,8 @@
 	)
 
 	f := newFrames(pipe{Writer: &buf})
-	assert.NilError(t, f.writeFrame(header{Version: Version + 1}))
+	_, err = f.writeFrame(header{Version: Version + 1})
+	assert.NilError(t, err)
 	assert.NilError(t, f.w.Flush())
 
 	err = newFrames(pipe{Reader: &buf}).readHeader(&header{})
