perf: entries are told what changed since what they have, also by a new holder

Cause: a holder kept for each entry a copy of the news that the entry has, and compared it with the newest each time. Now every entry keeps one history of the news, with the step at which a station or its counts alone changed last. Who is told answers which news it has; a new holder goes on with what it heard from the former one. Counts of running requests travel without what the target holds. Ruled out: comparing per entry against one shared copy (counts that creep by two at a time would never be told, a test holds that).

--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -16,20 +16,19 @@
 func (n *Node) Greet(g news.Greeting) news.Greeting { return n.peers.answer(g) }
 
 // Hear implements news.Handler.
-func (n *Node) Hear(d holder.Delta) bool {
+func (n *Node) Hear(d holder.Delta) holder.Edition {
 	n.mu.Lock()
 	latest, ok := n.news.Merge(d)
 	n.mu.Unlock()
 
-	if !ok {
-		return false
-	}
-
-	if n.holder.Hear(latest) {
+	if ok && n.holder.Hear(latest) {
 		n.takeNews(latest)
 	}
 
-	return true
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.news.Edition()
 }
 
 func (n *Node) takeNews(latest holder.News) {
@@ -38,11 +37,16 @@
 		n.cfg.Log.Info().Str("holder", string(latest.Holder)).Uint64("token", latest.Token).Msg("holder heard")
 	}
 
-	n.news, n.heard = latest, time.Now()
-	if latest.Holder != n.cfg.Self {
+	n.heard = time.Now()
+	if latest.Holder == n.cfg.Self {
+		n.history.Tell(latest, n.heard)
+	} else {
+		n.history.Hear(latest, n.heard)
 		n.noteStore(latest.StoreAge, n.heard)
 	}
 
+	n.news = n.history.News()
+
 	behind := n.list < latest.List
 	n.mu.Unlock()
 	poke(n.changed)
@@ -69,7 +73,24 @@
 	n.mu.Unlock()
 
 	n.takeNews(latest)
-	n.peers.publish(latest)
+	n.peers.publish()
+}
+
+// newsSince returns what is new to a peer that has these news, or of which that
+// is not known. It reports false unless the newest are this entry's own.
+func (n *Node) newsSince(has holder.Edition, known bool) (holder.Delta, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.news.Holder != n.cfg.Self || n.news.Process != n.process {
+		return holder.Delta{}, false
+	}
+
+	if !known {
+		has = n.history.Former()
+	}
+
+	return n.history.Since(has), true
 }
 
 // Report implements news.Handler.
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -128,8 +128,10 @@
 	lostConfig, lostTargets atomic.Bool
 	// known is a copy of the book's targets that nobody changes.
 	known map[instance.ID]inventory.Target
-	news  holder.News
-	heard time.Time
+	// news are the newest of history.
+	news    holder.News
+	history holder.History
+	heard   time.Time
 	// lookedConfig and lookedTargets are up to when this entry knows what the
 	// store held.
 	lookedConfig, lookedTargets time.Time
--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -46,8 +46,7 @@
 	roll.Member
 
 	client *news.Client
-	// mail is what it is to be told; kick says that there is something.
-	mail   holder.Mailbox
+	// kick says that there is something to tell it.
 	kick   chan struct{}
 	cancel context.CancelFunc
 }
@@ -357,15 +356,13 @@
 	return q
 }
 
-// publish hands the holder's newest news to all peers.
-func (p *peers) publish(latest holder.News) {
+// publish tells all peers that this holder has news.
+func (p *peers) publish() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	for _, m := range p.roll.All() {
-		q := p.way(m.ID)
-		q.mail.Post(latest)
-		poke(q.kick)
+		poke(p.way(m.ID).kick)
 	}
 }
 
@@ -377,6 +374,11 @@
 // tell sends the newest news to the peer, one after the other. Older ones that
 // a slow peer did not take are left out.
 func (p *peers) tell(ctx context.Context, q *peer) {
+	var (
+		has   holder.Edition
+		known bool
+	)
+
 	for {
 		select {
 		case <-ctx.Done():
@@ -384,26 +386,19 @@
 		case <-q.kick:
 		}
 
-		p.mu.Lock()
-		d, peers := q.mail.Next(), len(p.ways)
-		p.mu.Unlock()
-
-		taken, err := q.client.Hear(ctx, d)
-
-		p.mu.Lock()
-		if err == nil && taken {
-			q.mail.Told(d)
-		} else {
-			// It has other news than was thought, or may have.
-			q.mail.Forget()
+		d, holding := p.node.newsSince(has, known)
+		if !holding {
+			continue
 		}
-		p.mu.Unlock()
 
-		if err == nil && !taken && d.Base != 0 {
+		got, err := q.client.Hear(ctx, d)
+		if err != nil {
+			p.node.cfg.Log.Debug().Err(err).Str("peer", string(q.ID)).Msg("peer not told")
+		} else if has, known = got, true; got != d.Edition() && d.Base != (holder.Edition{}) {
 			poke(q.kick)
 		}
 
-		if peers > roll.Everybody {
+		if peers := p.listed(); peers > roll.Everybody {
 			_ = clock.Sleep(ctx, time.Duration(peers)*tellPace)
 		}
 	}
--- a/internal/placement/holder/delta.go
+++ b/internal/placement/holder/delta.go
@@ -2,83 +2,91 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 )
 
-// Delta is what changed between two news of one holder.
+// Edition names news. The zero value names none.
+type Edition struct {
+	Token   uint64
+	Process string
+	Number  uint64
+}
+
+// Edition returns the news' name.
+func (n News) Edition() Edition {
+	return Edition{Token: n.Token, Process: n.Process, Number: n.Number}
+}
+
+// Delta is what changed between two news.
 type Delta struct {
-	// News is the newer one; of its stations only those that changed are
-	// there.
+	// News is the newer one; of its stations only those that changed in more
+	// than their counts are there.
 	News
-	// Base is the number of the news that it builds on; zero means that it is
-	// whole.
-	Base uint64
+	// Base is the news that it builds on; the zero value means that it is whole.
+	Base Edition
+	// Counts are the stations of which only the counts changed.
+	Counts []Count
 	// Gone are the targets that the newer one no longer has.
 	Gone []instance.ID
 }
 
-// runningStep is by how many running requests a station must differ to be sent
-// again for that alone. The count moves with every request, and a choice of
-// targets is the same for two more or less.
-const runningStep = 3
-
-// Since returns what changed since old, which may be of another holder.
-//
-// It answers the load of many entries and targets: of the whole news to all at
-// each change a single station has changed.
-func (n News) Since(old News) Delta {
-	d := Delta{News: n}
-	if old.Token != n.Token || old.Process != n.Process || old.Number == 0 {
-		return d
-	}
-
-	d.Base = old.Number
-	d.Stations = nil
-
-	was := make(map[instance.ID]*Station, len(old.Stations))
-	for i := range old.Stations {
-		was[old.Stations[i].Target] = &old.Stations[i]
-	}
-
-	for _, s := range n.Stations {
-		o := was[s.Target]
-		delete(was, s.Target)
+// Count is how many requests run on and wait for one target.
+type Count struct {
+	Target         instance.ID
+	Running, Lines int
+}
 
-		if o == nil || !o.like(&s) {
-			d.Stations = append(d.Stations, s)
-		}
-	}
+const (
+	// runningStep is by how many running requests a station must differ to be
+	// sent again for that alone. The count moves with every request, and a choice
+	// of targets is the same for two more or less.
+	runningStep = 3
+	// readyStep is the same for the time at which a load ends: two entries know
+	// it by messages that took some time.
+	readyStep = 30 * time.Millisecond
+)
 
-	for id := range was {
-		d.Gone = append(d.Gone, id)
-	}
+// counts reports whether an entry that knows s need not be told of the counts
+// of o, where a step of running requests counts.
+func (s *Station) counts(o *Station, step int) bool {
+	apart := s.Running - o.Running
 
-	return d
+	return s.Lines == o.Lines && max(apart, -apart) < step
 }
 
-// like reports whether an entry that knows s need not be told of o.
-func (s *Station) like(o *Station) bool {
-	apart := s.Running - o.Running
-
-	return s.Born == o.Born && s.Sequence == o.Sequence && s.Lines == o.Lines && max(apart, -apart) < runningStep && slices.EqualFunc(s.Held, o.Held, Held.equal)
+// holds reports whether an entry that knows s need not be told of what o holds.
+func (s *Station) holds(o *Station, now time.Time) bool {
+	return s.Born == o.Born && s.Sequence == o.Sequence &&
+		slices.EqualFunc(s.Held, o.Held, func(a, b Held) bool { return a.like(b, now) })
 }
 
-func (h Held) equal(o Held) bool {
-	return h.Model == o.Model && h.Ready.Equal(o.Ready) && slices.EqualFunc(h.Adapters, o.Adapters, func(a, b Adapter) bool {
-		return a.Name == b.Name && a.Ready.Equal(b.Ready)
+func (h Held) like(o Held, now time.Time) bool {
+	return h.Model == o.Model && readyLike(h.Ready, o.Ready, now) && slices.EqualFunc(h.Adapters, o.Adapters, func(a, b Adapter) bool {
+		return a.Name == b.Name && readyLike(a.Ready, b.Ready, now)
 	})
 }
 
+// readyLike reports whether two ends of a load are the same to an entry that
+// hears of them at now: what is ready is ready.
+func readyLike(a, b, now time.Time) bool {
+	if !a.After(now) || !b.After(now) {
+		return a.After(now) == b.After(now)
+	}
+
+	return a.Sub(b).Abs() < readyStep
+}
+
 // Merge returns the news with a delta taken in. It reports false when the delta
 // builds on other news than these.
 func (n News) Merge(d Delta) (News, bool) {
 	out := d.News
-	if d.Base == 0 {
+	if d.Base == (Edition{}) {
 		return out, true
 	}
 
-	if n.Token != d.Token || n.Process != d.Process || n.Number != d.Base {
+	if n.Edition() != d.Base {
 		return n, false
 	}
 
@@ -91,37 +99,24 @@
 		changed[id] = true
 	}
 
-	out.Stations = slices.Clone(d.Stations)
-
-	for _, s := range n.Stations {
-		if !changed[s.Target] {
-			out.Stations = append(out.Stations, s)
-		}
+	counts := make(map[instance.ID]Count, len(d.Counts))
+	for _, c := range d.Counts {
+		counts[c.Target] = c
 	}
 
-	return out, true
-}
+	out.Stations = slices.Grow(slices.Clone(d.Stations), len(n.Stations))
 
-// Mailbox is what one entry is to be told and has been told. The zero value
-// has told nothing.
-type Mailbox struct {
-	told   News
-	latest News
-}
-
-// Post replaces what the entry is to be told.
-func (m *Mailbox) Post(latest News) { m.latest = latest }
+	for _, s := range n.Stations {
+		if changed[s.Target] {
+			continue
+		}
 
-// Next returns what the entry must be told now.
-func (m *Mailbox) Next() Delta { return m.latest.Since(m.told) }
+		if c, ok := counts[s.Target]; ok {
+			s.Running, s.Lines = c.Running, c.Lines
+		}
 
-// Told notes that the entry took in a delta.
-func (m *Mailbox) Told(d Delta) {
-	if told, ok := m.told.Merge(d); ok {
-		m.told = told
+		out.Stations = append(out.Stations, s)
 	}
-}
 
-// Forget makes the next delta a whole one, because it is not known what the
-// entry has.
-func (m *Mailbox) Forget() { m.told = News{} }
+	return out, true
+}
--- a/internal/placement/holder/delta_test.go
+++ b/internal/placement/holder/delta_test.go
@@ -44,17 +44,21 @@
 	return out
 }
 
-// TestDeltas: entries get what changed instead of the whole. Some deltas get
-// lost with or without the sender's knowledge, holders change, and a former
-// one's come late. An entry must never hold a mixture: what it has is what was
-// published under that number, but for the count of running requests.
+// An entry held a mixture of news after lost deltas, lost answers or a change
+// of the holder: what it has must be what was published, but for the count of
+// running requests.
 func TestDeltas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		const entries = 3
+
 		var (
-			box  Mailbox
-			have News
+			histories [entries]History
+			// has is what the holder knows of the others.
+			has    [entries]Edition
+			holder int
 		)
 
+		now := time.Unix(0, 0)
 		token, number := uint64(1), uint64(0)
 
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
@@ -62,73 +66,164 @@
 
 			if rapid.IntRange(0, 6).Draw(t, "handover") == 0 {
 				token, number = token+1, 1
+				holder = rapid.IntRange(0, entries-1).Draw(t, "holder")
+
+				for other := range entries {
+					has[other] = histories[holder].News().Edition()
+				}
 			}
 
 			latest := drawNews(t, token, number)
-			box.Post(latest)
+			histories[holder].Tell(latest, now)
 
-			d := box.Next()
+			for other := range entries {
+				if other == holder {
+					continue
+				}
 
-			switch rapid.IntRange(0, 4).Draw(t, "fate") {
-			case 0: // Lost, and the sender knows.
-				box.Forget()
+				told, answers := tell(t, &histories[holder], &histories[other], &has[other], now)
+				if !told || !answers {
+					continue
+				}
 
-				continue
-			case 1: // Taken in, but the answer is lost.
-				if got, ok := have.Merge(d); ok {
-					have = got
+				if histories[other].News().Number != latest.Number {
+					tell(t, &histories[holder], &histories[other], &has[other], now)
 				}
 
-				box.Forget()
+				if has[other] == latest.Edition() {
+					sameNews(t, histories[other].News(), latest)
+				}
+			}
+		}
 
+		// Once nothing is lost, two tellings bring everybody up to date.
+		for other := range entries {
+			if other == holder {
 				continue
 			}
 
-			got, ok := have.Merge(d)
-			if !ok {
-				box.Forget()
+			for range 2 {
+				got, ok := histories[other].News().Merge(histories[holder].Since(has[other]))
+				if ok {
+					histories[other].Hear(got, now)
+				}
 
-				d = box.Next()
-				got, ok = have.Merge(d)
+				has[other] = histories[other].news.Edition()
 			}
 
-			assert.Assert(t, ok, "a whole delta was not taken in")
-			box.Told(d)
+			sameNews(t, histories[other].News(), histories[holder].News())
+		}
+	})
+}
 
-			have = got
+// tell plays one telling, which may be lost, or its answer. It reports whether
+// they were not.
+func tell(t *rapid.T, from, to *History, has *Edition, now time.Time) (told, answered bool) {
+	fate := rapid.IntRange(0, 4).Draw(t, "fate")
+	if fate == 0 {
+		return false, false
+	}
 
-			assert.Equal(t, have.Number, latest.Number)
+	if got, ok := to.News().Merge(from.Since(*has)); ok {
+		to.Hear(got, now)
+	}
 
-			want, now := stations(latest), stations(have)
-			assert.Equal(t, len(now), len(want))
+	if fate == 1 {
+		return true, false
+	}
 
-			for i := range want {
-				apart := now[i].Running - want[i].Running
-				assert.Assert(t, max(apart, -apart) < runningStep)
+	*has = to.news.Edition()
 
-				now[i].Running = want[i].Running
-				assert.DeepEqual(t, now[i], want[i])
-			}
-		}
-	})
+	return true, true
 }
 
-// TestDeltaIsSmall: one load among 60 engines is told to every entry. The whole
-// would be 60 stations each time.
-func TestDeltaIsSmall(t *testing.T) {
-	old := News{Process: "p", Token: 1, Number: 1}
+func sameNews(t *rapid.T, have, latest News) {
+	assert.Equal(t, have.Number, latest.Number)
+
+	want, now := stations(latest), stations(have)
+	assert.Equal(t, len(now), len(want))
+
+	for i := range want {
+		apart := now[i].Running - want[i].Running
+		assert.Assert(t, max(apart, -apart) < runningStep)
+
+		now[i].Running = want[i].Running
+		assert.DeepEqual(t, now[i], want[i])
+	}
+}
+
+// news60 returns news of 60 targets of one holder.
+func news60(token, number uint64) News {
+	out := News{Process: fmt.Sprint("p", token), Token: token, Number: number}
 	for i := range 60 {
-		old.Stations = append(old.Stations, Station{Target: instance.ID(fmt.Sprint(i)), Running: 7})
+		out.Stations = append(out.Stations, Station{Target: instance.ID(fmt.Sprint(i)), Running: 7})
 	}
 
-	next := old
-	next.Number = 2
-	next.Stations = slices.Clone(old.Stations)
+	return out
+}
+
+// One load among 60 targets was told to every entry as 60 stations.
+func TestDeltaIsSmall(t *testing.T) {
+	var h History
+
+	old := news60(1, 1)
+	h.Tell(old, time.Unix(0, 0))
+
+	next := news60(1, 2)
 	next.Stations[3].Held = []Held{{Model: "m"}}
 	next.Stations[4].Running = 8
+	next.Stations[5].Running = 7 + runningStep
+	h.Tell(next, time.Unix(0, 0))
 
-	d := next.Since(old)
-	assert.Equal(t, d.Base, uint64(1))
+	d := h.Since(old.Edition())
+	assert.Equal(t, d.Base, old.Edition())
 	assert.Equal(t, len(d.Stations), 1)
 	assert.Equal(t, d.Stations[0].Target, instance.ID("3"))
+	assert.DeepEqual(t, d.Counts, []Count{{Target: "5", Running: 7 + runningStep}})
+}
+
+// Counts that crept away in small steps were never told.
+func TestCountsCreep(t *testing.T) {
+	var h History
+
+	first := news60(1, 1)
+	h.Tell(first, time.Unix(0, 0))
+
+	for i := range uint64(runningStep) {
+		next := news60(1, 2+i)
+		next.Stations[0].Running = 8 + int(i)
+		h.Tell(next, time.Unix(0, 0))
+	}
+
+	assert.DeepEqual(t, h.Since(first.Edition()).Counts, []Count{{Target: "0", Running: 7 + runningStep}})
+}
+
+// A new holder told all entries the whole news, which took its link for as long
+// as their number took.
+func TestNewHolderGoesOn(t *testing.T) {
+	var taker, other, started History
+
+	now := time.Unix(0, 0)
+	taker.Hear(news60(1, 8), now)
+	other.Hear(news60(1, 8), now)
+
+	own := news60(2, 1)
+	own.Stations[3].Held = []Held{{Model: "m"}}
+	taker.Tell(own, now)
+
+	d := taker.Since(taker.Former())
+	assert.Equal(t, d.Base, Edition{Token: 1, Process: "p1", Number: 8})
+	assert.Equal(t, len(d.Stations), 1)
+
+	got, ok := other.News().Merge(d)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(got.Stations), 60)
+
+	// A process that has just started says so, and gets the whole.
+	_, ok = started.News().Merge(d)
+	assert.Assert(t, !ok)
+
+	d = taker.Since(started.news.Edition())
+	assert.Equal(t, d.Base, Edition{})
+	assert.Equal(t, len(d.Stations), 60)
 }
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -30,9 +30,9 @@
 type Handler interface {
 	// Greet takes in a peer and returns this entry's own greeting.
 	Greet(g Greeting) Greeting
-	// Hear takes in a holder's news. It reports false when they build on news
-	// that this entry does not have.
-	Hear(d holder.Delta) bool
+	// Hear takes in a holder's news, unless they build on news that this entry
+	// does not have. It returns what it has then.
+	Hear(d holder.Delta) holder.Edition
 	// Report takes in an entry's demand.
 	Report(r demand.Report, missing []holder.Missing) error
 	// View returns what is newer here than what the peer has.
@@ -65,8 +65,8 @@
 }
 
 // Hear is the remote call.
-func (s service) Hear(in Message, taken *bool) error {
-	*taken = s.h.Hear(toDelta(in, time.Now()))
+func (s service) Hear(in Message, out *EditionMessage) error {
+	*out = fromEdition(s.h.Hear(toDelta(in, time.Now())))
 
 	return nil
 }
@@ -122,16 +122,16 @@
 	return toGreeting(out)
 }
 
-// Hear sends news. It reports whether the entry had those that they build on.
-func (c *Client) Hear(ctx context.Context, d holder.Delta) (bool, error) {
-	var taken bool
+// Hear sends news. It returns which the entry has then.
+func (c *Client) Hear(ctx context.Context, d holder.Delta) (holder.Edition, error) {
+	var has EditionMessage
 
-	// After an error a late answer may still be written to taken.
-	if err := c.Call(ctx, serviceName+".Hear", fromDelta(d, time.Now()), &taken); err != nil {
-		return false, err
+	// After an error a late answer may still be written to has.
+	if err := c.Call(ctx, serviceName+".Hear", fromDelta(d, time.Now()), &has); err != nil {
+		return holder.Edition{}, err
 	}
 
-	return taken, nil
+	return toEdition(has), nil
 }
 
 // Report sends an entry's demand.
@@ -168,12 +168,30 @@
 	Token, Number, LeaseVersion uint64
 	Config, List                uint64
 	StoreAgeMs                  int64
-	Base                        uint64
+	Base                        EditionMessage
 	Gone                        []string
 	Stations                    []StationMessage
+	Counts                      []CountMessage
 	Waits                       []WaitMessage
 }
 
+// EditionMessage is a holder.Edition on the wire.
+type EditionMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Token   uint64
+	Process string
+	Number  uint64
+}
+
+// CountMessage is a holder.Count on the wire.
+type CountMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target         string
+	Running, Lines int
+}
+
 // WaitMessage is a holder.Wait on the wire.
 type WaitMessage struct {
 	_ struct{} `cbor:",toarray"`
@@ -212,19 +230,31 @@
 	LeftMs int64
 }
 
+func fromEdition(e holder.Edition) EditionMessage {
+	return EditionMessage{Token: e.Token, Process: e.Process, Number: e.Number}
+}
+
+func toEdition(e EditionMessage) holder.Edition {
+	return holder.Edition{Token: e.Token, Process: e.Process, Number: e.Number}
+}
+
 func leftMs(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
 func fromDelta(n holder.Delta, now time.Time) Message {
 	out := Message{
 		Holder: string(n.Holder), Process: n.Process, Successor: string(n.Successor),
 		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion, Config: n.Config, List: n.List,
-		StoreAgeMs: n.StoreAge.Milliseconds(), Base: n.Base,
+		StoreAgeMs: n.StoreAge.Milliseconds(), Base: fromEdition(n.Base),
 	}
 
 	for _, id := range n.Gone {
 		out.Gone = append(out.Gone, string(id))
 	}
 
+	for _, c := range n.Counts {
+		out.Counts = append(out.Counts, CountMessage{Target: string(c.Target), Running: c.Running, Lines: c.Lines})
+	}
+
 	for _, w := range n.Waits {
 		out.Waits = append(out.Waits, WaitMessage{Key: w.Key, LeftMs: leftMs(w.Ready, now)})
 	}
@@ -249,7 +279,7 @@
 
 func toDelta(n Message, now time.Time) holder.Delta {
 	at := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-	out := holder.Delta{Base: n.Base, News: holder.News{
+	out := holder.Delta{Base: toEdition(n.Base), News: holder.News{
 		Holder: instance.ID(n.Holder), Process: n.Process, Successor: instance.ID(n.Successor),
 		Token: n.Token, Number: n.Number, LeaseVersion: n.LeaseVersion, Config: n.Config, List: n.List,
 		StoreAge: time.Duration(n.StoreAgeMs) * time.Millisecond,
@@ -259,6 +289,10 @@
 		out.Gone = append(out.Gone, instance.ID(id))
 	}
 
+	for _, c := range n.Counts {
+		out.Counts = append(out.Counts, holder.Count{Target: instance.ID(c.Target), Running: c.Running, Lines: c.Lines})
+	}
+
 	for _, w := range n.Waits {
 		out.Waits = append(out.Waits, holder.Wait{Key: w.Key, Ready: at(w.LeftMs)})
 	}
