--- a/internal/placement/holder/delta.go
+++ b/internal/placement/holder/delta.go
@@ -4,19 +4,26 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 )
 
-// Edition names news. The zero value names none.
+// Edition names news in short. The zero value names none.
 type Edition struct {
-	Token   uint64
-	Process string
+	Token uint64
+	// Process is a hash of the holder's process.
+	Process uint64
 	Number  uint64
 }
 
 // Edition returns the news' name.
 func (n News) Edition() Edition {
-	return Edition{Token: n.Token, Process: n.Process, Number: n.Number}
+	if n.Process == "" {
+		return Edition{}
+	}
+
+	return Edition{Token: n.Token, Process: xxhash.Sum64String(n.Process), Number: n.Number}
 }
 
 // Delta is what changed between two news.
--- a/internal/placement/holder/delta_test.go
+++ b/internal/placement/holder/delta_test.go
@@ -212,7 +212,7 @@
 	taker.Tell(own, now)
 
 	d := taker.Since(taker.Former())
-	assert.Equal(t, d.Base, Edition{Token: 1, Process: "p1", Number: 8})
+	assert.Equal(t, d.Base, news60(1, 8).Edition())
 	assert.Equal(t, len(d.Stations), 1)
 
 	got, ok := other.News().Merge(d)
--- a/internal/placement/holder/history.go
+++ b/internal/placement/holder/history.go
@@ -135,8 +135,10 @@
 // Former returns the last news of the holder before, if they are known: most
 // entries have them when a holder's first are told.
 func (h *History) Former() Edition {
+	own := h.news.Edition()
+
 	for i := len(h.editions) - 1; i >= 0; i-- {
-		if e := h.editions[i]; e.Token != h.news.Token || e.Process != h.news.Process {
+		if e := h.editions[i]; e.Token != own.Token || e.Process != own.Process {
 			return e.Edition
 		}
 	}
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -179,9 +179,7 @@
 type EditionMessage struct {
 	_ struct{} `cbor:",toarray"`
 
-	Token   uint64
-	Process string
-	Number  uint64
+	Token, Process, Number uint64
 }
 
 // CountMessage is a holder.Count on the wire.
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -101,7 +101,7 @@
 	assert.DeepEqual(t, got.greeting.Digest, greeting.Digest)
 
 	now := time.Now()
-	sent := holder.Delta{Base: holder.Edition{Token: 2, Process: "o", Number: 3}, Counts: []holder.Count{{Target: "c", Running: 4, Lines: 1}}, Gone: []instance.ID{"g"}, News: holder.News{
+	sent := holder.Delta{Base: holder.Edition{Token: 2, Process: 1 << 63, Number: 3}, Counts: []holder.Count{{Target: "c", Running: 4, Lines: 1}}, Gone: []instance.ID{"g"}, News: holder.News{
 		Holder: "h", Process: "p", Successor: "s", Token: 3, Number: 4, LeaseVersion: 5, Config: 6, List: 7, StoreAge: 80 * time.Millisecond,
 		Waits: []holder.Wait{{Key: "s/m", Ready: now.Add(time.Second)}},
 		Stations: []holder.Station{{Target: "t", Born: 6, Sequence: 7, Running: 8, Held: []holder.Held{{
@@ -177,7 +177,7 @@
 	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
 	defer c.Close()
 
-	d := holder.Delta{Base: holder.Edition{Token: 3, Process: "2853b030-cd73-48f1-8f11-0ab77e672abc", Number: 1200}, News: holder.News{
+	d := holder.Delta{Base: holder.Edition{Token: 3, Process: 1 << 63, Number: 1200}, News: holder.News{
 		Holder: "frontend-centro-a-1", Process: "2853b030-cd73-48f1-8f11-0ab77e672abc", Token: 3, Number: 1201, LeaseVersion: 700, Config: 6, List: 650,
 		Stations: []holder.Station{{Target: "i-9643e10ce0", Born: 1767260437015, Sequence: 17, Running: 12, Held: []holder.Held{
 			{Model: "leti7875e0", Adapters: []holder.Adapter{{Name: "a11"}}}, {Model: "cuzi1830fc"}, {Model: "puba12b2f8"},
