perf: entries with different lists tell each other beats and names of the unknown only

Now the answer holds a hash and a beat for each member, 13 bytes; the sender asks at once for those that it does not know. Ruled out: only those listed lately (an entry that was away would miss the rest). TestCostOfARestart: 90 entries tell each other at most 270 members in full over a restart.

--- a/internal/fleet/node/peers.go
+++ b/internal/fleet/node/peers.go
@@ -107,14 +107,9 @@
 			c := &news.Client{Caller: frame.Caller{Address: address, Count: p.node.traffic.note}}
 			defer c.Close()
 
-			g, err := c.Greet(ctx, p.greeting())
-			if err != nil {
+			if err := p.exchange(ctx, c); err != nil {
 				p.node.cfg.Log.Info().Err(err).Stringer("seed", address).Msg("seed not reached")
-
-				return
 			}
-
-			p.take(g)
 		}()
 	}
 }
@@ -196,12 +191,37 @@
 		return nil
 	}
 
-	g, err := q.client.Greet(ctx, p.greeting())
-	if err == nil {
-		p.take(g)
+	return p.exchange(ctx, q.client)
+}
+
+// exchange greets another entry, and asks it for those members of its list that
+// are unknown here.
+func (p *peers) exchange(ctx context.Context, c *news.Client) error {
+	g := p.greeting()
+
+	for {
+		got, err := c.Greet(ctx, g)
+		if err != nil {
+			return err
+		}
+
+		p.take(got)
+
+		if g.Want != nil || got.Pulses == nil {
+			return nil
+		}
+
+		if g.Want = p.takePulses(got.Pulses); g.Want == nil {
+			return nil
+		}
 	}
+}
 
-	return err
+func (p *peers) takePulses(pulses []roll.Pulse) []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.roll.TakePulses(pulses, time.Now())
 }
 
 // greeting returns this entry's own greeting.
@@ -229,16 +249,17 @@
 	return p.roll.Take(g.Digest, now)
 }
 
-// answer takes in a greeting and returns what the sender does not know.
+// answer takes in a greeting and returns what the sender does not know or asks
+// for.
 func (p *peers) answer(g news.Greeting) news.Greeting {
 	same := p.take(g)
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	out := news.Greeting{From: p.roll.Self, Digest: p.roll.Digest()}
-	if !same {
-		out.Known = p.roll.Known()
+	out := news.Greeting{From: p.roll.Self, Digest: p.roll.Digest(), Known: p.roll.Named(g.Want)}
+	if !same && len(g.Want) == 0 {
+		out.Pulses = p.roll.Pulses()
 	}
 
 	return out
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -42,6 +42,11 @@
 	Beats []uint64
 }
 
+// Pulse is the beat of a process, which a hash stands for.
+type Pulse struct{ Process, Beat uint64 }
+
+func processSum(process string) uint64 { return xxhash.Sum64String(process) }
+
 // leavingBeat is the beat of a process that is about to end: nothing that is
 // heard of it later counts.
 const leavingBeat = 1<<32 - 1
@@ -68,6 +73,8 @@
 type entry struct {
 	Member
 
+	// sum is the hash of its process.
+	sum uint64
 	// heard is when its beat last grew, and since when it is listed.
 	heard, since time.Time
 }
@@ -77,8 +84,8 @@
 	// Self is this process. Its beat is the number of rounds.
 	Self    Member
 	members map[instance.ID]*entry
-	// gone are processes that were forgotten, and when.
-	gone map[string]time.Time
+	// gone are the hashes of processes that were forgotten, and when.
+	gone map[uint64]time.Time
 	// order are the members by id, with nil for this process, and set is the
 	// hash of their processes. Nil means that the list has changed since.
 	order []*entry
@@ -119,7 +126,7 @@
 func (r *Roll) forget(now time.Time) {
 	for id, e := range r.members {
 		if now.Sub(e.heard) > forgetAfter && now.Sub(e.since) > forgetAfter {
-			r.bury(e.Process, now)
+			r.bury(e, now)
 			delete(r.members, id)
 
 			r.order = nil
@@ -133,12 +140,12 @@
 	}
 }
 
-func (r *Roll) bury(process string, now time.Time) {
+func (r *Roll) bury(e *entry, now time.Time) {
 	if r.gone == nil {
-		r.gone = make(map[string]time.Time)
+		r.gone = make(map[uint64]time.Time)
 	}
 
-	r.gone[process] = now
+	r.gone[e.sum] = now
 }
 
 // Meet takes in a member that was named by another or by a row. A process that
@@ -152,7 +159,7 @@
 		return
 	}
 
-	if _, buried := r.gone[m.Process]; buried {
+	if _, buried := r.gone[processSum(m.Process)]; buried {
 		return
 	}
 
@@ -165,7 +172,7 @@
 		old.note(m.Beat, now)
 		old.learn(m)
 	case m.Born.After(old.Born):
-		r.bury(old.Process, now)
+		r.bury(old, now)
 		r.enlist(m, now)
 	}
 }
@@ -175,7 +182,7 @@
 		r.members = make(map[instance.ID]*entry)
 	}
 
-	e := &entry{Member: m, since: now}
+	e := &entry{Member: m, sum: processSum(m.Process), since: now}
 	if m.Leaving {
 		e.Beat = leavingBeat
 	}
@@ -192,10 +199,10 @@
 		return
 	}
 
-	delete(r.gone, m.Process)
+	delete(r.gone, processSum(m.Process))
 
 	if old := r.members[m.ID]; old != nil && old.Process != m.Process {
-		r.bury(old.Process, now)
+		r.bury(old, now)
 		r.enlist(m, now)
 	}
 
@@ -290,13 +297,65 @@
 	return true
 }
 
-// Known returns all members and this process, for an entry with another list.
-func (r *Roll) Known() []Member {
-	r.sort()
+// Pulses returns the beats of all members and of this process, for an entry with
+// another list.
+func (r *Roll) Pulses() []Pulse {
+	out := make([]Pulse, 0, len(r.members)+1)
+	for _, e := range r.members {
+		out = append(out, Pulse{e.sum, e.Beat})
+	}
 
-	out := make([]Member, len(r.order))
-	for i, e := range r.order {
-		out[i] = *r.member(e)
+	return append(out, Pulse{processSum(r.Self.Process), r.Self.Beat})
+}
+
+// TakePulses takes in the beats of an entry with another list. It returns the
+// processes that are unknown here.
+//
+// It answers the load of hundreds of entries of which some start or end all the
+// time: their lists differ more often than not, and few of the members are new.
+func (r *Roll) TakePulses(pulses []Pulse, now time.Time) []uint64 {
+	listed := make(map[uint64]*entry, len(r.members))
+	for _, e := range r.members {
+		listed[e.sum] = e
+	}
+
+	var unknown []uint64
+
+	for _, p := range pulses {
+		_, buried := r.gone[p.Process]
+
+		switch e := listed[p.Process]; {
+		case e != nil:
+			e.note(p.Beat, now)
+		case !buried && p.Process != processSum(r.Self.Process):
+			unknown = append(unknown, p.Process)
+		}
+	}
+
+	return unknown
+}
+
+// Named returns the members, and this process, that hashes stand for.
+func (r *Roll) Named(sums []uint64) []Member {
+	if len(sums) == 0 {
+		return nil
+	}
+
+	asked := make(map[uint64]bool, len(sums))
+	for _, sum := range sums {
+		asked[sum] = true
+	}
+
+	var out []Member
+
+	for _, e := range r.members {
+		if asked[e.sum] {
+			out = append(out, e.Member)
+		}
+	}
+
+	if asked[processSum(r.Self.Process)] {
+		out = append(out, r.Self)
 	}
 
 	return out
--- a/internal/fleet/roll/roll_test.go
+++ b/internal/fleet/roll/roll_test.go
@@ -20,8 +20,9 @@
 	t     *testing.T
 	now   time.Time
 	rolls map[instance.ID]*Roll
-	// greetings counts the calls, and whole those that carried whole lists.
-	greetings, whole int
+	// greetings counts the calls, whole those between entries with different
+	// lists, and named the members that were told with all that is known of them.
+	greetings, whole, named int
 }
 
 func newCrowd(t *testing.T, n int) *crowd {
@@ -64,7 +65,9 @@
 	if !from.Take(r.Digest(), c.now) || !same {
 		c.whole++
 
-		for _, m := range r.Known() {
+		for _, m := range r.Named(from.TakePulses(r.Pulses(), c.now)) {
+			c.named++
+
 			from.Meet(m, c.now)
 		}
 	}
@@ -117,6 +120,23 @@
 	}
 }
 
+// Whenever one of hundreds of entries had started again, the others told each
+// other all that they knew of everybody, round after round.
+func TestCostOfARestart(t *testing.T) {
+	const entries = 90
+
+	c := newCrowd(t, entries)
+	c.rounds(15)
+	c.named = 0
+
+	c.start(7, "second")
+	c.rounds(12)
+	c.all(entries - 1)
+
+	// The one learns of everybody, and everybody of the one.
+	assert.Assert(t, c.named <= 3*entries, "%d members told", c.named)
+}
+
 // TestDeath: a third of the entries lose power at once. The others must stop
 // counting on them within the time given, and must not bring them back to each
 // other's lists after they were forgotten.
--- a/internal/wire/news/greeting.go
+++ b/internal/wire/news/greeting.go
@@ -12,10 +12,19 @@
 type GreetingMessage struct {
 	_ struct{} `cbor:",toarray"`
 
-	From  MemberMessage
-	Set   uint64
-	Beats []uint64
-	Known []MemberMessage
+	From   MemberMessage
+	Set    uint64
+	Beats  []uint64
+	Pulses []PulseMessage
+	Want   []uint64
+	Known  []MemberMessage
+}
+
+// PulseMessage is a roll.Pulse on the wire.
+type PulseMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Process, Beat uint64
 }
 
 // MemberMessage is a roll.Member on the wire.
@@ -61,7 +70,11 @@
 }
 
 func fromGreeting(g Greeting) GreetingMessage {
-	out := GreetingMessage{From: fromMember(g.From), Set: g.Digest.Set, Beats: g.Digest.Beats}
+	out := GreetingMessage{From: fromMember(g.From), Set: g.Digest.Set, Beats: g.Digest.Beats, Want: g.Want}
+	for _, p := range g.Pulses {
+		out.Pulses = append(out.Pulses, PulseMessage{Process: p.Process, Beat: p.Beat})
+	}
+
 	for _, m := range g.Known {
 		out.Known = append(out.Known, fromMember(m))
 	}
@@ -75,7 +88,10 @@
 		return Greeting{}, err
 	}
 
-	out := Greeting{From: from, Digest: roll.Digest{Set: in.Set, Beats: in.Beats}}
+	out := Greeting{From: from, Digest: roll.Digest{Set: in.Set, Beats: in.Beats}, Want: in.Want}
+	for _, p := range in.Pulses {
+		out.Pulses = append(out.Pulses, roll.Pulse{Process: p.Process, Beat: p.Beat})
+	}
 
 	for _, known := range in.Known {
 		m, err := toMember(known)
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -21,8 +21,12 @@
 	From roll.Member
 	// Digest is the sender's list in short.
 	Digest roll.Digest
-	// Known is the sender's whole list. Only answers carry it, and only when
-	// the lists differ.
+	// Pulses are the beats of the sender's list. Only answers carry them, and
+	// only when the lists differ.
+	Pulses []roll.Pulse
+	// Want are the processes that the sender wants to know of, and Known those
+	// that the other had wanted to.
+	Want  []uint64
 	Known []roll.Member
 }
 
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -40,7 +40,7 @@
 func (e *echo) Greet(g Greeting) Greeting {
 	e.greeting = g
 
-	return Greeting{From: member("other"), Known: []roll.Member{member("third")}}
+	return Greeting{From: member("other"), Pulses: []roll.Pulse{{Process: 1 << 63, Beat: 2}}, Known: []roll.Member{member("third")}}
 }
 
 func (e *echo) Hear(d holder.Delta) holder.Edition {
@@ -91,13 +91,15 @@
 	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
 	defer c.Close()
 
-	greeting := Greeting{From: member("a"), Digest: roll.Digest{Set: 1 << 60, Beats: []uint64{1, 2}}}
+	greeting := Greeting{From: member("a"), Digest: roll.Digest{Set: 1 << 60, Beats: []uint64{1, 2}}, Want: []uint64{3}}
 	greeting.From.Leaving = true
 	g, err := c.Greet(t.Context(), greeting)
 	assert.NilError(t, err)
 	assert.Equal(t, g.From, member("other"))
 	assert.DeepEqual(t, g.Known, []roll.Member{member("third")}, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.DeepEqual(t, g.Pulses, []roll.Pulse{{Process: 1 << 63, Beat: 2}})
 	assert.Equal(t, got.greeting.From, greeting.From)
+	assert.DeepEqual(t, got.greeting.Want, greeting.Want)
 	assert.DeepEqual(t, got.greeting.Digest, greeting.Digest)
 
 	now := time.Now()
