perf: large messages between entries are compressed

Bodies from 4 KiB on are compressed at the fastest level, and what they unpack to is bounded like any message. Ruled out: compressing everything, which costs more processor time than the small messages cost a link.

--- a/internal/wire/frame/caller_test.go
+++ b/internal/wire/frame/caller_test.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"crypto/rand"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -100,8 +101,11 @@
 
 	var out []byte
 
-	assert.NilError(t, c.Call(t.Context(), "Echo.Same", make([]byte, size), &out))
-	assert.Equal(t, len(out), size)
+	in := make([]byte, size)
+	_, _ = rand.Read(in) // Does not get smaller when it is compressed.
+
+	assert.NilError(t, c.Call(t.Context(), "Echo.Same", in, &out))
+	assert.DeepEqual(t, out, in)
 
 	mu.Lock()
 	defer mu.Unlock()
@@ -111,4 +115,16 @@
 	for _, n := range got {
 		assert.Assert(t, n > size && n < size+headMost, "%d bytes", n)
 	}
+
+	// What repeats itself is told in short.
+	got = nil
+
+	mu.Unlock()
+	assert.NilError(t, c.Call(t.Context(), "Echo.Same", make([]byte, size), &out))
+	mu.Lock()
+	assert.DeepEqual(t, out, make([]byte, size))
+
+	for _, n := range got {
+		assert.Assert(t, n < size/10, "%d bytes", n) //nolint:mnd // A tenth.
+	}
 }
--- a/internal/wire/frame/frame.go
+++ b/internal/wire/frame/frame.go
@@ -52,6 +52,8 @@
 	Method  string `cbor:"2,keyasint,omitempty"`
 	Seq     uint64 `cbor:"3,keyasint"`
 	Error   string `cbor:"4,keyasint,omitempty"`
+	// Packed says that the body is compressed.
+	Packed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // frames reads and writes whole messages on a connection.
@@ -82,9 +84,16 @@
 		return &VersionError{Got: h.Version}
 	}
 
-	f.body, err = f.readFrame()
+	if f.body, err = f.readFrame(); err != nil {
+		return err
+	}
+
 	f.got = 2*prefixLen + len(head) + len(f.body)
 
+	if h.Packed {
+		f.body, err = unpack(f.body)
+	}
+
 	return err
 }
 
@@ -119,42 +128,55 @@
 
 // write returns the size of the message.
 func (f *frames) write(h header, body any) (int, error) {
+	data, err := encode(body)
+	if err != nil {
+		return 0, err
+	}
+
 	h.Version = Version
+	data, h.Packed = pack(data)
 
-	head, err := f.writeFrame(h)
+	head, err := encode(h)
 	if err != nil {
 		return 0, err
 	}
 
-	rest, err := f.writeFrame(body)
-	if err != nil {
+	if err := f.writeFrame(head); err != nil {
 		return 0, err
 	}
 
-	return head + rest, f.w.Flush()
+	if err := f.writeFrame(data); err != nil {
+		return 0, err
+	}
+
+	return 2*prefixLen + len(head) + len(data), f.w.Flush()
 }
 
-func (f *frames) writeFrame(v any) (int, error) {
+func encode(v any) ([]byte, error) {
 	data, err := encoding.Marshal(v)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 
 	if len(data) > MaxFrame {
-		return 0, &SizeError{Size: uint64(len(data))}
+		return nil, &SizeError{Size: uint64(len(data))}
 	}
 
+	return data, nil
+}
+
+func (f *frames) writeFrame(data []byte) error {
 	var prefix [prefixLen]byte
 
-	binary.BigEndian.PutUint32(prefix[:], uint32(len(data))) //nolint:gosec // Bounded above.
+	binary.BigEndian.PutUint32(prefix[:], uint32(len(data))) //nolint:gosec // Bounded by MaxFrame.
 
 	if _, err := f.w.Write(prefix[:]); err != nil {
-		return 0, err
+		return err
 	}
 
-	_, err = f.w.Write(data)
+	_, err := f.w.Write(data)
 
-	return prefixLen + len(data), err
+	return err
 }
 
 // clientCodec implements rpc.ClientCodec.
--- a/internal/wire/frame/frame_test.go
+++ b/internal/wire/frame/frame_test.go
@@ -40,14 +40,30 @@
 	)
 
 	f := newFrames(pipe{Writer: &buf})
-	_, err = f.writeFrame(header{Version: Version + 1})
+	head, err := encode(header{Version: Version + 1})
 	assert.NilError(t, err)
+	assert.NilError(t, f.writeFrame(head))
 	assert.NilError(t, f.w.Flush())
 
 	err = newFrames(pipe{Reader: &buf}).readHeader(&header{})
 	assert.Assert(t, errors.As(err, &version))
 }
 
+// A few bytes that unpack to more than any message may have took all memory.
+func TestPackedBounds(t *testing.T) {
+	var tooLarge *SizeError
+
+	data, packed := pack(make([]byte, MaxFrame+1))
+	assert.Assert(t, packed)
+	assert.Assert(t, len(data) < MaxFrame/100)
+
+	_, err := unpack(data)
+	assert.Assert(t, errors.As(err, &tooLarge))
+
+	_, err = unpack(data[:len(data)/2])
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // body has a field of each kind that the messages use.
 type body struct {
 	_ struct{} `cbor:",toarray"`
