perf: news are taken in without finding every target anew

The stations keep their places, the steps of their changes stand beside them, and what is one in memory is not compared. Ruled out: changing the stations in place (the routing and the holder read them).

--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -18,7 +18,7 @@
 // Hear implements news.Handler.
 func (n *Node) Hear(d holder.Delta) holder.Edition {
 	n.mu.Lock()
-	latest, ok := n.news.Merge(d)
+	latest, ok := n.history.Merge(d)
 	n.mu.Unlock()
 
 	if ok && n.holder.Hear(latest) {
--- a/internal/placement/holder/delta.go
+++ b/internal/placement/holder/delta.go
@@ -66,7 +66,13 @@
 // holds reports whether an entry that knows s need not be told of what o holds.
 func (s *Station) holds(o *Station, now time.Time) bool {
 	return s.Born == o.Born && s.Sequence == o.Sequence &&
-		slices.EqualFunc(s.Held, o.Held, func(a, b Held) bool { return a.like(b, now) })
+		(same(s.Held, o.Held) || slices.EqualFunc(s.Held, o.Held, func(a, b Held) bool { return a.like(b, now) }))
+}
+
+// same reports whether two lists are one in memory, as they are of all stations
+// of which nothing was heard.
+func same(a, b []Held) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 func (h Held) like(o Held, now time.Time) bool {
@@ -84,46 +90,3 @@
 
 	return a.Sub(b).Abs() < readyStep
 }
-
-// Merge returns the news with a delta taken in. It reports false when the delta
-// builds on other news than these.
-func (n News) Merge(d Delta) (News, bool) {
-	out := d.News
-	if d.Base == (Edition{}) {
-		return out, true
-	}
-
-	if n.Edition() != d.Base {
-		return n, false
-	}
-
-	changed := make(map[instance.ID]bool, len(d.Stations)+len(d.Gone))
-	for _, s := range d.Stations {
-		changed[s.Target] = true
-	}
-
-	for _, id := range d.Gone {
-		changed[id] = true
-	}
-
-	counts := make(map[instance.ID]Count, len(d.Counts))
-	for _, c := range d.Counts {
-		counts[c.Target] = c
-	}
-
-	out.Stations = slices.Grow(slices.Clone(d.Stations), len(n.Stations))
-
-	for _, s := range n.Stations {
-		if changed[s.Target] {
-			continue
-		}
-
-		if c, ok := counts[s.Target]; ok {
-			s.Running, s.Lines = c.Running, c.Lines
-		}
-
-		out.Stations = append(out.Stations, s)
-	}
-
-	return out, true
-}
--- a/internal/placement/holder/delta_test.go
+++ b/internal/placement/holder/delta_test.go
@@ -103,7 +103,7 @@
 			}
 
 			for range 2 {
-				got, ok := histories[other].News().Merge(histories[holder].Since(has[other]))
+				got, ok := histories[other].Merge(histories[holder].Since(has[other]))
 				if ok {
 					histories[other].Hear(got, now)
 				}
@@ -124,7 +124,7 @@
 		return false, false
 	}
 
-	if got, ok := to.News().Merge(from.Since(*has)); ok {
+	if got, ok := to.Merge(from.Since(*has)); ok {
 		to.Hear(got, now)
 	}
 
@@ -215,15 +215,46 @@
 	assert.Equal(t, d.Base, news60(1, 8).Edition())
 	assert.Equal(t, len(d.Stations), 1)
 
-	got, ok := other.News().Merge(d)
+	got, ok := other.Merge(d)
 	assert.Assert(t, ok)
 	assert.Equal(t, len(got.Stations), 60)
 
 	// A process that has just started says so, and gets the whole.
-	_, ok = started.News().Merge(d)
+	_, ok = started.Merge(d)
 	assert.Assert(t, !ok)
 
 	d = taker.Since(started.news.Edition())
 	assert.Equal(t, d.Base, Edition{})
 	assert.Equal(t, len(d.Stations), 60)
 }
+
+// BenchmarkHear is taking in that two of 3,000 targets changed.
+func BenchmarkHear(b *testing.B) {
+	const targets = 3000
+
+	var h, other History
+
+	n := News{Process: "p", Token: 1, Number: 1}
+	for i := range targets {
+		n.Stations = append(n.Stations, Station{Target: instance.ID(fmt.Sprint("i-", i)), Held: []Held{{Model: "m"}, {Model: "n"}}})
+	}
+
+	now := time.Unix(1000, 0)
+	h.Tell(n, now)
+	other.Hear(h.News(), now)
+
+	for b.Loop() {
+		n.Number++
+		n.Stations = slices.Clone(n.Stations)
+		n.Stations[n.Number%targets].Running += runningStep
+		n.Stations[(n.Number+1)%targets].Sequence++
+
+		b.StopTimer()
+		h.Tell(n, now)
+		b.StartTimer()
+
+		got, ok := other.Merge(h.Since(other.News().Edition()))
+		assert.Assert(b, ok)
+		other.Hear(got, now)
+	}
+}
--- a/internal/placement/holder/history.go
+++ b/internal/placement/holder/history.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -25,9 +26,10 @@
 	at map[instance.ID]int
 	// step counts the news taken in.
 	step uint64
-	// changed and counted are the steps at which a station, or its counts alone,
-	// changed last, and gone those at which targets went.
-	changed, counted, gone map[instance.ID]uint64
+	// steps are when the stations of the news changed, in their order, and gone
+	// when targets went.
+	steps []stationSteps
+	gone  map[instance.ID]uint64
 	// editions are the last news, with their steps, the newest last.
 	editions []editionStep
 	// deltas are those to the newest news that were asked for, by the step of
@@ -35,6 +37,10 @@
 	deltas map[uint64]Delta
 }
 
+// stationSteps are the steps at which a station, or its counts alone, changed
+// last.
+type stationSteps struct{ changed, counted uint64 }
+
 type editionStep struct {
 	Edition
 
@@ -54,56 +60,120 @@
 func (h *History) take(latest News, now time.Time, runningStep int) {
 	h.step++
 
-	if h.changed == nil {
-		h.changed, h.counted, h.gone = make(map[instance.ID]uint64), make(map[instance.ID]uint64), make(map[instance.ID]uint64)
+	if h.gone == nil {
+		h.gone = make(map[instance.ID]uint64)
+	}
+
+	if !sameTargets(h.news.Stations, latest.Stations) {
+		h.arrange(latest.Stations)
 	}
 
-	stations := make([]Station, 0, len(latest.Stations))
-	at := make(map[instance.ID]int, len(latest.Stations))
+	stations := make([]Station, len(latest.Stations))
+
+	for i := range latest.Stations {
+		stations[i] = h.note(i, &latest.Stations[i], now, runningStep)
+	}
+
+	h.news, h.deltas = latest, nil
+	h.news.Stations = stations
+	h.keep(latest.Edition())
+}
+
+// arrange brings what is known of stations into the order of newer news.
+func (h *History) arrange(latest []Station) {
+	at := make(map[instance.ID]int, len(latest))
+	stations := make([]Station, len(latest))
+	steps := make([]stationSteps, len(latest))
+
+	for i := range latest {
+		id := latest[i].Target
+		at[id] = i
 
-	for _, s := range latest.Stations {
-		at[s.Target] = len(stations)
-		stations = append(stations, h.note(s, now, runningStep))
+		if j, known := h.at[id]; known {
+			stations[i], steps[i] = h.news.Stations[j], h.steps[j]
+		} else {
+			delete(h.gone, id)
+		}
 	}
 
 	for id := range h.at {
 		if _, stays := at[id]; !stays {
 			h.gone[id] = h.step
-			delete(h.changed, id)
-			delete(h.counted, id)
 		}
 	}
 
-	h.news, h.at, h.deltas = latest, at, nil
-	h.news.Stations = stations
-	h.keep(latest.Edition())
+	h.at, h.news.Stations, h.steps = at, stations, steps
 }
 
-// note returns a station as it is told from now on.
-func (h *History) note(s Station, now time.Time, runningStep int) Station {
-	i, known := h.at[s.Target]
-	if !known {
-		h.changed[s.Target] = h.step
-		delete(h.gone, s.Target)
+// sameTargets reports whether stations are of the same targets in the same
+// order.
+func sameTargets(a, b []Station) bool {
+	if len(a) != len(b) {
+		return false
+	}
 
-		return s
+	for i := range a {
+		if a[i].Target != b[i].Target {
+			return false
+		}
 	}
 
-	old := h.news.Stations[i]
+	return true
+}
+
+// note returns the station in some place as it is told from now on.
+func (h *History) note(i int, s *Station, now time.Time, runningStep int) Station {
+	old, steps := h.news.Stations[i], &h.steps[i]
 
 	switch {
-	case !old.holds(&s, now):
-		h.changed[s.Target] = h.step
+	case steps.changed == 0 || !old.holds(s, now):
+		steps.changed = h.step
 
-		return s
-	case !old.counts(&s, runningStep):
-		h.counted[s.Target] = h.step
+		return *s
+	case !old.counts(s, runningStep):
+		steps.counted = h.step
 		old.Running, old.Lines = s.Running, s.Lines
 	}
 
 	return old
 }
 
+// Merge returns the news with a delta taken in, for Hear. It reports false when
+// the delta builds on other news than these.
+func (h *History) Merge(d Delta) (News, bool) {
+	out := d.News
+	if d.Base == (Edition{}) {
+		return out, true
+	}
+
+	if h.news.Edition() != d.Base {
+		return h.news, false
+	}
+
+	// The order stays, so that hardly anything need be found anew.
+	out.Stations = slices.Clone(h.news.Stations)
+
+	for _, s := range d.Stations {
+		if i, known := h.at[s.Target]; known {
+			out.Stations[i] = s
+		} else {
+			out.Stations = append(out.Stations, s)
+		}
+	}
+
+	for _, c := range d.Counts {
+		if i, known := h.at[c.Target]; known {
+			out.Stations[i].Running, out.Stations[i].Lines = c.Running, c.Lines
+		}
+	}
+
+	if len(d.Gone) > 0 {
+		out.Stations = slices.DeleteFunc(out.Stations, func(s Station) bool { return slices.Contains(d.Gone, s.Target) })
+	}
+
+	return out, true
+}
+
 // keep notes an edition, and forgets what only older ones need.
 func (h *History) keep(e Edition) {
 	h.editions = append(h.editions, editionStep{e, h.step})
@@ -154,11 +224,13 @@
 	d := Delta{News: h.news, Base: e.Edition}
 	d.Stations = nil
 
-	for _, s := range h.news.Stations {
+	for i, steps := range h.steps {
+		s := &h.news.Stations[i]
+
 		switch {
-		case h.changed[s.Target] > e.step:
-			d.Stations = append(d.Stations, s)
-		case h.counted[s.Target] > e.step:
+		case steps.changed > e.step:
+			d.Stations = append(d.Stations, *s)
+		case steps.counted > e.step:
 			d.Counts = append(d.Counts, Count{Target: s.Target, Running: s.Running, Lines: s.Lines})
 		}
 	}
