fix: a load that no target has accepted yet is not foretold to end

Cause: when a swap is decided, entries are told that the model is ready after its load's time and 0.3 s. Ruled out: targets that lie (the order was accepted at its 35th try). The end is put off while the order is not accepted, for planning too.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -197,10 +197,21 @@
 	}
 
 	s.held[m.Load] = &residence{ready: now.Add(m.Takes + unordered), used: now, adapters: make(map[string]*placed)}
+	s.ordering, s.takes = m.Load, m.Takes
 	s.fromStore = m.From == target.TierRemote
 	h.published = false
 }
 
+// postpone puts off the end of a load whose order no engine has accepted yet.
+//
+// It answers the load of busy targets: an unload waits for the runs on its model,
+// and callers of the next one would be sent to where its load has not begun.
+func (s *station) postpone(now time.Time) {
+	if res := s.held[s.ordering]; res != nil {
+		res.ready = clock.Later(res.ready, now.Add(s.takes+foretold))
+	}
+}
+
 // unordered is how much later than its own time a load is expected to end
 // while its order has not been accepted.
 const unordered = 300 * time.Millisecond
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -52,6 +52,10 @@
 	busySince time.Time
 	// loading is until when the last model load is expected to last.
 	loading time.Time
+	// ordering is a model whose load was decided and not accepted, as far as is
+	// known, and takes for how long it lasts then.
+	ordering string
+	takes    time.Duration
 	// fromStore says that a load from the weight store was decided that has not
 	// ended yet, as far as is known. It is set before the load's orders are sent:
 	// rounds follow each other faster than engines accept, and each would begin
@@ -109,6 +113,8 @@
 		if !s.working && !now.Before(s.loading) {
 			s.fromStore = false
 		}
+
+		s.postpone(now)
 	}
 }
 
@@ -245,7 +251,7 @@
 		}
 	}
 
-	s.held, s.sequence, s.known = held, r.Sequence, !r.Busy
+	s.held, s.sequence, s.known, s.ordering = held, r.Sequence, !r.Busy, ""
 
 	switch {
 	case !r.Busy:
@@ -273,7 +279,7 @@
 
 	s.process, s.sequence = r.Born, 0
 	s.reported, s.loading, s.busySince = time.Time{}, time.Time{}, time.Time{}
-	s.held = make(map[string]*residence)
+	s.held, s.ordering = make(map[string]*residence), ""
 	s.known = false
 	s.weights.memory = nil
 	s.atHand = s.weights.tiers()
--- a/internal/placement/holder/store_test.go
+++ b/internal/placement/holder/store_test.go
@@ -106,3 +106,52 @@
 		w.finish()
 	})
 }
+
+// Callers were sent to a target at the end of a load that it had not begun,
+// since the unload before it waited for the runs on its model.
+func TestForetoldAfterUnload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		full := []string{"m0", "m1", "m2"}
+		w := newWorldOf(t, 1, engine(), 0)
+		one := &worker.Worker{Engine: w.routes.Services["s"].Engine, Holding: full, OnDisk: []string{"m6"}}
+		w.join("w0", one)
+		time.Sleep(5 * time.Second)
+
+		for _, model := range full {
+			assert.Assert(t, one.Begin("r", model, ""))
+		}
+
+		served := false
+
+		for step := range 100 {
+			w.ask("m6")
+			time.Sleep(50 * time.Millisecond)
+
+			if step == 50 {
+				for _, model := range full {
+					one.End(model)
+				}
+			}
+
+			if !ready(w.heard(), "w0", "m6") {
+				continue
+			}
+
+			assert.Assert(t, one.Begin("r", "m6", ""), "told %s after the beginning", time.Duration(step)*50*time.Millisecond)
+			one.End("m6")
+
+			served = true
+		}
+
+		assert.Assert(t, served)
+		w.finish()
+	})
+}
+
+// ready reports whether entries that heard news send requests for a model to a
+// target.
+func ready(n holder.News, id instance.ID, model string) bool {
+	return slices.ContainsFunc(n.Stations, func(s holder.Station) bool {
+		return s.Target == id && slices.ContainsFunc(s.Held, func(h holder.Held) bool { return h.Model == model && !h.Ready.After(time.Now()) })
+	})
+}
