fix: entries are told of a load from the weight store when its target says it ended

Cause: loads from the store are foretold as if alone, and entries send at that time. Two ways: at the foretold time (the standing one), and at the target's word, asked for each 0.1 s from the foretold end on. The second makes a load that is on time known 0.1 to 0.4 s later, and it counts as the store's for as long as it lasts, so that no order is sent to a busy target meanwhile. Ruled out: foretelling by the number of loads under way (a new holder does not know them, and that is when they are many). TestForetoldFromStore/longer fails on the old code.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -69,6 +69,7 @@
 	}
 
 	h.sync(now)
+	h.awaitLoads(ctx, now)
 	h.rates.decay(now)
 	h.habits.decay(now)
 
@@ -198,7 +199,7 @@
 
 	s.held[m.Load] = &residence{ready: now.Add(m.Takes + unordered), used: now, adapters: make(map[string]*placed)}
 	s.ordering, s.takes = m.Load, m.Takes
-	s.fromStore = m.From == target.TierRemote
+	s.fromStore, s.storeLoad = m.From == target.TierRemote, m.Load
 	h.published = false
 }
 
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -45,7 +45,7 @@
 	}
 
 	now := clock.Now()
-	s.loading, s.ordering = now.Add(m.Takes+foretold), ""
+	s.loading, s.loadBegan, s.ordering = now.Add(m.Takes+foretold), now, ""
 
 	if res := s.held[m.Load]; res != nil {
 		res.ready, res.used = s.loading, now
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -61,6 +61,10 @@
 	// rounds follow each other faster than engines accept, and each would begin
 	// as many loads as the store feeds at full speed.
 	fromStore bool
+	// storeLoad is the model of that load, loadBegan when its order was accepted,
+	// and asked when the engine was last asked whether it has ended.
+	storeLoad        string
+	loadBegan, asked time.Time
 }
 
 // residence is a model on an engine.
@@ -110,10 +114,6 @@
 			s.compare(t, now)
 		}
 
-		if !s.working && !now.Before(s.loading) {
-			s.fromStore = false
-		}
-
 		s.postpone(now)
 	}
 }
--- a/internal/placement/holder/store_test.go
+++ b/internal/placement/holder/store_test.go
@@ -148,6 +148,39 @@
 	})
 }
 
+// Callers were sent to a target at the end of a load from the weight store that
+// lasted longer than one alone, again and again until their repeats were used up.
+func TestForetoldFromStore(t *testing.T) {
+	for name, takes := range map[string]time.Duration{"as said": 6 * time.Second, "longer": 9 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow := engine()
+				for name, m := range slow.Models {
+					m.FromStore = takes
+					slow.Models[name] = m
+				}
+
+				w := newWorldOf(t, 1, engine(), 0)
+				one := &worker.Worker{Engine: slow}
+				w.join("w0", one)
+				time.Sleep(5 * time.Second)
+
+				began := time.Now()
+
+				for !ready(w.heard(), "w0", "m6") && time.Since(began) < 2*takes {
+					w.ask("m6")
+					time.Sleep(10 * time.Millisecond)
+				}
+
+				assert.Assert(t, one.Begin("r", "m6", ""), "told after %s", time.Since(began))
+				assert.Assert(t, time.Since(began) < takes+time.Second, "told after %s", time.Since(began))
+				one.End("m6")
+				w.finish()
+			})
+		})
+	}
+}
+
 // ready reports whether entries that heard news send requests for a model to a
 // target.
 func ready(n holder.News, id instance.ID, model string) bool {
