fix: a list that the holder told of is learnt while the store's call hangs

Cause: where the store is silent for one entry alone, its call for the list of targets hangs for over 2 s, and nobody asked the holder meanwhile; since configurations are followed by then, the test asked 2.5 s after a target had left, and it still got requests. What holds for configurations (followConfig) now holds for the list; where the holder does not answer either, a peer is asked.

--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -53,6 +53,7 @@
 
 	if behind {
 		poke(n.listBehind)
+		poke(n.listTold)
 	}
 
 	if c := n.config(); c == nil && latest.Config > 0 || c != nil && c.Version < latest.Config {
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -111,8 +111,8 @@
 	return n.inForce()
 }
 
-// toldPatience is for how long a configuration that the holder has told of may be
-// on its way by other means.
+// toldPatience is for how long a configuration or a list that the holder has told
+// of may be on its way by other means.
 const toldPatience = 300 * time.Millisecond
 
 // followConfig learns a configuration that the holder has told of while a call to
@@ -138,6 +138,46 @@
 	}
 }
 
+// followList learns a list of targets that the holder has told of while a call to
+// the store hangs.
+//
+// It guards against the same silence as followConfig: a target that left would
+// get requests from here until the call has failed.
+func (n *Node) followList(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.listTold:
+		}
+
+		_ = clock.Sleep(ctx, toldPatience) // The loop looks at ctx.
+
+		if n.askingTargets.Load() && n.lateList() && !n.askHolder(ctx) {
+			n.askList(ctx, n.peers.draw())
+		}
+	}
+}
+
+// lateList reports whether the holder has told of a newer list than is known.
+func (n *Node) lateList() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.list < n.news.List
+}
+
+// askList asks a peer, if there is one, for a newer list of targets.
+func (n *Node) askList(ctx context.Context, q *peer) {
+	if q == nil {
+		return
+	}
+
+	have := n.versions()
+	have.Config = math.MaxUint64
+	n.askPeer(ctx, q, have)
+}
+
 // askConfig asks a peer, if there is one, for a newer configuration.
 func (n *Node) askConfig(ctx context.Context, q *peer) {
 	if q == nil {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -105,11 +105,11 @@
 	// listBehind and configBehind ask for a look at the store at once.
 	listBehind, configBehind chan struct{}
 	packed                   packed
-	// askingConfig says that a call to the store for the configuration is under
-	// way.
-	askingConfig atomic.Bool
-	// configTold says that the holder has told of a newer configuration.
-	configTold chan struct{}
+	// askingConfig and askingTargets say that a call to the store for the
+	// configuration or the list of targets is under way.
+	askingConfig, askingTargets atomic.Bool
+	// configTold and listTold say that the holder has told of a newer one.
+	configTold, listTold chan struct{}
 	// changed asks for the routing to be built anew, asked for a report, and idled
 	// for one that may wait a little.
 	changed, asked, idled chan struct{}
@@ -148,7 +148,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, process: uuid.NewString(), started: time.Now(),
-		listBehind: make(chan struct{}, 1), configBehind: make(chan struct{}, 1), configTold: make(chan struct{}, 1),
+		listBehind: make(chan struct{}, 1), configBehind: make(chan struct{}, 1), configTold: make(chan struct{}, 1), listTold: make(chan struct{}, 1),
 		changed: make(chan struct{}, 1), asked: make(chan struct{}, 1), idled: make(chan struct{}, 1),
 		absent: make(map[holder.Missing]absence),
 	}
@@ -249,7 +249,7 @@
 	wg.Go(func() { n.served("metrics", metrics.Serve(metricsListener)) })
 	wg.Go(func() { n.served("peers", news.Serve(work, peerListener, n)) })
 
-	for _, loop := range []func(context.Context){n.watchConfig, n.followConfig, n.watchTargets, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.sweep, n.logCalls} {
+	for _, loop := range []func(context.Context){n.watchConfig, n.followConfig, n.watchTargets, n.followList, n.askPeers, n.keepRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.sweep, n.logCalls} {
 		wg.Go(func() { loop(work) })
 	}
 
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -169,7 +169,9 @@
 	)
 
 	for ctx.Err() == nil {
+		n.askingTargets.Store(true)
 		changes, version, err := n.nextTargets(ctx, after)
+		n.askingTargets.Store(false)
 		link.note(n, "targets", err)
 		n.lostTargets.Store(link.lost)
 
