refactor: configurations and messages are compressed by one piece of code

Ruled out: leaving the configuration to the frames, which would compress it for each peer that asks.

--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
@@ -259,7 +260,7 @@
 		return
 	}
 
-	text, err := unpack(v.Config)
+	text, err := frame.Unpack(v.Config)
 
 	var c *route.Config
 	if err == nil {
--- a/internal/fleet/node/packed_test.go
+++ b/internal/fleet/node/packed_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 )
 
 func TestPacked(t *testing.T) {
@@ -15,30 +17,30 @@
 	first, err := p.of(1, []byte("one"))
 	assert.NilError(t, err)
 
-	text, err := unpack(first)
+	text, err := frame.Unpack(first)
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), "one")
 
 	second, err := p.of(2, []byte("two"))
 	assert.NilError(t, err)
 
-	text, err = unpack(second)
+	text, err = frame.Unpack(second)
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), "two")
 
-	_, err = unpack([]byte("no such thing"))
+	_, err = frame.Unpack([]byte("no such thing"))
 	assert.Assert(t, err != nil)
 }
 
 // TestUnpackIsBounded guards against a peer's message that unpacks to more memory
 // than the machine has.
 func TestUnpackIsBounded(t *testing.T) {
-	data, err := pack(make([]byte, maxConfigText+1))
+	data, err := frame.Pack(make([]byte, frame.MaxFrame+1))
 	assert.NilError(t, err)
 
-	_, err = unpack(data)
+	_, err = frame.Unpack(data)
 
-	var long *TooLongError
+	var long *frame.SizeError
 
 	assert.Assert(t, errors.As(err, &long))
 }
@@ -54,7 +56,7 @@
 	var data []byte
 
 	for b.Loop() {
-		data, _ = pack(text.Bytes())
+		data, _ = frame.Pack(text.Bytes())
 	}
 
 	b.ReportMetric(float64(text.Len()), "bytes")
--- a/internal/wire/frame/frame.go
+++ b/internal/wire/frame/frame.go
@@ -91,7 +91,7 @@
 	f.got = 2*prefixLen + len(head) + len(f.body)
 
 	if h.Packed {
-		f.body, err = unpack(f.body)
+		f.body, err = Unpack(f.body)
 	}
 
 	return err
@@ -134,7 +134,11 @@
 	}
 
 	h.Version = Version
-	data, h.Packed = pack(data)
+
+	data, h.Packed, err = packBody(data)
+	if err != nil {
+		return 0, err
+	}
 
 	head, err := encode(h)
 	if err != nil {
--- a/internal/wire/frame/frame_test.go
+++ b/internal/wire/frame/frame_test.go
@@ -53,14 +53,15 @@
 func TestPackedBounds(t *testing.T) {
 	var tooLarge *SizeError
 
-	data, packed := pack(make([]byte, MaxFrame+1))
+	data, packed, err := packBody(make([]byte, MaxFrame+1))
+	assert.NilError(t, err)
 	assert.Assert(t, packed)
 	assert.Assert(t, len(data) < MaxFrame/100)
 
-	_, err := unpack(data)
+	_, err = Unpack(data)
 	assert.Assert(t, errors.As(err, &tooLarge))
 
-	_, err = unpack(data[:len(data)/2])
+	_, err = Unpack(data[:len(data)/2])
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
--- a/internal/wire/frame/pack.go
+++ b/internal/wire/frame/pack.go
@@ -21,16 +21,8 @@
 	return w
 }}
 
-// pack returns a body compressed, if it is large and gets smaller, and whether
-// it was.
-//
-// It answers the load of thousands of targets: what a process that has just
-// started is told of them takes a link longer than all else that it needs.
-func pack(data []byte) ([]byte, bool) {
-	if len(data) < packFrom {
-		return data, false
-	}
-
+// Pack returns data compressed.
+func Pack(data []byte) ([]byte, error) {
 	var out bytes.Buffer
 
 	w, _ := packers.Get().(*flate.Writer)
@@ -39,18 +31,18 @@
 	w.Reset(&out)
 
 	if _, err := w.Write(data); err != nil {
-		return data, false
+		return nil, err
 	}
 
-	if err := w.Close(); err != nil || out.Len() >= len(data) {
-		return data, false
+	if err := w.Close(); err != nil {
+		return nil, err
 	}
 
-	return out.Bytes(), true
+	return out.Bytes(), nil
 }
 
-// unpack returns a body that was compressed.
-func unpack(data []byte) ([]byte, error) {
+// Unpack returns data that was compressed, MaxFrame bytes at most.
+func Unpack(data []byte) ([]byte, error) {
 	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), MaxFrame+1))
 	if err != nil {
 		return nil, err
@@ -62,3 +54,21 @@
 
 	return out, nil
 }
+
+// packBody returns a body compressed, if it is large and gets smaller, and
+// whether it was.
+//
+// It answers the load of thousands of targets: what a process that has just
+// started is told of them takes a link longer than all else that it needs.
+func packBody(data []byte) ([]byte, bool, error) {
+	if len(data) < packFrom {
+		return data, false, nil
+	}
+
+	packed, err := Pack(data)
+	if err != nil || len(packed) >= len(data) {
+		return data, false, err
+	}
+
+	return packed, true, nil
+}
