refactor: following the holder, and counting by kind, each stand once

Cause: followConfig and followList, and askConfig and askList, were the same but for a field; the bytes between entries were counted by a copy of what counts calls to the store. Now follow, lacksConfig, lacksList and counts serve both; the check of an unknown key and the question to the holder use them too. Ruled out: one loop for both words, since each has its own condition.

--- a/internal/fleet/node/calls.go
+++ b/internal/fleet/node/calls.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -68,31 +66,14 @@
 // calls counts the calls to the platform's store, which are priced. Set metrics
 // before use.
 type calls struct {
-	metrics tally.Scope
+	counts
 
-	mu     sync.Mutex
-	counts map[string]int
+	metrics tally.Scope
 }
 
 func (c *calls) note(what call, why cause) {
 	c.metrics.Tagged(map[string]string{"call": string(what), "cause": string(why)}).Counter("store_calls").Inc(1)
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.counts == nil {
-		c.counts = make(map[string]int)
-	}
-
-	c.counts[string(what)+" "+string(why)]++
-}
-
-// counted returns how many calls were made since the process started.
-func (c *calls) counted() map[string]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return maps.Clone(c.counts)
+	c.add(string(what)+" "+string(why), 1)
 }
 
 // callsEvery is the time between two lines that tell the counts so far.
--- a/internal/fleet/node/confirm.go
+++ b/internal/fleet/node/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -84,10 +83,7 @@
 // confirmedByHolder puts in force what the holder has, if it is newer, and
 // reports whether it answered.
 func (n *Node) confirmedByHolder(ctx context.Context) bool {
-	have := n.versions()
-	have.List = math.MaxUint64
-
-	v, q := n.holderView(ctx, have)
+	v, q := n.holderView(ctx, n.lacksConfig())
 	if q == nil {
 		return false
 	}
--- a/internal/fleet/node/learn.go
+++ b/internal/fleet/node/learn.go
@@ -47,15 +47,17 @@
 			continue
 		}
 
-		if q := n.peers.draw(); q != nil {
-			n.askPeer(ctx, q, n.versions())
-		}
+		n.askPeer(ctx, n.peers.draw(), n.versions())
 	}
 }
 
-// askPeer takes in what the peer has that is newer than what is said to be
-// had.
+// askPeer takes in what the peer, if there is one, has that is newer than what is
+// said to be had.
 func (n *Node) askPeer(ctx context.Context, q *peer, have news.Versions) {
+	if q == nil {
+		return
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, peerAnswers)
 	defer cancel()
 
@@ -100,14 +102,14 @@
 	for range tries {
 		_ = clock.Sleep(ctx, jitter(passOnEvery)) // The next call looks at ctx.
 
-		n.askConfig(ctx, n.peers.draw())
+		n.askPeer(ctx, n.peers.draw(), n.lacksConfig())
 
 		if n.inForce() {
 			return true
 		}
 	}
 
-	n.askConfig(ctx, n.peers.of(n.holder.Known()))
+	n.askPeer(ctx, n.peers.of(n.holder.Known()), n.lacksConfig())
 
 	return n.inForce()
 }
@@ -124,19 +126,11 @@
 // the routes here for as long. At all other times watchConfig follows, so that a
 // large configuration is fetched once.
 func (n *Node) followConfig(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.configTold:
-		}
-
-		_ = clock.Sleep(ctx, toldPatience) // The loop looks at ctx.
-
+	follow(ctx, n.configTold, func() {
 		if n.askingConfig.Load() && !n.inForce() {
 			n.catchUpConfig(ctx)
 		}
-	}
+	})
 }
 
 // followList learns a list of targets that the holder has told of while a call to
@@ -145,18 +139,26 @@
 // It guards against the same silence as followConfig: a target that left would
 // get requests from here until the call has failed.
 func (n *Node) followList(ctx context.Context) {
+	follow(ctx, n.listTold, func() {
+		if n.askingTargets.Load() && n.lateList() && !n.askHolder(ctx) {
+			n.askPeer(ctx, n.peers.draw(), n.lacksList())
+		}
+	})
+}
+
+// follow calls learn a moment after each word that there is something newer,
+// until ctx ends.
+func follow(ctx context.Context, told <-chan struct{}, learn func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.listTold:
+		case <-told:
 		}
 
 		_ = clock.Sleep(ctx, toldPatience) // The loop looks at ctx.
 
-		if n.askingTargets.Load() && n.lateList() && !n.askHolder(ctx) {
-			n.askList(ctx, n.peers.draw())
-		}
+		learn()
 	}
 }
 
@@ -168,26 +170,22 @@
 	return n.list < n.news.List
 }
 
-// askList asks a peer, if there is one, for a newer list of targets.
-func (n *Node) askList(ctx context.Context, q *peer) {
-	if q == nil {
-		return
-	}
-
+// lacksConfig returns what to tell an entry that is asked for a newer
+// configuration only.
+func (n *Node) lacksConfig() news.Versions {
 	have := n.versions()
-	have.Config = math.MaxUint64
-	n.askPeer(ctx, q, have)
-}
+	have.List = math.MaxUint64
 
-// askConfig asks a peer, if there is one, for a newer configuration.
-func (n *Node) askConfig(ctx context.Context, q *peer) {
-	if q == nil {
-		return
-	}
+	return have
+}
 
+// lacksList returns what to tell an entry that is asked for a newer list only:
+// the configuration's text is larger, and the store's link wider.
+func (n *Node) lacksList() news.Versions {
 	have := n.versions()
-	have.List = math.MaxUint64
-	n.askPeer(ctx, q, have)
+	have.Config = math.MaxUint64
+
+	return have
 }
 
 // inForce reports whether the configuration that the holder told of is in force
@@ -225,10 +223,7 @@
 // It answers the load of many entries: while targets are replaced one after the
 // other, each of them would look at the store at each change.
 func (n *Node) askHolder(ctx context.Context) bool {
-	have := n.versions()
-	have.Config = math.MaxUint64 // Its text is larger, and the store's link wider.
-
-	v, q := n.holderView(ctx, have)
+	v, q := n.holderView(ctx, n.lacksList())
 
 	return q != nil && (v.List == 0 || n.takeView(v, q))
 }
--- a/internal/fleet/node/traffic.go
+++ b/internal/fleet/node/traffic.go
@@ -8,13 +8,37 @@
 	"github.com/uber-go/tally/v4"
 )
 
+// counts sums what happened since the process started, by kind. The zero value
+// has counted nothing.
+type counts struct {
+	mu   sync.Mutex
+	sums map[string]int
+}
+
+func (c *counts) add(kind string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.sums == nil {
+		c.sums = make(map[string]int)
+	}
+
+	c.sums[kind] += n
+}
+
+func (c *counts) counted() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return maps.Clone(c.sums)
+}
+
 // traffic counts the bytes of calls to other entries, with their answers, by
 // what they are for. Set metrics before use.
 type traffic struct {
-	metrics tally.Scope
+	counts
 
-	mu    sync.Mutex
-	bytes map[string]int
+	metrics tally.Scope
 }
 
 func (t *traffic) note(method string, bytes int) {
@@ -22,21 +46,5 @@
 	kind = strings.ToLower(kind)
 
 	t.metrics.Tagged(map[string]string{"kind": kind}).Counter("peer_bytes").Inc(int64(bytes))
-
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	if t.bytes == nil {
-		t.bytes = make(map[string]int)
-	}
-
-	t.bytes[kind] += bytes
-}
-
-// counted returns the bytes since the process started.
-func (t *traffic) counted() map[string]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	return maps.Clone(t.bytes)
+	t.add(kind, bytes)
 }
