refactor: a load from the weight store is known by its model alone

Cause: fromStore said what an empty storeLoad can say, and asked repeated what the moved end of the load already holds: the engine is asked again only once that has passed. A parameter had the name of the constant runningStep, and gone targets were looked for one by one among thousands. Ruled out: folding in ordering, which also stands for loads from memory and disk.

--- a/internal/placement/holder/confirm.go
+++ b/internal/placement/holder/confirm.go
@@ -30,21 +30,20 @@
 // refused by the target and use up their repeats.
 func (h *Holder) awaitLoads(ctx context.Context, now time.Time) {
 	for _, s := range h.stations {
-		if !s.fromStore || s.working || now.Before(s.loading.Add(-unconfirmed)) {
+		if s.storeLoad == "" || s.working || now.Before(s.loading.Add(-unconfirmed)) {
 			continue
 		}
 
 		res := s.held[s.storeLoad]
 		if res == nil || now.Sub(s.loadBegan) > loadMost*s.takes {
-			s.fromStore = false
+			s.storeLoad = ""
 
 			continue
 		}
 
 		res.ready = clock.Later(res.ready, now.Add(unconfirmed))
 
-		if !now.Before(s.loading) && now.Sub(s.asked) >= confirmEvery {
-			s.asked = now
+		if !now.Before(s.loading) {
 			h.begin(s, func() { h.confirm(ctx, s) })
 		}
 	}
@@ -63,16 +62,15 @@
 
 	switch ended := slices.ContainsFunc(r.Held, func(held inventory.Held) bool { return held.Model == s.storeLoad }); {
 	case current && ended:
-		s.fromStore, s.loading = false, now
 		if res := s.held[s.storeLoad]; res != nil {
 			res.ready = now
 		}
 
-		h.published = false
 		h.cfg.Log.Info().Str("target", string(s.origin.ID)).Str("model", s.storeLoad).Dur("took", now.Sub(s.loadBegan)).Dur("said", s.takes).Msg("load ended")
+		s.storeLoad, s.loading, h.published = "", now, false
 	case current && !r.Busy:
-		s.fromStore, s.known = false, false
 		h.cfg.Log.Warn().Str("target", string(s.origin.ID)).Str("model", s.storeLoad).Dur("after", now.Sub(s.loadBegan)).Msg("load lost")
+		s.storeLoad, s.known = "", false
 	default:
 		s.loading = now.Add(confirmEvery)
 	}
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -166,7 +166,7 @@
 			continue
 		}
 
-		if s.fromStore {
+		if s.storeLoad != "" {
 			v.StoreLoads--
 			v.StoreEnds = append(v.StoreEnds, max(0, s.loading.Sub(now)))
 		}
@@ -198,9 +198,12 @@
 	}
 
 	s.held[m.Load] = &residence{ready: now.Add(m.Takes + unordered), used: now, adapters: make(map[string]*placed)}
-	s.ordering, s.takes = m.Load, m.Takes
-	s.fromStore, s.storeLoad = m.From == target.TierRemote, m.Load
+	s.ordering, s.takes, s.storeLoad = m.Load, m.Takes, ""
 	h.published = false
+
+	if m.From == target.TierRemote {
+		s.storeLoad = m.Load
+	}
 }
 
 // postpone puts off the end of a load whose order no engine has accepted yet.
--- a/internal/placement/holder/delta.go
+++ b/internal/placement/holder/delta.go
@@ -56,11 +56,11 @@
 )
 
 // counts reports whether an entry that knows s need not be told of the counts
-// of o, where a step of running requests counts.
-func (s *Station) counts(o *Station, step int) bool {
-	apart := s.Running - o.Running
+// of o: the running requests are less than so many apart.
+func (s *Station) counts(o *Station, apart int) bool {
+	grown := o.Running - s.Running
 
-	return s.Lines == o.Lines && max(apart, -apart) < step
+	return s.Lines == o.Lines && max(grown, -grown) < apart
 }
 
 // holds reports whether an entry that knows s need not be told of what o holds.
--- a/internal/placement/holder/history.go
+++ b/internal/placement/holder/history.go
@@ -57,7 +57,7 @@
 // Hear takes in news that this entry has heard.
 func (h *History) Hear(latest News, now time.Time) { h.take(latest, now, 1) }
 
-func (h *History) take(latest News, now time.Time, runningStep int) {
+func (h *History) take(latest News, now time.Time, apart int) {
 	h.step++
 
 	if h.gone == nil {
@@ -71,7 +71,7 @@
 	stations := make([]Station, len(latest.Stations))
 
 	for i := range latest.Stations {
-		stations[i] = h.note(i, &latest.Stations[i], now, runningStep)
+		stations[i] = h.note(i, &latest.Stations[i], now, apart)
 	}
 
 	h.news, h.deltas = latest, nil
@@ -121,8 +121,9 @@
 	return true
 }
 
-// note returns the station in some place as it is told from now on.
-func (h *History) note(i int, s *Station, now time.Time, runningStep int) Station {
+// note returns the station in some place as it is told from now on. Counts that
+// are less than so much apart stay.
+func (h *History) note(i int, s *Station, now time.Time, apart int) Station {
 	old, steps := h.news.Stations[i], &h.steps[i]
 
 	switch {
@@ -130,7 +131,7 @@
 		steps.changed = h.step
 
 		return *s
-	case !old.counts(s, runningStep):
+	case !old.counts(s, apart):
 		steps.counted = h.step
 		old.Running, old.Lines = s.Running, s.Lines
 	}
@@ -168,7 +169,12 @@
 	}
 
 	if len(d.Gone) > 0 {
-		out.Stations = slices.DeleteFunc(out.Stations, func(s Station) bool { return slices.Contains(d.Gone, s.Target) })
+		gone := make(map[instance.ID]bool, len(d.Gone))
+		for _, id := range d.Gone {
+			gone[id] = true
+		}
+
+		out.Stations = slices.DeleteFunc(out.Stations, func(s Station) bool { return gone[s.Target] })
 	}
 
 	return out, true
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -39,7 +39,7 @@
 	defer h.mu.Unlock()
 
 	if !sent {
-		s.fromStore = false
+		s.storeLoad = ""
 
 		return
 	}
@@ -53,7 +53,7 @@
 
 	e := h.engineOf(s)
 
-	if s.fromStore {
+	if s.storeLoad != "" {
 		h.feed(s.target.Service).begin(s.target.ID, m.Load, e.Models[m.Load].FromStore, now)
 	}
 
--- a/internal/placement/holder/station.go
+++ b/internal/placement/holder/station.go
@@ -56,15 +56,13 @@
 	// known, and takes for how long it lasts then.
 	ordering string
 	takes    time.Duration
-	// fromStore says that a load from the weight store was decided that has not
-	// ended yet, as far as is known. It is set before the load's orders are sent:
-	// rounds follow each other faster than engines accept, and each would begin
-	// as many loads as the store feeds at full speed.
-	fromStore bool
-	// storeLoad is the model of that load, loadBegan when its order was accepted,
-	// and asked when the engine was last asked whether it has ended.
-	storeLoad        string
-	loadBegan, asked time.Time
+	// storeLoad is the model of a load from the weight store that was decided and
+	// has not ended yet, as far as is known, or empty. It is set before the load's
+	// orders are sent: rounds follow each other faster than engines accept, and
+	// each would begin as many loads as the store feeds at full speed.
+	storeLoad string
+	// loadBegan is when that load's order was accepted.
+	loadBegan time.Time
 }
 
 // residence is a model on an engine.
