refactor: the summary is told which counts to sum

Cause: lastCounts chose the field by the message it was given. Ruled out: summing both at once, since a process tells them in lines of their own. Behaviour stays; explain's script passes unchanged.

--- a/internal/room/story/summary.go
+++ b/internal/room/story/summary.go
@@ -54,7 +54,10 @@
 
 	first := lines[0].At
 	groups := make(map[string]*Group)
-	s := Summary{Calls: lastCounts(lines, callsCounted), Bytes: lastCounts(lines, bytesCounted)}
+	s := Summary{
+		Calls: lastCounts(lines, callsCounted, func(l *Line) map[string]int { return l.Calls }),
+		Bytes: lastCounts(lines, bytesCounted, func(l *Line) map[string]int { return l.Bytes }),
+	}
 
 	for _, f := range requests(lines) {
 		s.Requests++
@@ -94,7 +97,7 @@
 }
 
 // lastCounts sums the counts that each process told last in such a line.
-func lastCounts(lines []Line, message string) map[string]int {
+func lastCounts(lines []Line, message string, counts func(*Line) map[string]int) map[string]int {
 	type process struct {
 		node   string
 		number int
@@ -103,17 +106,9 @@
 	last := make(map[process]map[string]int)
 
 	for i := range lines {
-		l := &lines[i]
-		if l.Message != message {
-			continue
+		if l := &lines[i]; l.Message == message {
+			last[process{l.Node, l.process}] = counts(l)
 		}
-
-		counts := l.Calls
-		if message == bytesCounted {
-			counts = l.Bytes
-		}
-
-		last[process{l.Node, l.process}] = counts
 	}
 
 	sums := make(map[string]int)
