feat(relay): read and log the rate limit that a target states

A target in need says in its answers how many requests a second it accepts from all entries together. Nothing showed that it did: no log line, no metric.

Each entry now keeps the newest statement of each target (serving/ratelimit), logs changes as 'rate limit of target changed' and counts the targets that state one (limited_targets). An answer without a limit ends one only if its request was sent after the limit was stated. Routing does not change.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 	"github.com/fulmarcross/fulmarcross/internal/room/metric"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -97,6 +98,8 @@
 	calls       calls
 	traffic     traffic
 	quotas      quotas
+	// rateLimits are the limits that targets state.
+	rateLimits ratelimit.Registry
 	// confirmation coordinates the checks for a newer configuration.
 	confirmation confirmation
 	// metricsCloser stops the reporting of metrics.
@@ -183,7 +186,7 @@
 	})
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Dispatcher: n.dispatcher, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, RefreshTable: n.confirm, Limits: &n.quotas, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, Log: cfg.Log, Metrics: n.metrics,
+		Table: n.routes.Load, RefreshTable: n.confirm, Limits: &n.quotas, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, OnRateLimit: n.observeRateLimit, Log: cfg.Log, Metrics: n.metrics,
 	}
 	n.holder = holder.New(holder.Config{
 		Self: cfg.Self, Strength: cfg.Strength, Process: n.process, Table: n.cfg.Table, Engines: cfg.Engines, Timing: leaseTiming, TurnPause: cfg.TurnPause,
@@ -432,6 +435,7 @@
 	n.metrics.Gauge("running").Update(float64(n.relay.Running()))
 	n.metrics.Gauge("peers").Update(float64(len(n.peers.alive())))
 	n.metrics.Gauge("targets").Update(float64(len(n.knownTargets())))
+	n.metrics.Gauge("limited_targets").Update(float64(n.rateLimits.Limited()))
 
 	holds := 0.0
 	if n.holder.Holding() {
@@ -458,6 +462,7 @@
 		n.pool.CloseExpired(time.Now())
 		n.updateGauges()
 		n.budgets.SetEntries(n.retrySharers())
+		n.dropOldRateLimits()
 
 		n.mu.Lock()
 
--- /dev/null
+++ b/internal/serving/ratelimit/ratelimit_test.go
@@ -0,0 +1,72 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
+
+func TestRecord(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(seconds int, l Limit) Observation {
+		return Observation{Target: "a", Limit: l, At: start.Add(time.Duration(seconds) * time.Second)}
+	}
+	stated := func(perSecond float64) Limit { return Limit{Stated: true, PerSecond: perSecond} }
+
+	cases := map[string]struct {
+		observations []Observation
+		changed      bool
+		want         Limit
+	}{
+		"first limit":                 {[]Observation{at(1, stated(2))}, true, stated(2)},
+		"limit repeated":              {[]Observation{at(1, stated(2)), at(2, stated(2))}, false, stated(2)},
+		"limit raised":                {[]Observation{at(1, stated(2)), at(2, stated(3))}, true, stated(3)},
+		"limit lowered":               {[]Observation{at(1, stated(2)), at(2, stated(1))}, true, stated(1)},
+		"limit of zero":               {[]Observation{at(1, stated(0))}, true, stated(0)},
+		"older limit arrives late":    {[]Observation{at(2, stated(2)), at(1, stated(3))}, false, stated(2)},
+		"limit withdrawn":             {[]Observation{at(1, stated(2)), at(2, Limit{})}, true, Limit{}},
+		"request sent before limit":   {[]Observation{at(2, stated(2)), at(1, Limit{})}, false, stated(2)},
+		"withdrawal at the same time": {[]Observation{at(1, stated(2)), at(1, Limit{})}, false, stated(2)},
+		"limit stated again":          {[]Observation{at(1, stated(2)), at(2, Limit{}), at(3, stated(2))}, true, stated(2)},
+		"target without limit":        {[]Observation{at(1, Limit{})}, false, Limit{}},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var (
+				r       Registry
+				changed bool
+			)
+
+			for _, o := range tc.observations {
+				changed = r.Record(o)
+			}
+
+			got, limited := r.Limit("a")
+			assert.Equal(t, got, tc.want)
+			assert.Equal(t, limited, tc.want.Stated)
+			assert.Equal(t, changed, tc.changed)
+		})
+	}
+}
+
+func TestRetain(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	limit := Limit{Stated: true, PerSecond: 1}
+
+	var r Registry
+
+	for _, id := range []instance.ID{"kept", "gone", "withdrawn"} {
+		r.Record(Observation{Target: id, Limit: limit, At: start})
+	}
+
+	r.Record(Observation{Target: "withdrawn", At: start.Add(time.Second)})
+	assert.Equal(t, r.Limited(), 2)
+
+	r.Retain(func(id instance.ID) bool { return id != "gone" }, start.Add(time.Minute))
+	assert.Equal(t, len(r.Observations()), 1)
+	assert.Equal(t, r.Observations()[0].Target, instance.ID("kept"))
+}
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -262,6 +262,8 @@
 		return d.handleSendError(ctx, t, n, err)
 	}
 
+	d.observeRateLimit(t, a, sent)
+
 	if a.info.NotRun {
 		return d.handleRejection(t, n, a)
 	}
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/room/metric"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -48,7 +49,10 @@
 	// not called again while that incarnation of the target is recorded as dead.
 	// It may be nil.
 	OnUnreachable func(t *router.Target)
-	Log           zerolog.Logger
+	// OnRateLimit is called with what each answer of a target states about its
+	// rate limit. It may be nil.
+	OnRateLimit func(ratelimit.Observation)
+	Log         zerolog.Logger
 	// Metrics may be nil.
 	Metrics tally.Scope
 
--- a/main_test.go
+++ b/main_test.go
@@ -41,7 +41,7 @@
 // other packages do it and pass in the results.
 var decisionPackages = []string{
 	"customer/key", "customer/limit", "customer/plan", "customer/quota", "customer/team", "fleet/instance", "fleet/inventory", "fleet/membership", "placement/demand", "placement/history", "placement/lease", "placement/ledger",
-	"placement/replica", "placement/share", "placement/swap", "room/board", "serving/crash", "serving/queue", "serving/request",
+	"placement/replica", "placement/share", "placement/swap", "room/board", "serving/crash", "serving/queue", "serving/ratelimit", "serving/request",
 	"serving/route", "serving/router", "serving/stream",
 }
 
