test(node): targets get more than the rate limit that they state (red)

Stand-ins of model workers and plain services state a rate limit, record every arrival and judge by the users' rule: from 3 s after the first statement at most 1.5 times what the limit allows in 4 s, and 5 more, from entries that were told 0.5 s before.

--- /dev/null
+++ b/internal/fleet/node/ratelimits_test.go
@@ -0,0 +1,135 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
+)
+
+// contact is the time that the users' rules allow for a limit to become known.
+const contact = 3 * time.Second
+
+// rule judges requests whose ids begin with their entry.
+var rule = worker.LimitRule{Contact: contact, Sender: func(id string) string {
+	entry, _, _ := strings.Cut(id, "-")
+
+	return entry
+}}
+
+func perSecond(n float64) ratelimit.Limit { return ratelimit.Limit{Stated: true, PerSecond: n} }
+
+// startFour returns a ready site of four entries.
+func startFour(t *testing.T, opt site.Options) *site.Site {
+	t.Helper()
+
+	opt.Entries = 4
+
+	s, err := site.Start(t.Context(), opt)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+
+	assert.NilError(t, s.WaitReady(ctx))
+
+	return s
+}
+
+// statuses counts answers by their status.
+type statuses struct {
+	mu sync.Mutex
+	n  map[int]int
+}
+
+func (s *statuses) count(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.n == nil {
+		s.n = make(map[int]int)
+	}
+
+	s.n[status]++
+}
+
+// load sends requests to every entry, each of several clients one after the
+// other, until the time given, and counts the answers.
+func load(s *site.Site, path, model string, until time.Time) *statuses {
+	const clients = 4
+
+	var (
+		got statuses
+		wg  sync.WaitGroup
+	)
+
+	for i, e := range s.Entries {
+		for c := range clients {
+			wg.Go(func() {
+				for n := 0; time.Now().Before(until); n++ {
+					id := fmt.Sprintf("e%d-%d-%d%s", i, c, n, path)
+
+					r, err := site.Ask(context.Background(), e, path, "", relay.RequestInfo{ID: id, Timeout: 2 * time.Second, Model: model, TokensIn: 10, TokensOut: 5})
+					if err == nil {
+						got.count(r.Status)
+					}
+
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		}
+	}
+
+	wg.Wait()
+
+	return &got
+}
+
+// TestTargetsGetMoreThanTheirRateLimit guards against entries that each, or all
+// together, send a target more than it says that it accepts.
+func TestTargetsGetMoreThanTheirRateLimit(t *testing.T) {
+	t.Parallel()
+
+	for name, limit := range map[string]float64{"1 a second": 1, "1.3 a second": 1.3, "10 a second": 10} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			s := startFour(t, site.Options{Log: io.Discard})
+
+			limited := map[string]*worker.Worker{"desk-0": &s.Desks["desk-0"].Worker, "engine-0": s.Workers["engine-0"]}
+			for _, w := range limited {
+				w.SetRateLimit(perSecond(limit))
+			}
+
+			until := time.Now().Add(contact + 6*time.Second)
+
+			var (
+				wg     sync.WaitGroup
+				plain  *statuses
+				models *statuses
+			)
+
+			wg.Go(func() { plain = load(s, "/look/x", "", until) })
+			wg.Go(func() { models = load(s, "/note/x", site.Model(0), until) })
+			wg.Wait()
+
+			for id, w := range limited {
+				assert.Equal(t, w.Exceeded(rule), "", id)
+			}
+
+			assert.Assert(t, plain.n[http.StatusOK] > 0 && models.n[http.StatusOK] > 0)
+		})
+	}
+}
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -18,6 +18,8 @@
 
 // Serve implements platform.Worker.
 func (w *Worker) Serve(r platform.Request, a *platform.Answer) {
+	arrived := w.arrive(r.ID, a)
+
 	if !w.Begin(r.ID, r.Base, r.Adapter) {
 		a.Absent()
 
@@ -46,6 +48,8 @@
 		if a.Event(id) != nil {
 			return
 		}
+
+		w.answered(arrived)
 	}
 }
 
@@ -79,6 +83,8 @@
 
 // Serve implements platform.Worker.
 func (p *Plain) Serve(r platform.Request, a *platform.Answer) {
+	arrived := p.arrive(r.ID, a)
+
 	p.mu.Lock()
 	p.start()
 	p.runs[r.ID]++
@@ -92,4 +98,5 @@
 	}
 
 	a.Whole(http.StatusOK, append([]byte("done: "), r.Body...))
+	p.answered(arrived)
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -32,6 +32,7 @@
 	runs     map[string]int
 	broken   []string
 	faults   Faults
+	limits   limitRecord
 }
 
 // model is one loaded model, or one on its way.
