feat(placement): load a model elsewhere if its demand exceeds its targets' rate limits

A target that states a rate limit holds its models but serves few of their requests, so a replica there must not count while requests wait for the model or more arrive than the target accepts. Limited targets are also the last choice for a load.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
 	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
@@ -175,7 +176,9 @@
 			input.StoreLoadsEndIn = append(input.StoreLoadsEndIn, max(0, eng.loadEnds.Sub(now)))
 		}
 
-		input.Targets = append(input.Targets, eng.swapTarget(now, inUse.running[id], inUse.byModel[id]))
+		t := eng.swapTarget(now, inUse.running[id], inUse.byModel[id])
+		t.RateLimit = h.rateLimit(id)
+		input.Targets = append(input.Targets, t)
 	}
 
 	slices.SortFunc(input.Targets, func(a, b swap.Target) int { return cmp.Compare(a.ID, b.ID) })
@@ -297,6 +300,17 @@
 	return out
 }
 
+// rateLimit returns the rate limit that a target states, if any.
+func (h *Holder) rateLimit(id instance.ID) ratelimit.Limit {
+	if h.cfg.RateLimit == nil {
+		return ratelimit.Limit{}
+	}
+
+	limit, _ := h.cfg.RateLimit(id)
+
+	return limit
+}
+
 // swapTarget returns the engine as an input of swap.Decide.
 func (eng *trackedEngine) swapTarget(now time.Time, running int, uses map[string]int) swap.Target {
 	t := swap.Target{
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -18,6 +18,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
@@ -41,6 +42,9 @@
 	// force, or nil.
 	Targets func() map[instance.ID]inventory.Target
 	Routes  func() *route.Config
+	// RateLimit returns the rate limit that a target states, and false if it states
+	// none. It may be nil.
+	RateLimit func(id instance.ID) (ratelimit.Limit, bool)
 	// Strength is the share of a processor that this entry has.
 	Strength float64
 	// Peers returns the other entries that are alive.
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -16,6 +16,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
@@ -46,6 +47,8 @@
 	Cached map[string]target.Tier
 	// Running is the number of requests that run on the target.
 	Running int
+	// RateLimit is the rate of requests that the target accepts.
+	RateLimit ratelimit.Limit
 }
 
 // Demand is the demand for one model, summed over all entries.
@@ -144,7 +147,8 @@
 	reserved map[instance.ID]time.Duration
 	demandOf map[string]Demand
 	// replicas is the number of serving targets on which the model is loaded or
-	// loading, with the swaps of this round. nearby also counts the serving
+	// loading, with the swaps of this round. Replicas whose targets' rate limits
+	// are below the demand do not count. nearby also counts the serving
 	// targets that have its weights in host memory or on disk, but not the
 	// swaps of this round.
 	replicas, nearby map[string]int
@@ -203,7 +207,9 @@
 		serving++
 
 		for _, r := range t.Resident {
-			d.replicas[r.Model]++
+			if !d.exceedsRateLimit(t, r.Model) {
+				d.replicas[r.Model]++
+			}
 
 			if t.Cached[r.Model] == 0 {
 				d.nearby[r.Model]++
@@ -218,6 +224,13 @@
 	d.meanCached = float64(total) / float64(max(1, serving))
 }
 
+// exceedsRateLimit reports whether a model's demand exceeds the rate limit of a
+// target that holds it: requests wait although they could run there, or more arrive
+// than the target accepts. The model then needs a replica elsewhere.
+func (d *decider) exceedsRateLimit(t *Target, model string) bool {
+	return t.RateLimit.Stated && (d.demandOf[model].Waiting > 0 || d.Rate[model] > t.RateLimit.PerSecond)
+}
+
 // add adds a swap to the round.
 func (d *decider) add(s Swap) {
 	if s.Tier == target.TierRemote {
@@ -230,10 +243,17 @@
 	d.swaps = append(d.swaps, s)
 
 	for _, model := range s.Unload {
-		d.replicas[model]--
+		if !d.exceedsRateLimit(d.target(s.Target), model) {
+			d.replicas[model]--
+		}
 	}
 }
 
+// target returns the target with this id, which must be one of the snapshot's.
+func (d *decider) target(id instance.ID) *Target {
+	return &d.Targets[slices.IndexFunc(d.Targets, func(t Target) bool { return t.ID == id })]
+}
+
 // candidate is a target for a load, with what the load would cost there.
 type candidate struct {
 	swap Swap
@@ -298,6 +318,10 @@
 // a target, because all requests of a batch share its steps.
 const runningWeight = 0.02
 
+// limitedWait is the cost, as a delay, of a load on a target that accepts only a
+// limited rate of requests.
+const limitedWait = 5 * time.Second
+
 func (d *decider) consider(t *Target, m route.Model, dem Demand, reason Reason, limits evictionLimits) (candidate, bool) {
 	tier, loadTime := d.tierAndTime(t, m)
 	if tier == target.TierRemote && (d.freeStoreLoads <= 0 || reason == ReasonCrowded && !d.isOverloaded(dem)) {
@@ -316,6 +340,10 @@
 		wait = maxRunTime
 	}
 
+	if t.RateLimit.Stated {
+		wait += limitedWait
+	}
+
 	if tier == target.TierRemote {
 		wait += time.Duration(blockedWeight * float64(len(t.Cached)) * float64(time.Second))
 	}
