fix: targets get no more requests than the rate limit that they state

Cause: each entry decided alone that a target may be sent a request, by slots and its own requests there. Nothing read the limit, and an entry that kept it alone would still send one share of it per entry.

Change: a request to a target that states a limit needs a permit. The owners of teams' limits decide on it: every entry delegates its share of the limit to them, each part to one place at a time, so what they grant together stays within the limit whoever dies, freezes, restarts or is cut off. A refused entry pauses the target until a time of its own and sends the request to another target; where no other can take it, the request waits if its deadline allows it and is refused at once otherwise. Entries tell each other who states a limit; an owner decides by the newest statement. An entry that has not read the entries' rows counts at least the entries that it knows of, where a fixed number could be too low.

Why it works: a permit is needed for every attempt, also for retries, resumed streams and queued requests; buckets of new owners start empty; and an entry without an answer from the owners sends nothing.

--- a/internal/customer/quota/owner.go
+++ b/internal/customer/quota/owner.go
@@ -1,10 +1,10 @@
-// Package quota enforces teams' limits over all entries together. Every entry has
-// an even share of each limit and delegates parts of it, for a short time, to
-// limit owners. An owner pools what was delegated to it and decides request by
-// request. At any moment each part of a share is used in one place only, so the
-// owners together never grant more than the limit, even when entries crash,
-// restart, freeze or are partitioned, and no agreement protocol is needed. Limits
-// are divided into groups, each with its own owners.
+// Package quota enforces teams' limits and targets' rate limits over all entries
+// together. Every entry has an even share of each limit and delegates parts of it,
+// for a short time, to limit owners. An owner pools what was delegated to it and
+// decides request by request. At any moment each part of a share is used in one
+// place only, so the owners together never grant more than the limit, even when
+// entries crash, restart, freeze or are partitioned, and no agreement protocol is
+// needed. Limits are divided into groups, each with its own owners.
 //
 // Pooling is needed where many entries get few requests each: an entry's even
 // share of one second is then less than one request. The package does no I/O and
@@ -33,7 +33,7 @@
 	Slots = Groups * Parts
 )
 
-// GroupOf returns the group of the named team's limit.
+// GroupOf returns the group of the limit of the named team or target.
 func GroupOf(name string) int { return int(xxhash.Sum64String(name) % Groups) }
 
 // SlotOf returns the slot of a part of a group.
@@ -91,6 +91,8 @@
 	expiry    Uptime
 	pools     [Groups]pool
 	buckets   map[string]*bucket
+	// permits are the buckets of targets' rate limits.
+	permits map[instance.ID]*permitBucket
 }
 
 // pool is what entries have delegated of a group's limits.
--- a/internal/customer/quota/quota_test.go
+++ b/internal/customer/quota/quota_test.go
@@ -35,7 +35,7 @@
 
 func (e *entry) start(now time.Time) {
 	e.run++
-	e.startedAt, e.delegator, e.owner, e.running = now, Delegator{Started: now}, Owner{Slack: e.owner.Slack}, true
+	e.startedAt, e.delegator, e.owner, e.running = now, Delegator{Started: now}, Owner{}, true
 }
 
 // fleet simulates entries that delegate, consume and fail, and records every
@@ -65,11 +65,11 @@
 // choices is the number of entries that may be owners.
 const choices = 3
 
-func newFleet(n int, limit team.Limit, slack Slack) *fleet {
+func newFleet(n int, limit team.Limit) *fleet {
 	f := &fleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), limit: limit}
 
 	for i := range n {
-		e := &entry{id: instance.ID(fmt.Sprint("e", i)), owner: Owner{Slack: slack}}
+		e := &entry{id: instance.ID(fmt.Sprint("e", i))}
 		e.start(f.now)
 		f.entries = append(f.entries, e)
 	}
@@ -237,7 +237,7 @@
 		n := 3 + r.IntN(6)
 		// A small burst makes a share that is used in two places visible.
 		limit := team.Limit{PerSecond: 100, Burst: 10}
-		f := newFleet(n, limit, Slack{})
+		f := newFleet(n, limit)
 
 		for range 400 {
 			f.now = f.now.Add(100 * time.Millisecond)
@@ -321,7 +321,7 @@
 				span = 30 * time.Second
 			)
 
-			f := newFleet(84, team.Limit{PerSecond: rate, Burst: rate}, Slack{})
+			f := newFleet(84, team.Limit{PerSecond: rate, Burst: rate})
 
 			var requested, got, demanded float64
 
@@ -360,7 +360,7 @@
 func TestOwnerDies(t *testing.T) {
 	for name, known := range map[string]bool{"known": true, "unknown": false} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(12, team.Limit{PerSecond: 9000, Burst: 9000}, Slack{})
+			f := newFleet(12, team.Limit{PerSecond: 9000, Burst: 9000})
 			round := func() {
 				f.now = f.now.Add(Interval(12))
 
--- a/internal/fleet/node/delegating.go
+++ b/internal/fleet/node/delegating.go
@@ -33,7 +33,7 @@
 // run delegates this entry's shares until ctx ends.
 func (q *quotas) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c := q.node.config(); c != nil && c.Teams.Limited() {
+		if c := q.node.config(); c != nil && (c.Teams.Limited() || q.node.rateLimits.Limited() > 0) {
 			q.dropRemovedTeams(c)
 			q.round(ctx)
 		}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -98,8 +98,10 @@
 	calls       calls
 	traffic     traffic
 	quotas      quotas
-	// rateLimits are the limits that targets state.
-	rateLimits ratelimit.Registry
+	// rateLimits are the limits that targets state. rateLimitNews signals that a
+	// target has begun or ceased to state one.
+	rateLimits    ratelimit.Registry
+	rateLimitNews chan struct{}
 	// confirmation coordinates the checks for a newer configuration.
 	confirmation confirmation
 	// metricsCloser stops the reporting of metrics.
@@ -163,7 +165,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, process: uuid.NewString(), started: time.Now(),
-		refreshList: make(chan struct{}, 1), refreshConfig: make(chan struct{}, 1), configAnnounced: make(chan struct{}, 1), listAnnounced: make(chan struct{}, 1),
+		refreshList: make(chan struct{}, 1), refreshConfig: make(chan struct{}, 1), configAnnounced: make(chan struct{}, 1), listAnnounced: make(chan struct{}, 1), rateLimitNews: make(chan struct{}, 1),
 		routingChanged: make(chan struct{}, 1), reportSoon: make(chan struct{}, 1), reportIdle: make(chan struct{}, 1),
 		missing: make(map[holder.Missing]missingReport),
 	}
@@ -180,7 +182,7 @@
 	n.calls.metrics, n.traffic.metrics = n.metrics, n.metrics
 	n.cfg.Table = countedTable{cfg.Table, n.countTableCall}
 	n.dispatcher = dispatch.New(dispatch.Config{
-		Table: &n.routing, Entries: n.aliveEntries, CellOf: func(string) int { return 0 },
+		Table: &n.routing, Permit: n.quotas.permit, Placeable: n.placeable, Entries: n.aliveEntries, CellOf: func(string) int { return 0 },
 		Prerequisite: holder.ModelOf,
 		OnQueued:     func(string) { signal(n.reportSoon) }, OnReplicaIdle: func() { signal(n.reportIdle) }, OnNotice: n.broadcastNotice, MaxWaiting: maxWaiting,
 	})
@@ -190,7 +192,7 @@
 	}
 	n.holder = holder.New(holder.Config{
 		Self: cfg.Self, Strength: cfg.Strength, Process: n.process, Table: n.cfg.Table, Engines: cfg.Engines, Timing: leaseTiming, TurnPause: cfg.TurnPause,
-		Targets: n.knownTargets, Routes: n.config,
+		Targets: n.knownTargets, Routes: n.config, RateLimit: n.rateLimits.Limit,
 		Peers:      func() []holder.Candidate { return candidates(n.peers.alive()) },
 		Candidates: func() []holder.Candidate { return candidates(n.peers.aliveOrNew()) },
 		Publish:    n.publish, Log: cfg.Log,
@@ -266,7 +268,7 @@
 	wg.Go(func() { n.logServeError("metrics", metrics.Serve(metricsListener)) })
 	wg.Go(func() { n.logServeError("peers", news.Serve(work, peerListener, n)) })
 
-	for _, loop := range []func(context.Context){n.watchConfig, n.fetchAnnouncedConfig, n.watchTargets, n.fetchAnnouncedList, n.pollPeers, n.maintainRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.sweep, n.logCalls} {
+	for _, loop := range []func(context.Context){n.watchConfig, n.fetchAnnouncedConfig, n.watchTargets, n.fetchAnnouncedList, n.pollPeers, n.maintainRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.shareRateLimits, n.sweep, n.logCalls} {
 		wg.Go(func() { loop(work) })
 	}
 
--- a/internal/fleet/node/quotas.go
+++ b/internal/fleet/node/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/rpc"
 	"slices"
 	"sync"
 	"time"
@@ -57,13 +58,14 @@
 func (q *quotas) uptime() quota.Uptime { return quota.Uptime(clock.Now().Sub(q.node.started)) }
 
 // limitSharers returns how many entries may share the limits: all listed ones,
-// or worstCaseEntries until the entries' rows have been read.
+// but at least worstCaseEntries until the entries' rows have been read.
 func (q *quotas) limitSharers() int {
+	listed := q.node.peers.listed() + 1
 	if !q.node.peers.scanned.Load() {
-		return worstCaseEntries
+		return max(worstCaseEntries, listed)
 	}
 
-	return q.node.peers.listed() + 1
+	return listed
 }
 
 func (q *quotas) self() quota.Process {
@@ -158,6 +160,35 @@
 		return q.decide(d), nil
 	}
 
+	var got news.Drawn
+
+	err := q.callOwner(ctx, owner, func(ctx context.Context, c *news.Client) (respondent, error) {
+		var err error
+
+		got, err = c.Draw(ctx, d)
+
+		return respondent{process: got.Process, released: got.Released}, err
+	})
+
+	return got, err
+}
+
+// respondent is the process that has answered a call to an owner.
+type respondent struct {
+	process string
+	// released says that it uses no delegations any more.
+	released bool
+}
+
+// ownerEndedError reports that an owner's process has ended.
+type ownerEndedError struct{ owner quota.Process }
+
+func (e *ownerEndedError) Error() string {
+	return "limit owner " + string(e.owner.ID) + ": process " + e.owner.Run + " has ended"
+}
+
+// callOwner makes a call to an owner and records whether it was answered.
+func (q *quotas) callOwner(ctx context.Context, owner quota.Process, call func(context.Context, *news.Client) (respondent, error)) error {
 	p := q.ownerPeer(owner)
 	if p == nil {
 		q.mu.Lock()
@@ -165,27 +196,31 @@
 
 		q.ownerEnded(owner)
 
-		return news.Drawn{Released: true}, nil
+		return &ownerEndedError{owner: owner}
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, consumeTimeout)
 	defer cancel()
 
-	got, err := p.client.Draw(ctx, d)
+	by, err := call(ctx, p.client)
 
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
+	// An entry of an earlier version answers that it does not know the call.
+	var unknownCall rpc.ServerError
+
 	switch {
-	case err != nil && !errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled) || errors.As(err, &unknownCall):
+	case err != nil:
 		q.recordFailure(owner, err)
-	case err == nil && (got.Released || got.Process != owner.Run):
+	case by.released || by.process != owner.Run:
 		q.ownerEnded(owner)
-	case err == nil:
+	default:
 		delete(q.failures, owner.ID)
 	}
 
-	return got, err
+	return err
 }
 
 // Refund implements relay.Limiter.
--- a/internal/fleet/node/ratelimits.go
+++ b/internal/fleet/node/ratelimits.go
@@ -1,24 +1,128 @@
 package node
 
 import (
+	"context"
+	"math/rand/v2"
+	"strings"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
+	"github.com/fulmarcross/fulmarcross/internal/wire/news"
+)
+
+const (
+	// rateLimitFanOut is the number of peers that an entry informs at once when it
+	// learns that a target has begun or ceased to state a limit. Each of them
+	// informs others.
+	rateLimitFanOut = 4
+	// rateLimitInterval is the time between two exchanges with a peer while any
+	// limit is known: they reach entries that have joined or missed a message, and
+	// carry changed values.
+	rateLimitInterval = 1500 * time.Millisecond
+	// rateLimitSpacing keeps exchanges that follow news apart.
+	rateLimitSpacing = 20 * time.Millisecond
 )
 
 // observeRateLimit records what an answer of a target states about its rate
 // limit.
-func (n *Node) observeRateLimit(o ratelimit.Observation) {
-	if n.rateLimits.Record(o) {
-		n.logRateLimit(o, "answer")
+func (n *Node) observeRateLimit(o ratelimit.Observation) { n.recordRateLimit(o, "answer") }
+
+// recordRateLimit records an observation from an answer or a peer. An entry that
+// learns that a target has begun or ceased to state a limit informs others.
+func (n *Node) recordRateLimit(o ratelimit.Observation, source string) {
+	before, _ := n.rateLimits.Limit(o.Target)
+	if !n.rateLimits.Record(o) {
+		return
 	}
-}
 
-// logRateLimit logs that the limit known of a target has changed.
-func (n *Node) logRateLimit(o ratelimit.Observation, source string) {
 	n.cfg.Log.Info().Str("target", string(o.Target)).Bool("limited", o.Limit.Stated).Float64("perSecond", o.Limit.PerSecond).
 		Str("source", source).Msg("rate limit of target changed")
+
+	if before.Stated != o.Limit.Stated {
+		signal(n.rateLimitNews)
+		signal(n.quotas.roundSoon)
+	}
+}
+
+// RateLimits implements news.Handler.
+func (n *Node) RateLimits(known []ratelimit.Observation) []ratelimit.Observation {
+	for _, o := range known {
+		n.recordRateLimit(o, "peer")
+	}
+
+	return n.rateLimits.Observations()
+}
+
+// shareRateLimits exchanges the known limits with peers until ctx ends.
+func (n *Node) shareRateLimits(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := time.NewTimer(jitter(rateLimitInterval))
+		count := 1
+
+		select {
+		case <-ctx.Done():
+		case <-n.rateLimitNews:
+			_ = clock.Sleep(ctx, rateLimitSpacing) // The loop checks ctx.
+			count = rateLimitFanOut
+		case <-t.C:
+		}
+
+		t.Stop()
+
+		if !n.rateLimits.Empty() {
+			n.exchangeRateLimits(ctx, count)
+		}
+	}
+}
+
+// exchangeRateLimits exchanges the known limits with a number of random peers.
+func (n *Node) exchangeRateLimits(ctx context.Context, count int) {
+	alive := n.peers.alive()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+
+	for _, m := range alive[:min(count, len(alive))] {
+		go n.exchangeRateLimitsWith(ctx, m.ID)
+	}
+}
+
+func (n *Node) exchangeRateLimitsWith(ctx context.Context, id instance.ID) {
+	p := n.peers.connection(id)
+	if p == nil {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+
+	known, err := p.client.RateLimits(ctx, n.rateLimits.Observations())
+	if err != nil {
+		n.cfg.Log.Debug().Err(err).Str("peer", string(id)).Msg("cannot exchange rate limits")
+
+		return
+	}
+
+	for _, o := range known {
+		n.recordRateLimit(o, "peer")
+	}
+}
+
+// placeable reports whether a routing key names a model that can be loaded on a
+// target that states no rate limit.
+func (n *Node) placeable(key string) bool {
+	service, model, _ := strings.Cut(key, "/")
+	if model == "" {
+		return false
+	}
+
+	for id, t := range n.knownTargets() {
+		if _, limited := n.rateLimits.Limit(id); t.Service == service && !t.Leaving && !limited {
+			return true
+		}
+	}
+
+	return false
 }
 
 // dropOldRateLimits deletes the limits of targets that are not listed any more.
@@ -32,5 +136,16 @@
 		_, listed := targets[id]
 
 		return listed
-	}, time.Now())
+	}, clock.Now())
+
+	n.quotas.retainTargets(func(id instance.ID) bool {
+		_, limited := n.rateLimits.Limit(id)
+
+		return limited
+	})
+}
+
+// Permit implements news.Handler.
+func (n *Node) Permit(entry instance.ID, o ratelimit.Observation) news.Permit {
+	return n.quotas.decidePermit(entry, o)
 }
--- a/internal/fleet/node/ratelimits_test.go
+++ b/internal/fleet/node/ratelimits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,13 +49,16 @@
 	return s
 }
 
-// statuses counts answers by their status.
+// statuses counts answers by their status, and collects what refused clients got.
 type statuses struct {
-	mu sync.Mutex
-	n  map[int]int
+	mu       sync.Mutex
+	n        map[int]int
+	refusals []refusal
 }
 
-func (s *statuses) count(status int) {
+type refusal struct{ RetryAfter, Took time.Duration }
+
+func (s *statuses) count(r site.Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -62,7 +66,12 @@
 		s.n = make(map[int]int)
 	}
 
-	s.n[status]++
+	s.n[r.Status]++
+
+	if r.Status == http.StatusServiceUnavailable {
+		seconds, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64) // Zero if there is none.
+		s.refusals = append(s.refusals, refusal{RetryAfter: time.Duration(seconds * float64(time.Second)), Took: r.Took})
+	}
 }
 
 // load sends requests to every entry, each of several clients one after the
@@ -83,7 +92,7 @@
 
 					r, err := site.Ask(context.Background(), e, path, "", relay.RequestInfo{ID: id, Timeout: 2 * time.Second, Model: model, TokensIn: 10, TokensOut: 5})
 					if err == nil {
-						got.count(r.Status)
+						got.count(r)
 					}
 
 					time.Sleep(50 * time.Millisecond)
@@ -129,7 +138,51 @@
 				assert.Equal(t, w.Exceeded(rule), "", id)
 			}
 
-			assert.Assert(t, plain.n[http.StatusOK] > 0 && models.n[http.StatusOK] > 0)
+			// The others take the rest.
+			for _, got := range []*statuses{plain, models} {
+				served, all := got.n[http.StatusOK], 0
+				for _, n := range got.n {
+					all += n
+				}
+
+				assert.Assert(t, float64(served) > 0.95*float64(all), "%v", got.n)
+			}
 		})
 	}
 }
+
+// TestAllTargetsLimited checks that targets get what they accept where no other can
+// take the rest, and that the rest is refused at once with distinct times to retry.
+func TestAllTargetsLimited(t *testing.T) {
+	t.Parallel()
+
+	const (
+		limit  = 5.0
+		judged = 6 * time.Second
+	)
+
+	s := startFour(t, site.Options{Log: io.Discard})
+
+	for _, d := range s.Desks {
+		d.SetRateLimit(perSecond(limit))
+	}
+
+	until := time.Now().Add(contact + judged)
+	got := load(s, "/look/x", "", until)
+
+	for id, d := range s.Desks {
+		assert.Equal(t, d.Exceeded(rule), "", id)
+
+		// Each of two owners may keep a permit for requests that do not come.
+		n := d.Arrived(until.Add(-judged), until)
+		assert.Assert(t, float64(n) >= 0.8*limit*judged.Seconds()-2, "%s got %d", id, n)
+	}
+
+	assert.Assert(t, got.n[http.StatusServiceUnavailable] > 0)
+	assert.Equal(t, len(got.n), 2, "%v", got.n)
+
+	for _, r := range got.refusals {
+		assert.Assert(t, r.RetryAfter > 0 && r.RetryAfter <= 10*time.Second, "retry after %s", r.RetryAfter)
+		assert.Assert(t, r.Took < time.Second, "refused after %s", r.Took)
+	}
+}
--- a/internal/serving/dispatch/acquire.go
+++ b/internal/serving/dispatch/acquire.go
@@ -16,12 +16,45 @@
 // It is for requests that another package forwards. Do acquires its targets
 // itself.
 func (d *Dispatcher) Acquire(ctx context.Context, req *request.Request, q router.Query) (*router.Target, bool, error) {
-	t, cold, err := d.acquire(ctx, req, q)
-	if err == nil {
-		d.useOf(t, req.Model).running.Add(1)
+	d.countArrival(req, &q)
+
+	anyCold := false
+
+	for {
+		t, cold, err := d.acquire(ctx, req, q)
+		anyCold = anyCold || cold
+
+		if err != nil {
+			return nil, anyCold, err
+		}
+
+		if d.permitted(ctx, t) {
+			d.useOf(t, req.Model).running.Add(1)
+
+			return t, anyCold, nil
+		}
+
+		t.End(q.Suspect)
+
+		if ctx.Err() != nil {
+			return nil, anyCold, ctx.Err()
+		}
+	}
+}
+
+// permitted reports whether the target's rate limit leaves room for a request. If
+// not, the target is paused on this entry.
+func (d *Dispatcher) permitted(ctx context.Context, t *router.Target) bool {
+	if d.cfg.Permit == nil {
+		return true
+	}
+
+	wait, granted := d.cfg.Permit(ctx, t.ID)
+	if !granted && ctx.Err() == nil {
+		t.Pause(time.Now(), wait)
 	}
 
-	return t, cold, err
+	return granted
 }
 
 // TargetStates counts the targets that hold a model by their state.
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -38,6 +38,12 @@
 	// entry runs there until it is released or the time has passed. It may be
 	// nil if there is only one entry.
 	Reserve func(ctx context.Context, id instance.ID, until time.Time) (release func(), ok bool)
+	// Permit decides whether a request may be sent to a target now. If not, it
+	// returns how long to wait until the target is asked for again. It may be nil.
+	Permit func(ctx context.Context, id instance.ID) (wait time.Duration, granted bool)
+	// Placeable reports whether the model can be loaded on a target without a rate
+	// limit. Nil means that no model can.
+	Placeable func(model string) bool
 	// Entries returns the number of entries.
 	Entries func() int
 	// CellOf returns the cell whose lease holder decides on the model.
--- a/internal/serving/dispatch/forwarder.go
+++ b/internal/serving/dispatch/forwarder.go
@@ -102,6 +102,8 @@
 	for {
 		q := router.Query{Affinity: affinity(f.req), Exclude: f.exclude, Suspect: f.suspect}
 
+		f.countArrival(f.req, &q)
+
 		t, cold, err := f.acquire(ctx, f.req, q)
 		f.cold = f.cold || cold
 
--- a/internal/serving/dispatch/modelqueue.go
+++ b/internal/serving/dispatch/modelqueue.go
@@ -25,6 +25,9 @@
 	wakeUp  chan struct{}
 	// startRate estimates how fast queued requests start.
 	startRate startRate
+	// retryAt is when the client that was refused last because of targets' rate
+	// limits may retry.
+	retryAt time.Time
 	// arrived counts the requests that arrived since the last report.
 	arrived atomic.Int64
 }
@@ -81,14 +84,18 @@
 // that the answer reaches the client in time.
 const answerMargin = 50 * time.Millisecond
 
+// countArrival counts a request's first attempt among the arrivals of its model.
+func (d *Dispatcher) countArrival(req *request.Request, q *router.Query) {
+	if len(q.Exclude) == 0 {
+		d.queueOf(req.Model).arrived.Add(1)
+	}
+}
+
 // acquire returns a target on which the request is counted, after queueing the
 // request if no target accepts it at once. The returned bool says whether the
 // model was cold.
 func (d *Dispatcher) acquire(ctx context.Context, req *request.Request, q router.Query) (*router.Target, bool, error) {
 	m := d.queueOf(req.Model)
-	if len(q.Exclude) == 0 {
-		m.arrived.Add(1)
-	}
 
 	if t := m.tryImmediately(&q); t != nil {
 		return t, false, nil
@@ -173,6 +180,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	if r := m.refuseLimited(it, time.Now()); r != nil {
+		return r
+	}
+
 	if m.tooLate(it) {
 		return request.Refuse(request.DeadlineUnreachable, m.drainTime(), "too many requests wait to meet its deadline")
 	}
@@ -278,6 +289,7 @@
 
 	m.refuseDenied()
 	m.refuseLate(now)
+	m.refuseAllLimited(now)
 
 	for m.q.Len() > 0 && m.grantNext() {
 		m.startRate.record(now)
--- /dev/null
+++ b/internal/serving/dispatch/ratelimit.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/queue"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
+)
+
+// refuseLimited refuses a request that is about to be queued if all targets of its
+// model are paused because of their rate limits and it would start after its
+// deadline. The caller holds the lock.
+func (m *modelQueue) refuseLimited(it *queue.Item[*waiter], now time.Time) error {
+	pause, all := m.pause(now)
+	if !all {
+		return nil
+	}
+
+	ahead := min(m.q.Len(), m.q.Customers()*(m.q.Waiting(it.Customer)+1))
+
+	start := pause.Until.Add(time.Duration(ahead) * pause.Interval)
+	if !start.After(it.Deadline) {
+		return nil
+	}
+
+	return m.limitedRefusal(start, pause.Interval, now)
+}
+
+// refuseAllLimited refuses the queued requests whose deadlines end before the first
+// of their targets accepts a request again, if all are paused because of their rate
+// limits. The caller holds the lock.
+func (m *modelQueue) refuseAllLimited(now time.Time) {
+	pause, all := m.pause(now)
+	if !all {
+		return
+	}
+
+	for _, it := range m.q.RemoveLate(pause.Until) {
+		it.Value.refuse(m.limitedRefusal(pause.Until, pause.Interval, now))
+	}
+}
+
+// pause returns the pause that ends first if all targets of the model are paused. It
+// returns false if the model can be loaded elsewhere: its queued requests then make
+// the lease holder do that.
+func (m *modelQueue) pause(now time.Time) (router.Pause, bool) {
+	pause, all := router.PauseOf(m.d.cfg.Table.Targets(m.model), now)
+	if !all || m.d.cfg.Placeable != nil && m.d.cfg.Placeable(m.model) {
+		return router.Pause{}, false
+	}
+
+	return pause, true
+}
+
+// limitedRefusal refuses a request that could start at start at the earliest. Each
+// refused client gets a time of its own to retry, so that they do not all return
+// when the next request may be sent.
+func (m *modelQueue) limitedRefusal(start time.Time, interval time.Duration, now time.Time) *request.Refusal {
+	at := start
+	if m.retryAt.After(at) {
+		at = m.retryAt
+	}
+
+	m.retryAt = at.Add(interval)
+	if latest := now.Add(maxLimitedRetry); m.retryAt.After(latest) {
+		m.retryAt = latest
+	}
+
+	return request.Refuse(request.TargetLimited, at.Sub(now), "the rate limits of its targets leave no room before its deadline")
+}
+
+// maxLimitedRetry limits the time after which a client is told to retry because of
+// targets' rate limits.
+const maxLimitedRetry = 10 * time.Second
--- a/internal/serving/request/request.go
+++ b/internal/serving/request/request.go
@@ -73,6 +73,7 @@
 	TooLarge            Code = "tooLarge"
 	Limited             Code = "limited"
 	Overloaded          Code = "overloaded"
+	TargetLimited       Code = "targetLimited"
 	TooCold             Code = "tooCold"
 	NoTarget            Code = "noTarget"
 	Poisoned            Code = "crashesTargets"
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -170,6 +170,7 @@
 	leaving
 	dead
 	ejected
+	paused
 	full
 )
 
@@ -187,6 +188,8 @@
 		return dead
 	case !ignoreEjection && t.ejectedUntil.Load() > q.Now.UnixNano():
 		return ejected
+	case t.pausedUntil.Load() > q.Now.UnixNano():
+		return paused
 	case t.inFlight.Load() >= t.window(info, q):
 		return full
 	}
@@ -203,10 +206,10 @@
 
 // StateCounts counts the targets that hold a model and those of them that accept
 // no request. Each of the latter is counted once, by the first that applies of
-// Leaving, Dead, Ejected and Full. Dead includes unreachable (Down) targets and
+// Leaving, Dead, Ejected, Paused and Full. Dead includes unreachable (Down) targets and
 // those without a report.
 type StateCounts struct {
-	Targets, Full, Leaving, Dead, Ejected int
+	Targets, Full, Leaving, Dead, Ejected, Paused int
 }
 
 // CountStates counts the targets by their state.
@@ -221,6 +224,8 @@
 			s.Dead++
 		case ejected:
 			s.Ejected++
+		case paused:
+			s.Paused++
 		case full:
 			s.Full++
 		case available:
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -113,6 +113,10 @@
 	leaving atomic.Bool
 	// ejectedUntil is the end of an ejection, in nanoseconds since 1970.
 	ejectedUntil atomic.Int64
+	// pausedUntil is the time, in nanoseconds since 1970, before which this entry
+	// sends no request to the target because of the target's rate limit. pauseNs
+	// is the length of that pause.
+	pausedUntil, pauseNs atomic.Int64
 	// failures is the number of consecutive failures.
 	failures atomic.Int64
 	// dead is the death that was recorded last, or nil.
--- a/internal/standin/worker/limits_test.go
+++ b/internal/standin/worker/limits_test.go
@@ -15,7 +15,7 @@
 	const contact = 3 * time.Second
 
 	one := ratelimit.Limit{Stated: true, PerSecond: 1}
-	sender := func(id string) string { name, _, _ := strings.Cut(id, "-"); return name }
+	sender := func(id string) string { return strings.TrimSuffix(id, "-1") }
 
 	cases := map[string]struct {
 		statements map[time.Duration]ratelimit.Limit
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -11,6 +11,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/membership"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 	"github.com/fulmarcross/fulmarcross/internal/wire/peer"
@@ -47,6 +48,12 @@
 	Lend(l Lending) Receipt
 	// Draw decides whether a peer's request is within its team's limit.
 	Draw(d Drawing) Drawn
+	// Permit decides whether a peer may send a request to the target of the
+	// observation.
+	Permit(entry instance.ID, o ratelimit.Observation) Permit
+	// RateLimits records what a peer knows of targets' rate limits and returns
+	// what is known here.
+	RateLimits(known []ratelimit.Observation) []ratelimit.Observation
 }
 
 const serviceName = "Entry"
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/quota"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/membership"
@@ -18,6 +19,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/wire/frame"
 )
@@ -35,6 +37,8 @@
 	blocked  request.Fingerprint
 	lending  Lending
 	drawing  Drawing
+	permit   ratelimit.Observation
+	limits   []ratelimit.Observation
 }
 
 func (e *echo) Greet(g Greeting) Greeting {
@@ -73,6 +77,18 @@
 	return Drawn{Decision: quota.Decision{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5, Filling: true}, Process: "p", Stranger: true, Released: true}
 }
 
+func (e *echo) Permit(_ instance.ID, o ratelimit.Observation) Permit {
+	e.permit = o
+
+	return Permit{Decision: quota.Decision{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5}, Process: "p", Released: true, Latest: o}
+}
+
+func (e *echo) RateLimits(known []ratelimit.Observation) []ratelimit.Observation {
+	e.limits = known
+
+	return known[:1]
+}
+
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
 
 // TestCallsArrive holds that every call reaches the handler with all that it
@@ -164,6 +180,36 @@
 	assert.Equal(t, drawn, Drawn{Decision: quota.Decision{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5, Filling: true}, Process: "p", Stranger: true, Released: true})
 }
 
+// TestRateLimitCalls checks that the calls about targets' rate limits carry what is
+// known, with its age.
+func TestRateLimitCalls(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	var got echo
+
+	go func() { _ = Serve(t.Context(), l, &got) }()
+
+	defer func() { _ = l.Close() }()
+
+	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
+	defer c.Close()
+
+	stated := ratelimit.Observation{Target: "t", Limit: ratelimit.Limit{Stated: true, PerSecond: 1.3}, At: clock.Now().Add(-2 * time.Second)}
+	withdrawn := ratelimit.Observation{Target: "u", At: clock.Now().Add(-time.Second)}
+	about := cmpopts.EquateApproxTime(time.Second / 2)
+
+	p, err := c.Permit(t.Context(), "e", stated)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.permit, stated, about)
+	assert.DeepEqual(t, p, Permit{Decision: quota.Decision{Granted: true, Wait: 30 * time.Millisecond, Part: 0.5}, Process: "p", Released: true, Latest: stated}, about)
+
+	known, err := c.RateLimits(t.Context(), []ratelimit.Observation{stated, withdrawn})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.limits, []ratelimit.Observation{stated, withdrawn}, about)
+	assert.DeepEqual(t, known, []ratelimit.Observation{stated}, about)
+}
+
 // BenchmarkHear is one telling of a delta with one station over loopback, both
 // ends counted, and the size of its body.
 func BenchmarkHear(b *testing.B) {
