fix(quota): owners count entries that delegate before they are listed

An owner divided what was delegated to it by the entries that it had listed. An entry that has just joined delegates as soon as it knows an owner, up to a round of gossip (1.5 s) before the owner lists it, so that the owners together granted more than the limit: with 4 listed and 40 delegating entries 394 requests in 100 s where 2 a second are allowed (TestUnlistedEntriesDelegate, red before). Owners now divide by at least the entries whose delegations they hold: 188 in 100 s.

--- a/internal/customer/quota/owner.go
+++ b/internal/customer/quota/owner.go
@@ -211,9 +211,12 @@
 
 	var shrunk [Groups]bool
 
+	// Entries that have just joined delegate before they are listed here.
+	sharers := max(1, entries, len(o.delegations))
+
 	for g := range o.pools {
 		p := &o.pools[g]
-		fraction := min(1, float64(o.delegated[g])/float64(Parts*max(1, entries)))
+		fraction := min(1, float64(o.delegated[g])/float64(Parts*sharers))
 
 		if fraction < p.fraction {
 			shrunk[g] = true
--- a/internal/customer/quota/permit_test.go
+++ b/internal/customer/quota/permit_test.go
@@ -141,6 +141,42 @@
 	}
 }
 
+// TestUnlistedEntriesDelegate guards against owners that together grant more than a
+// limit while entries that they have not listed yet already delegate to them.
+func TestUnlistedEntriesDelegate(t *testing.T) {
+	const listed = 4
+
+	var owners [Parts]Owner
+
+	now := Uptime(time.Second)
+
+	for part := range owners {
+		for i := range 40 {
+			d := Delegation{Entry: instance.ID(fmt.Sprint("e", i)), Until: now + Uptime(time.Hour)}
+			for group := range Groups {
+				d.Slots = d.Slots.With(SlotOf(group, part))
+			}
+
+			owners[part].Accept(d, listed, now)
+		}
+	}
+
+	granted := 0
+
+	for now < Uptime(100*time.Second) {
+		now += Uptime(100 * time.Millisecond)
+
+		for part := range owners {
+			if owners[part].Permit(PermitRequest{Entry: "e", Target: "t", PerSecond: 2}, listed, now).Granted {
+				granted++
+			}
+		}
+	}
+
+	assert.Assert(t, granted <= 2*100, "%d granted in 100 s", granted)
+	assert.Assert(t, granted >= 2*90, "%d granted in 100 s", granted)
+}
+
 // TestPermitWaits checks what refused entries are told.
 func TestPermitWaits(t *testing.T) {
 	o := Owner{}
