--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 )
@@ -61,7 +62,10 @@
 }
 
 func (testProtocol) Answer(status int, h http.Header) AnswerInfo {
+	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
+
 	return AnswerInfo{
+		RateLimit: ratelimit.Limit{Stated: err == nil, PerSecond: perSecond}, Instance: instance.ID(h.Get("Instance")),
 		ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, KeepAlive: time.Minute,
 	}
