test(node): rate limits that change, without the store and while owners stop

The stand-in judges an entry as told only by answers since the target last began to state a limit: one that states a limit again has not told anybody yet, which the first run of TestRateLimitChanges showed (99 requests in the window around the second statement, nearly all from before it).

--- a/internal/fleet/node/ratelimits_test.go
+++ b/internal/fleet/node/ratelimits_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/rows"
 	"github.com/fulmarcross/fulmarcross/internal/standin/site"
 	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
@@ -186,3 +187,110 @@
 		assert.Assert(t, r.Took < time.Second, "refused after %s", r.Took)
 	}
 }
+
+// TestRateLimitChanges checks that limits that are raised, lowered or withdrawn hold
+// within the time that the rule allows.
+func TestRateLimitChanges(t *testing.T) {
+	t.Parallel()
+
+	s := startFour(t, site.Options{Log: io.Discard})
+
+	steps := []struct {
+		name  string
+		limit ratelimit.Limit
+		// least is the number of requests that each target gets a second.
+		least float64
+	}{
+		{"named", perSecond(2), 1.6},
+		{"raised", perSecond(20), 16},
+		{"lowered", perSecond(2), 1.6},
+		{"no longer named", ratelimit.Limit{}, 40},
+		{"named again", perSecond(5), 4},
+	}
+
+	const judged = 4 * time.Second
+
+	for _, step := range steps {
+		for _, d := range s.Desks {
+			d.SetRateLimit(step.limit)
+		}
+
+		until := time.Now().Add(contact + judged)
+		load(s, "/look/x", "", until)
+
+		for id, d := range s.Desks {
+			assert.Equal(t, d.Exceeded(rule), "", "%s: %s", step.name, id)
+
+			n := d.Arrived(until.Add(-judged), until)
+			assert.Assert(t, float64(n) >= step.least*judged.Seconds()-2, "%s: %s got %d", step.name, id, n)
+		}
+	}
+}
+
+// TestRateLimitWithoutStore checks that limits are kept and used while the store
+// answers no entry.
+func TestRateLimitWithoutStore(t *testing.T) {
+	t.Parallel()
+
+	const (
+		limit  = 5.0
+		judged = 6 * time.Second
+	)
+
+	s := startFour(t, site.Options{Log: io.Discard})
+
+	for _, e := range s.Entries {
+		e.Door.SetFaults(rows.Faults{Down: true})
+	}
+
+	for _, d := range s.Desks {
+		d.SetRateLimit(perSecond(limit))
+	}
+
+	until := time.Now().Add(contact + judged)
+	load(s, "/look/x", "", until)
+
+	for id, d := range s.Desks {
+		assert.Equal(t, d.Exceeded(rule), "", id)
+
+		n := d.Arrived(until.Add(-judged), until)
+		assert.Assert(t, float64(n) >= 0.8*limit*judged.Seconds()-2, "%s got %d", id, n)
+	}
+}
+
+// TestRateLimitWhenOwnersStop checks that limits are kept and used while the entries
+// that decide on them stop one after the other.
+func TestRateLimitWhenOwnersStop(t *testing.T) {
+	t.Parallel()
+
+	const limit = 5.0
+
+	s := startFour(t, site.Options{Log: io.Discard})
+
+	for _, d := range s.Desks {
+		d.SetRateLimit(perSecond(limit))
+	}
+
+	// Two of the three entries that decide stop, at least one of them an owner of
+	// each limit.
+	for i, e := range s.Entries[:2] {
+		time.AfterFunc(contact+time.Duration(i)*3*time.Second, e.Stop)
+	}
+
+	const judged = 4 * time.Second
+
+	until := time.Now().Add(contact + 3*time.Second + grace + judged)
+	load(s, "/look/x", "", until)
+
+	for id, d := range s.Desks {
+		assert.Equal(t, d.Exceeded(rule), "", id)
+
+		// The shares of entries that have stopped are not used until they are off the
+		// list.
+		n := d.Arrived(until.Add(-judged), until)
+		assert.Assert(t, float64(n) >= 0.8*limit/2*judged.Seconds()-2, "%s got %d", id, n)
+	}
+}
+
+// grace is how long a site's entry may take to stop.
+const grace = 6 * time.Second
--- a/internal/standin/worker/limits_test.go
+++ b/internal/standin/worker/limits_test.go
@@ -32,6 +32,7 @@
 		"no limit":              {spacing: 100 * time.Millisecond},
 		"limit stated too late": {statements: map[time.Duration]ratelimit.Limit{8 * time.Second: one}, spacing: 500 * time.Millisecond},
 		"limit lowered":         {statements: map[time.Duration]ratelimit.Limit{0: {Stated: true, PerSecond: 9}, time.Second: one}, spacing: 500 * time.Millisecond, exceeded: true},
+		"limit stated again":    {statements: map[time.Duration]ratelimit.Limit{0: one, time.Second: {}, 2 * time.Second: one}, spacing: 500 * time.Millisecond, exceeded: true},
 		"limit withdrawn":       {statements: map[time.Duration]ratelimit.Limit{0: one, 2 * time.Second: {}}, spacing: 500 * time.Millisecond},
 	}
 
