fix(placement): limited targets keep their rarest models and get no adapters

Two causes by reading: each request that waited for a moment made its model count as having no replica, and adapters went to the target with the fewest running requests, which a limited target always is.

A limited target now keeps the models with the lowest rates, as many as its limit serves; only the others need a replica elsewhere. Adapters go to limited targets last, and one that only such targets hold is loaded elsewhere while requests wait.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -348,8 +348,10 @@
 		var targets []swap.AdapterTarget
 
 		for id, eng := range h.engines {
-			if eng.target.Service == service && eng.acceptsAdapter(kd.model, now) {
-				targets = append(targets, eng.adapterTarget(id, inUse.running[id], inUse.byModel[id]))
+			if eng.target.Service == service && eng.acceptsAdapter(kd.model, now) && eng.models[kd.model].adapters[kd.adapter] == nil {
+				t := eng.adapterTarget(id, inUse.running[id], inUse.byModel[id])
+				t.Limited = h.rateLimit(id).Stated
+				targets = append(targets, t)
 			}
 		}
 
@@ -365,19 +367,32 @@
 	}
 }
 
-// adapterPlaced reports whether an adapter is on a target or being loaded.
+// adapterPlaced reports whether an adapter is on a target or being loaded. If only
+// targets that state a rate limit have it, it counts as placed unless another target
+// holds its model: an adapter is loaded faster than a limited target accepts the
+// requests that wait for it.
 func (h *Holder) adapterPlaced(kd keyDemand) bool {
-	for _, eng := range h.engines {
+	limitedOnly, elsewhere := false, false
+
+	for id, eng := range h.engines {
 		if !eng.serves() || eng.target.Service != kd.service {
 			continue
 		}
 
-		if resident := eng.models[kd.model]; resident != nil && resident.adapters[kd.adapter] != nil {
+		resident, limited := eng.models[kd.model], h.rateLimit(id).Stated
+
+		switch {
+		case resident == nil:
+		case resident.adapters[kd.adapter] == nil:
+			elsewhere = elsewhere || !limited
+		case !limited:
 			return true
+		default:
+			limitedOnly = true
 		}
 	}
 
-	return false
+	return limitedOnly && !elsewhere
 }
 
 func (eng *trackedEngine) acceptsAdapter(model string, now time.Time) bool {
--- a/internal/placement/swap/adapter.go
+++ b/internal/placement/swap/adapter.go
@@ -21,6 +21,8 @@
 	// Running is the number of requests that run on the target.
 	Running  int
 	Adapters []LoadedAdapter
+	// Limited reports that the target states a rate limit.
+	Limited bool
 }
 
 // AdapterSwap is the load of an adapter. Unload is empty if a slot is free.
@@ -31,11 +33,13 @@
 
 // PlaceAdapter returns the target on which to load an adapter: the one with the
 // fewest running requests among those with a free slot or, if there are none,
-// among those with an idle adapter to unload.
+// among those with an idle adapter to unload. Targets that state a rate limit are
+// used only if no other can load the adapter.
 func PlaceAdapter(targets []AdapterTarget, slots int, now time.Time) (AdapterSwap, bool) {
 	sorted := slices.Clone(targets)
 	slices.SortStableFunc(sorted, func(a, b AdapterTarget) int {
 		return cmp.Or(
+			cmp.Compare(limited(a), limited(b)),
 			cmp.Compare(full(a, slots), full(b, slots)),
 			cmp.Compare(a.Running, b.Running),
 			cmp.Compare(a.ID, b.ID),
@@ -55,6 +59,14 @@
 	return AdapterSwap{}, false
 }
 
+func limited(t AdapterTarget) int {
+	if t.Limited {
+		return 1
+	}
+
+	return 0
+}
+
 func full(t AdapterTarget, slots int) int {
 	if len(t.Adapters) >= slots {
 		return 1
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -147,11 +147,13 @@
 	reserved map[instance.ID]time.Duration
 	demandOf map[string]Demand
 	// replicas is the number of serving targets on which the model is loaded or
-	// loading, with the swaps of this round. Replicas whose targets' rate limits
-	// are below the demand do not count. nearby also counts the serving
+	// loading, with the swaps of this round. It does not include replicas on
+	// targets whose rate limits are used up by other models. nearby also counts the serving
 	// targets that have its weights in host memory or on disk, but not the
 	// swaps of this round.
 	replicas, nearby map[string]int
+	// uncounted are the replicas that replicas does not include.
+	uncounted map[replica]bool
 	// meanCached is the mean number of cached models per serving target.
 	meanCached float64
 	// contention holds, for each serving target that accepts orders, the waiting
@@ -207,7 +209,7 @@
 		serving++
 
 		for _, r := range t.Resident {
-			if !d.exceedsRateLimit(t, r.Model) {
+			if !t.RateLimit.Stated {
 				d.replicas[r.Model]++
 			}
 
@@ -222,13 +224,7 @@
 	}
 
 	d.meanCached = float64(total) / float64(max(1, serving))
-}
-
-// exceedsRateLimit reports whether a model's demand exceeds the rate limit of a
-// target that holds it: requests wait although they could run there, or more arrive
-// than the target accepts. The model then needs a replica elsewhere.
-func (d *decider) exceedsRateLimit(t *Target, model string) bool {
-	return t.RateLimit.Stated && (d.demandOf[model].Waiting > 0 || d.Rate[model] > t.RateLimit.PerSecond)
+	d.countLimitedReplicas()
 }
 
 // add adds a swap to the round.
@@ -243,17 +239,12 @@
 	d.swaps = append(d.swaps, s)
 
 	for _, model := range s.Unload {
-		if !d.exceedsRateLimit(d.target(s.Target), model) {
+		if !d.uncounted[replica{s.Target, model}] {
 			d.replicas[model]--
 		}
 	}
 }
 
-// target returns the target with this id, which must be one of the snapshot's.
-func (d *decider) target(id instance.ID) *Target {
-	return &d.Targets[slices.IndexFunc(d.Targets, func(t Target) bool { return t.ID == id })]
-}
-
 // candidate is a target for a load, with what the load would cost there.
 type candidate struct {
 	swap Swap
@@ -318,10 +309,6 @@
 // a target, because all requests of a batch share its steps.
 const runningWeight = 0.02
 
-// limitedWait is the cost, as a delay, of a load on a target that accepts only a
-// limited rate of requests.
-const limitedWait = 5 * time.Second
-
 func (d *decider) consider(t *Target, m route.Model, dem Demand, reason Reason, limits evictionLimits) (candidate, bool) {
 	tier, loadTime := d.tierAndTime(t, m)
 	if tier == target.TierRemote && (d.freeStoreLoads <= 0 || reason == ReasonCrowded && !d.isOverloaded(dem)) {
