fix(holder): a report at the end of a load does not prove free memory

An engine whose order was not answered is asked until its sequence is steady, which it is throughout the load; when the load ends, a report may say that the engine is free and not list the model yet. The holder then counted its memory as free and ordered another model into it. TestModelsReportedLate (models reported 300 ms late) failed before: 'memory overcommitted by m6'.

Change: an engine must also have reported for maxReportAge that it is free.

--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -92,6 +92,39 @@
 	}
 }
 
+// TestModelsReportedLate guards against a holder that takes a report at the end of a
+// load, which says that the engine is free and does not list the model yet, for proof
+// of free memory.
+func TestModelsReportedLate(t *testing.T) {
+	for after := time.Duration(0); after < 400*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := engine()
+				e.MemoryMB = 34 // For three models.
+
+				for name, m := range e.Models {
+					m.FromStore += after
+					e.Models[name] = m
+				}
+
+				cl := newClusterOf(t, 1, e, 1)
+				cl.ageModels(300 * time.Millisecond)
+
+				// The answer to the first order, a load into free memory, is lost.
+				cl.workers["w0"].SetFaults(worker.Faults{LostOrders: 1})
+				time.Sleep(5 * time.Second)
+
+				for range 60 {
+					cl.ask("m6")
+					time.Sleep(200 * time.Millisecond)
+				}
+
+				cl.finish()
+			})
+		})
+	}
+}
+
 // TestTwoLateOrders delays the last order of a stopping holder and the first
 // order of its successor, both with the same sequence. The former holder's
 // order is carried out first. If the successor mistook that for its own order,
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -252,14 +252,15 @@
 	return h.cfg.Engines.Report(ctx, eng.origin)
 }
 
-// steady reports whether an engine's sequence has been unchanged for
-// maxReportAge.
+// steady reports whether an engine's sequence, and whether it is busy, have been
+// unchanged for maxReportAge.
 //
 // The parts of a report may differ in age: its sequence may already count an
-// order of a former holder while the model that it loads is not yet listed.
+// order of a former holder, or it may no longer be busy, while the model that it
+// loads is not yet listed.
 func (eng *trackedEngine) steady(r Report, now time.Time) bool {
-	if eng.reportedAt.IsZero() || eng.reportedSequence != r.Sequence {
-		eng.reportedAt, eng.reportedSequence = now, r.Sequence
+	if eng.reportedAt.IsZero() || eng.reportedSequence != r.Sequence || eng.reportedBusy != r.Busy {
+		eng.reportedAt, eng.reportedSequence, eng.reportedBusy = now, r.Sequence, r.Busy
 
 		return false
 	}
--- a/internal/placement/holder/trackedengine.go
+++ b/internal/placement/holder/trackedengine.go
@@ -39,10 +39,11 @@
 	copies     localCopies
 	// inFlight is true while a goroutine sends orders or requests a report.
 	inFlight bool
-	// reportedAt is when the engine first reported reportedSequence, its
-	// newest.
+	// reportedAt is when the engine first reported reportedSequence, its newest,
+	// together with reportedBusy.
 	reportedAt       time.Time
 	reportedSequence uint64
+	reportedBusy     bool
 	// down is true when both this holder and another entry have failed to reach
 	// the engine. suspectedAt is when another entry last reported that it
 	// failed to reach it.
--- a/internal/placement/holder/world_test.go
+++ b/internal/placement/holder/world_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,53 @@
 	publishDelay time.Duration
 	// extraDelay is added to the transit time of orders.
 	extraDelay time.Duration
+	// modelsAge is how old the models in engines' reports are, while the rest of a
+	// report is current, and formerModels are what each engine held earlier.
+	modelsAge    time.Duration
+	ended        atomic.Bool
+	formerModels map[instance.ID][]formerModels
+}
+
+// formerModels are the models that an engine held at a time.
+type formerModels struct {
+	at     time.Time
+	models []inventory.ResidentModel
+}
+
+// ageModels makes the models in all reports older than the rest.
+func (cl *cluster) ageModels(age time.Duration) {
+	const recordEvery = 10 * time.Millisecond
+
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+
+	cl.modelsAge, cl.formerModels = age, make(map[instance.ID][]formerModels)
+
+	go func() {
+		for !cl.ended.Load() {
+			for id := range cl.workers {
+				models := cl.worker(id).Report().Resident
+
+				cl.mu.Lock()
+				cl.formerModels[id] = append(cl.formerModels[id], formerModels{time.Now(), models})
+				cl.mu.Unlock()
+			}
+
+			time.Sleep(recordEvery)
+		}
+	}()
+}
+
+// age replaces the models in an engine's report by older ones.
+func (cl *cluster) age(id instance.ID, r *holder.Report) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+
+	for _, f := range cl.formerModels[id] {
+		if time.Since(f.at) >= cl.modelsAge {
+			r.Resident = f.models
+		}
+	}
 }
 
 // testHolder is the Holder of an entry. Tests can pause it, with gate, and stop
@@ -323,6 +371,7 @@
 
 	r := e.cl.worker(t.ID).Report()
 	r.Born = e.cl.process(t.ID)
+	e.cl.age(t.ID, &r)
 
 	return r, nil
 }
@@ -416,5 +465,6 @@
 	}
 
 	cl.cancel()
+	cl.ended.Store(true)
 	time.Sleep(time.Minute)
 }
