test(soak): targets that state rate limits, judged by their own records

What arrived is judged by the users' rule; processes that were killed, stopped or paused are excused, and targets while their link is cut.

--- a/internal/cli/command/soakcmd.go
+++ b/internal/cli/command/soakcmd.go
@@ -18,6 +18,7 @@
 	Entries int           `default:"4"                                                        help:"How many entries run."`
 	For     time.Duration `default:"15s"                                                      help:"For how long troubles begin."`
 	Dir     string        `help:"Where settings and logs are written; a new folder if empty."`
+	Limits  bool          `help:"Targets also state rate limits."`
 	Verbose bool          `help:"Print each trouble."`
 }
 
@@ -39,7 +40,7 @@
 
 	for seed := c.Seed; seed < c.Seed+uint64(max(1, c.Seeds)); seed++ { //nolint:gosec // Small.
 		opt := soak.Options{
-			Seed: seed, Entries: c.Entries, Length: c.For, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)),
+			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)),
 		}
 		if c.Verbose {
 			opt.Progress = s.err
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -451,6 +452,16 @@
 	return append(out, worker.Turns(turnPause, all...)...)
 }
 
+// Targets returns all targets.
+func (s *Site) Targets() map[instance.ID]*worker.Worker {
+	out := maps.Clone(s.Workers)
+	for id, d := range s.Desks {
+		out[id] = &d.Worker
+	}
+
+	return out
+}
+
 // Ran returns the runs on the plain targets, in order.
 func (s *Site) Ran() []worker.Run {
 	var out []worker.Run
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -45,6 +45,8 @@
 	Entries int
 	// Length is for how long troubles begin.
 	Length time.Duration
+	// RateLimits adds targets that state rate limits to the troubles.
+	RateLimits bool
 	// Command runs an entry, and Env is added to its environment.
 	Command, Env []string
 	// Dir is where settings and logs are written.
@@ -62,6 +64,7 @@
 	stores    []*proxy
 	targets   map[instance.ID]*proxy
 	book      book
+	excuses   excuses
 	// heal counts the troubles that have not ended.
 	heal  sync.WaitGroup
 	began time.Time
@@ -103,13 +106,17 @@
 
 	s.trouble(ctx)
 	s.heal.Wait()
+	s.withdrawLimits()
 
 	recovered := s.ready(ctx, recovery)
 
 	stop()
 	callers.Wait()
 
-	return s.book.report(s.site, recovered), ctx.Err()
+	r := s.book.report(s.site, recovered)
+	r.Broken = append(r.Broken, s.exceeded()...)
+
+	return r, ctx.Err()
 }
 
 // front puts a proxy before a target.
@@ -192,9 +199,15 @@
 		}
 
 		s.heal.Go(func() {
+			began := time.Now()
+
 			what.begin()
 			time.Sleep(length)
 			what.end()
+
+			if what.excuses != "" {
+				s.excuses.add(what.excuses, began, time.Now().Add(what.after))
+			}
 		})
 		time.Sleep(time.Duration(draw.Int64N(int64(stepMost))))
 	}
@@ -204,6 +217,19 @@
 type event struct {
 	name       string
 	begin, end func()
+	// excuses is the process or target that it excuses from the rule on rate limits,
+	// if any, until after its end.
+	excuses string
+	after   time.Duration
+}
+
+// cutOff returns the target if the trouble of its link cuts it off from all entries.
+func cutOff(target instance.ID, link Trouble) string {
+	if link == Silent || link == OneWay {
+		return string(target)
+	}
+
+	return ""
 }
 
 var linkTroubles = []Trouble{Slow, Silent, OneWay, Reset}
@@ -218,19 +244,23 @@
 	nothing := func() {}
 
 	all := []event{
-		{p.name + " is killed", func() { p.signal(syscall.SIGKILL) }, nothing},
-		{p.name + " is stopped", func() { p.signal(syscall.SIGTERM) }, nothing},
-		{p.name + " is paused", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }},
-		{fmt.Sprintf("link of %s to the store: %d", s.processes[store].name, link), func() { s.stores[store].set(link) }, func() { s.stores[store].set(Calm) }},
-		{fmt.Sprintf("link to %s: %d", engine, link), func() { s.targets[engine].set(link) }, func() { s.targets[engine].set(Calm) }},
-		{fmt.Sprintf("link to %s: %d", desk, link), func() { s.targets[desk].set(link) }, func() { s.targets[desk].set(Calm) }},
+		{p.name + " is killed", func() { p.signal(syscall.SIGKILL) }, nothing, p.name, backAfter},
+		{p.name + " is stopped", func() { p.signal(syscall.SIGTERM) }, nothing, p.name, stoppedAfter},
+		{p.name + " is paused", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, p.name, 0},
+		{fmt.Sprintf("link of %s to the store: %d", s.processes[store].name, link), func() { s.stores[store].set(link) }, func() { s.stores[store].set(Calm) }, "", 0},
+		{fmt.Sprintf("link to %s: %d", engine, link), func() { s.targets[engine].set(link) }, func() { s.targets[engine].set(Calm) }, cutOff(engine, link), 0},
+		{fmt.Sprintf("link to %s: %d", desk, link), func() { s.targets[desk].set(link) }, func() { s.targets[desk].set(Calm) }, cutOff(desk, link), 0},
 		{"orders of " + string(engine) + " are late", func() {
 			s.site.Workers[engine].SetFaults(worker.Faults{LateOrders: 2, Late: troubleMost / 2, LostOrders: 1}) //nolint:mnd // Some.
-		}, nothing},
-		{string(desk) + " leaves", func() { s.site.Leave(desk) }, func() { s.site.Restart(desk) }},
+		}, nothing, "", 0},
+		{string(desk) + " leaves", func() { s.site.Leave(desk) }, func() { s.site.Restart(desk) }, "", 0},
 		{"the configuration changes", func() {
 			s.site.PutConfig(func(c *route.Config) { c.Routes[0].Attempts = 2 + int(c.Version%2) }) //nolint:mnd,gosec // Either.
-		}, nothing},
+		}, nothing, "", 0},
+	}
+
+	if s.RateLimits {
+		all = append(all, s.stateLimits(draw, engine, desk)...)
 	}
 
 	return all[draw.IntN(len(all))]
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -41,6 +41,29 @@
 	assert.Assert(t, r.Answered > 0)
 }
 
+// TestSoakRateLimits plays one short seed in which targets also state rate limits.
+func TestSoakRateLimits(t *testing.T) {
+	t.Parallel()
+
+	self, err := os.Executable()
+	assert.NilError(t, err)
+
+	r, err := Run(t.Context(), Options{
+		Seed: 1, Entries: 4, Length: 12 * time.Second, RateLimits: true, Command: []string{self}, Env: []string{asEntry + "=1"}, Dir: t.TempDir(),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
+	assert.Assert(t, r.Answered > 0)
+}
+
+func TestSenderOf(t *testing.T) {
+	for id, want := range map[string]string{
+		"soak-free-0-12": "entry-0", "soak-tight-7-0": "entry-1", "ready-entry-2/book/x-0-12": "entry-2", "other": "",
+	} {
+		assert.Equal(t, senderOf(id), want, id)
+	}
+}
+
 // TestKeptSeeds plays the seeds that found a fault, unchanged, with its cause.
 func TestKeptSeeds(t *testing.T) {
 	self, err := os.Executable()
