--- a/internal/room/story/cause.go
+++ b/internal/room/story/cause.go
@@ -7,18 +7,18 @@
 	"time"
 )
 
-// stalled is from what silence on a stream counts as a target's fault: callers
-// allow 300 ms between two events and leave after two seconds or more.
+// stalled is the length of a pause in a stream from which the target is at fault.
+// Clients allow 300 ms between two events and disconnect after two seconds or more.
 const stalled = time.Second
 
-// timeUp is how long before a request's time is up its caller may be seen to
-// leave: the way to it takes some milliseconds.
+// timeUp is how long before its timeout a client may be seen to disconnect, because
+// of the network delay.
 const timeUp = 100 * time.Millisecond
 
-// round cuts what nobody reads off a time.
+// round rounds a duration for display.
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
-// cause says why the request ended as it did.
+// cause returns the reason for the request's outcome in one sentence.
 func (f *facts) cause() string {
 	if f.end == nil {
 		return f.unfinished()
@@ -72,6 +72,8 @@
 		return "refused with 503: " + f.node + " was stopping" + f.since(stopMessage)
 	case strings.Contains(f.end.Error, "poisoned"):
 		return "refused: targets had crashed while they ran this request"
+	case strings.Contains(f.end.Error, "targetLimited"):
+		return fmt.Sprintf("refused with %d: the rate limits of all targets with its model left no room, come back in %v", f.end.Status, round(f.end.RetryAfter))
 	case f.end.Sends == 0:
 		return fmt.Sprintf("refused with %d after %v, never sent: %s", f.end.Status, round(f.end.Took), f.wait())
 	case f.end.Status == 503 && f.end.Waited > f.end.Took/2 && f.end.Waited > stalled:
@@ -109,7 +111,11 @@
 		}
 
 		text := fmt.Sprintf("of the %d targets with its model %d were full, %d leaving, %d dead and %d failing", l.Holders, l.Full, l.Leaving, l.Dead, l.Ejected)
-		if l.Full < l.Holders {
+		if l.Limited > 0 {
+			text += fmt.Sprintf(", and the rate limits of %d left no room", l.Limited)
+		}
+
+		if l.Full+l.Limited < l.Holders {
 			text += "; " + f.load()
 		}
 
@@ -127,7 +133,8 @@
 	return f.targets[len(f.targets)-1]
 }
 
-// since says how long before the request's end something happened.
+// since returns how long before the request's end its entry last logged a message,
+// as a text to append, or an empty text.
 func (f *facts) since(message string) string {
 	for _, l := range slices.Backward(f.around) {
 		if l.Message == message && l.Node == f.node && !l.At.After(f.ended) {
@@ -138,7 +145,8 @@
 	return ""
 }
 
-// failures are what an attempt's error text says, the most telling first.
+// failures map parts of an attempt's error text to descriptions, the most specific
+// first.
 var failures = []struct{ text, means string }{
 	{"not run, status 421", "answered that it does not hold the model, or is another instance"},
 	{"not run, status 503", "was full"},
--- a/internal/room/story/line.go
+++ b/internal/room/story/line.go
@@ -15,8 +15,8 @@
 
 // Line is one line of a process's log.
 type Line struct {
-	// At is when it was written, by the process's steady clock set against the
-	// time of day that most of its lines agree on.
+	// At is when the line was written: the process's monotonic clock, set to the
+	// time of day by the median of the process's lines.
 	At      time.Time
 	Node    string
 	Message string
@@ -26,8 +26,8 @@
 	Target string
 	// Key names service, model and adapter that a request needs.
 	Key string
-	// Load, Model and Adapter are what an order is about, and Unload what
-	// makes way for it.
+	// Load, Model and Adapter are what an order loads, and Unload is what it
+	// unloads first.
 	Load, Model, Adapter string
 	Unload               []string
 	// Takes is how long a load was expected to take.
@@ -40,25 +40,27 @@
 	Cold   bool
 	// Goal is the time within which a first byte is on time, or zero.
 	Goal time.Duration
-	// Left is how much time its caller gave the request, Waited how long it had
-	// no target, First how long its first
-	// byte took, Took how long it was in hand, and Quiet how long ago the last
-	// event of its stream had come.
+	// Left is how long the client allowed, Waited how long the request had no
+	// target, First the time to its first byte, Took the time from its arrival to
+	// its end, and Quiet the time since the last event of its stream.
 	Left, Waited, First, Took, Quiet time.Duration
+	// RetryAfter is the time after which a refused client was told to retry.
+	RetryAfter time.Duration
 	Events, Dropped                  int
-	// Holders is how many targets held the model when the request began to
-	// wait, and how many of them took nothing for which reason.
-	Holders, Full, Leaving, Dead, Ejected int
-	// Calls are how many calls to the store the process had made, by what they
-	// were for and why, and Bytes how many it had exchanged with other entries,
-	// by the kind of message.
+	// Holders is the number of targets that held the model when the request began
+	// to wait. The others count those of them that accepted no requests, by reason.
+	Holders, Full, Leaving, Dead, Ejected, Limited int
+	// Calls are the numbers of calls to the store that the process had made, by
+	// purpose and cause. Bytes are the bytes that it had exchanged with other
+	// entries, by kind of message.
 	Calls, Bytes map[string]int
 	// Details are all fields as text.
 	Details string
 
-	// up is how long the process had run, by its steady clock.
+	// up is the process's uptime, by its monotonic clock.
 	up time.Duration
-	// process counts the processes of the node whose lines were read.
+	// process is the number of the process among those of its node, in the order
+	// in which their lines were read.
 	process int
 }
 
@@ -89,9 +91,11 @@
 	Leaving int             `json:"leaving"`
 	Dead    int             `json:"dead"`
 	Ejected int             `json:"ejected"`
+	Limited int             `json:"limited"`
 	First   float64         `json:"first"`
 	Took    float64         `json:"took"`
 	Quiet   float64         `json:"quiet"`
+	Retry   float64         `json:"retryAfter"`
 	Events  int             `json:"events"`
 	Dropped int             `json:"dropped"`
 	Calls   map[string]int  `json:"calls"`
@@ -100,8 +104,8 @@
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// parse reads one line. What stands before its first brace is left out: tools
-// that gather logs put their own stamp there.
+// parse parses one line. It skips what stands before the first brace, where log
+// collectors add a prefix.
 func parse(text []byte) (Line, bool) {
 	at := bytes.IndexByte(text, '{')
 	if at < 0 {
@@ -117,12 +121,12 @@
 		At: time.UnixMilli(t.Time), Node: t.Node, Message: t.Message, Request: t.ID, Target: t.Target, Key: t.Key,
 		Load: t.Load, Model: t.Model, Adapter: t.Adapter, Takes: millis(t.Takes), Error: t.Error, Why: t.Why,
 		Status: t.Status, Sends: t.Sends, Cold: t.Cold, Left: millis(t.Left), Goal: millis(t.Goal), Waited: millis(t.Waited), First: millis(t.First), Took: millis(t.Took),
-		Quiet: millis(t.Quiet), Events: t.Events, Dropped: t.Dropped, Calls: t.Calls, Bytes: t.Bytes,
-		Holders: t.Holders, Full: t.Full, Leaving: t.Leaving, Dead: t.Dead, Ejected: t.Ejected,
+		Quiet: millis(t.Quiet), RetryAfter: millis(t.Retry), Events: t.Events, Dropped: t.Dropped, Calls: t.Calls, Bytes: t.Bytes,
+		Holders: t.Holders, Full: t.Full, Leaving: t.Leaving, Dead: t.Dead, Ejected: t.Ejected, Limited: t.Limited,
 		Details: details(text[at:]), up: millis(t.Up),
 	}
 
-	// An adapter's line names one that makes way, a swap's a list.
+	// The line of an adapter's load has one name there, that of a swap a list.
 	var one string
 	if json.Unmarshal(t.Unload, &l.Unload) != nil && json.Unmarshal(t.Unload, &one) == nil && one != "" {
 		l.Unload = []string{one}
@@ -131,10 +135,10 @@
 	return l, true
 }
 
-// shown are the fields that a line shows in other ways.
+// shown are the fields that Details omits, because other fields of Line have them.
 var shown = []string{"time", "up", "node", "message", "level", "id"}
 
-// details returns a line's fields in the order in which they were written.
+// details returns the other fields of a line, in their order.
 func details(text []byte) string {
 	var out []string
 
@@ -161,19 +165,19 @@
 }
 
 const (
-	// maxLine bounds a line; the longest are errors of some kilobytes.
+	// maxLine limits the length of a line. The longest contain errors of a few
+	// kilobytes.
 	maxLine = 1 << 20
 	// startMessage is the first line of every process.
 	startMessage = "started"
 )
 
-// Read appends the lines of r to lines. Text that is no line of ours is passed
-// over.
+// Read appends the log lines of r to lines. It skips all other text.
 func Read(lines []Line, r io.Reader) ([]Line, error) {
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLine)
 
-	// Gathered logs hold many processes, one after the other by node.
+	// The logs of several processes of one node follow one another.
 	process := make(map[string]int)
 	for i := range lines {
 		process[lines[i].Node] = max(process[lines[i].Node], lines[i].process)
@@ -202,10 +206,9 @@
 
 // inOrder sorts the lines of all processes by time.
 //
-// It guards against clocks that are set while a process runs: its lines would
-// stand seconds away from what they caused. Each process's own lines are kept
-// apart as its steady clock says, and the time of day is the one that half of
-// its lines agree on.
+// A clock that is set while its process runs would move the process's lines by
+// seconds. So the distances between the lines of a process are those of its
+// monotonic clock, and its start is the median of what its lines state.
 func inOrder(lines []Line) []Line {
 	type process struct {
 		node string
--- a/internal/room/story/story.go
+++ b/internal/room/story/story.go
@@ -16,7 +16,7 @@
 	failed    = "failure of a target passed on"
 )
 
-// The messages of other lines that a story rests on.
+// The messages of other lines that Tell and Summarize use.
 const (
 	waits         = "request waits"
 	attemptFailed = "attempt failed"
@@ -26,7 +26,7 @@
 	leaseTaken    = "lease taken"
 	leaseLost     = "lease lost"
 	leaseReleased = "lease released"
-	// The lease then lapses by itself.
+	// leaseNotReleased means that the lease remains valid until it expires.
 	leaseNotReleased = "lease not released"
 	leaseNotRenewed  = "lease not renewed"
 	callsCounted     = "store calls"
@@ -36,41 +36,43 @@
 	linesDropped     = "log lines dropped"
 )
 
-// Story is what became of one request.
+// Story is the history of one request.
 type Story struct {
 	Request string
-	// Lines are those about the request and those about what it met, in the
-	// order in which they happened.
+	// Lines are the lines about the request and those about its model, targets and
+	// entry, in order of time.
 	Lines []Line
 	// Cause says in one sentence why the request ended as it did.
 	Cause string
-	// Missing says which part of the logs is not there.
+	// Missing lists logs and lines that are missing.
 	Missing []string
 }
 
 const (
-	// before is for how long before a request's arrival lines still bear on
-	// it: a load from the weight store takes six seconds and longer.
+	// before is how long before a request's arrival a line may be to concern the
+	// request: a load from the weight store takes six seconds or more.
 	before = 10 * time.Second
-	// after is for how long after its end they do: a death is found then.
+	// after is the same after the request's end, when a target's death is detected.
 	after = time.Second
 )
 
-// facts are what the lines say of a request.
+// facts are what the lines state about a request.
 type facts struct {
 	own     []Line
 	end     *Line
 	node    string
 	arrived time.Time
 	ended   time.Time
-	// model and adapter are what it needed, if it needed an engine.
+	// model and adapter are what it requires of an engine. They are empty for a
+	// request to a plain service.
 	model, adapter string
-	targets        []string
-	// around are the lines about what it met.
+	// targets are those that it was sent to.
+	targets []string
+	// around are the lines that concern it without naming it.
 	around []Line
 }
 
-// Tell finds the story of a request among the lines of all processes.
+// Tell returns the story of a request from the lines of all processes.
 func Tell(lines []Line, request string) Story {
 	lines = inOrder(lines)
 	f := gather(lines, request)
@@ -136,14 +138,14 @@
 	return f
 }
 
-// concerns reports whether a line bears on the request.
+// concerns reports whether a line that does not name the request concerns it.
 func (f *facts) concerns(l *Line) bool {
 	switch l.Message {
 	case leaseTaken, leaseLost, leaseReleased, leaseNotRenewed, leaseNotReleased:
 		return f.model != ""
 	case "configuration in force", "store lost", "store regained", startMessage, stopMessage, "stopped", linesDropped, "targets learnt from a peer":
 		return l.Node == f.node
-	case targetDied, "target not reached", "target leaving", "target gone from the list", "address belongs to another target":
+	case targetDied, "target not reached", "target leaving", "target gone from the list", "address belongs to another target", "rate limit of target changed":
 		return l.Node == f.node && slices.Contains(f.targets, l.Target)
 	}
 
@@ -158,7 +160,7 @@
 	return l.Load == f.model || l.Model == f.model || slices.Contains(l.Unload, f.model)
 }
 
-// missing says what the logs should hold and do not.
+// missing returns descriptions of the logs and lines that are missing.
 func (f *facts) missing(lines []Line) []string {
 	var out []string
 
@@ -190,7 +192,7 @@
 	return out
 }
 
-// fieldOf returns the text of a field among a line's details.
+// fieldOf returns the text value of a field in a line's details.
 func fieldOf(details, name string) string {
 	_, rest, found := strings.Cut(" "+details, " "+name+"=\"")
 	if !found {
--- a/internal/room/story/story_test.go
+++ b/internal/room/story/story_test.go
@@ -86,6 +86,22 @@
 			},
 			"refused with 503 after 4s, never sent: of the 2 targets with its model 2 were full, 0 leaving, 0 dead and 0 failing",
 		},
+		{
+			"rate limit of the only target",
+			[]string{
+				`a|20|20|request refused|"id":"q","key":"s/","sends":0,"took":1,"status":503,"retryAfter":2500,"error":"refused: targetLimited, notRun"`,
+			},
+			"refused with 503: the rate limits of all targets with its model left no room, come back in 2.5s",
+		},
+		{
+			"rate limit of one of two targets",
+			[]string{
+				`a|16|16|request waits|"id":"q","key":"s/m","holders":2,"full":1,"limited":1`,
+				`a|20|20|request refused|"id":"q","key":"s/m","sends":0,"took":4000,"status":503,"error":"refused: deadlineCannotBeMet, notRun"`,
+			},
+			"refused with 503 after 4s, never sent: of the 2 targets with its model 1 were full, 0 leaving, 0 dead and 0 failing, " +
+				"and the rate limits of 1 left no room",
+		},
 		{
 			"rejected, then nobody orders",
 			[]string{
--- a/internal/room/story/summary.go
+++ b/internal/room/story/summary.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// Outcome is how a request ended for its caller.
+// Outcome is a request's outcome for its client.
 type Outcome int
 
 // The outcomes that a summary tells apart.
 const (
-	// Served requests were answered in time, as far as the logs say.
+	// Served requests were answered in time, as far as the logs state.
 	Served Outcome = iota
 	// Late requests were answered after their route's goal.
 	Late
@@ -21,12 +21,12 @@
 	Unserved
 )
 
-// Group is all requests that ended in the same way for the same reason.
+// Group contains the requests with the same outcome and cause.
 type Group struct {
 	Cause   string
 	Outcome Outcome
-	// Models, Targets and Nodes count the group's requests by what they needed,
-	// where they were sent last, and which entry took them.
+	// Models, Targets and Nodes count the group's requests by their model, the
+	// target that they were sent to last, and the entry that received them.
 	Models, Targets, Nodes map[string]int
 	// Seconds counts them by the second of their arrival since the first line.
 	Seconds map[int]int
@@ -34,14 +34,15 @@
 	Requests []string
 }
 
-// Summary is what became of all requests of some logs.
+// Summary groups all requests of some logs.
 type Summary struct {
 	Requests, Late, Unserved int
-	// Calls are how many calls to the store all processes made, up to the last
-	// line of each that tells, by what they were for and why, and Bytes how many
-	// they exchanged with each other, by the kind of message.
+	// Calls are the numbers of calls to the store that all processes made, by
+	// purpose and cause. Bytes are the bytes that they exchanged with each other, by
+	// kind of message. Both end with the last line of each process that states them.
 	Calls, Bytes map[string]int
-	// Groups are those that were not served in time, the largest first.
+	// Groups contain the requests that were late or not served. Unserved ones come
+	// first, then the largest.
 	Groups []Group
 }
 
@@ -96,7 +97,7 @@
 	return s
 }
 
-// lastCounts sums the counts that each process told last in such a line.
+// lastCounts sums the counts of the last line with the message of each process.
 func lastCounts(lines []Line, message string, counts func(*Line) map[string]int) map[string]int {
 	type process struct {
 		node   string
@@ -136,7 +137,7 @@
 	g.Requests = append(g.Requests, f.own[0].Request)
 }
 
-// requests returns what the lines say of each request, without what it met.
+// requests returns the facts of each request, without the lines that do not name it.
 func requests(lines []Line) []*facts {
 	own := make(map[string][]Line)
 
@@ -156,8 +157,8 @@
 	return out
 }
 
-// class returns how the request ended and, in a few words that many requests
-// share, why.
+// class returns the request's outcome and a cause that is the same for many
+// requests.
 func (f *facts) class() (Outcome, string) {
 	if f.end == nil {
 		return Unserved, "no last line: the process ended, or its log"
@@ -202,6 +203,8 @@
 		return "refused: targets crashed while they ran it"
 	case f.end.Sends > 0:
 		return "refused or failed after a sending: " + f.attemptClass()
+	case strings.Contains(f.end.Error, "targetLimited"):
+		return "refused at once: the rate limits of its targets left no room"
 	case strings.Contains(f.end.Error, "tooCold"):
 		return "refused: its model could not be loaded in time"
 	default:
@@ -222,7 +225,7 @@
 	}
 }
 
-// waitClass says why the targets did not take a request that waited.
+// waitClass returns why the targets did not accept a request that waited.
 func (f *facts) waitClass() string {
 	for _, l := range slices.Backward(f.own) {
 		if l.Message != waits || l.Holders == 0 {
@@ -236,6 +239,8 @@
 			return "targets with its model were leaving"
 		case l.Dead, l.Ejected:
 			return "targets with its model were dead or failing"
+		case l.Limited:
+			return "targets with its model had reached their rate limits"
 		default:
 			return "targets with its model were full, leaving or dead"
 		}
@@ -244,7 +249,7 @@
 	return "no target had its model"
 }
 
-// attemptClass says how the last sending failed.
+// attemptClass returns how the last attempt failed.
 func (f *facts) attemptClass() string {
 	for _, l := range slices.Backward(f.own) {
 		if l.Message != attemptFailed {
