fix(story): name the cause of requests that were refused because they crash targets

Cause: explain looked for 'poisoned' in the error, which has said 'crashesTargets' since the code was renamed; the sentence was that of a request that nobody took. The new case failed before.

--- a/internal/room/story/cause.go
+++ b/internal/room/story/cause.go
@@ -70,7 +70,7 @@
 		return fmt.Sprintf("refused with %d at once: %s", f.end.Status, f.end.Why)
 	case strings.Contains(f.end.Error, "shuttingDown"):
 		return "refused with 503: " + f.node + " was stopping" + f.since(stopMessage)
-	case strings.Contains(f.end.Error, "poisoned"):
+	case strings.Contains(f.end.Error, "crashesTargets"):
 		return "refused: targets had crashed while they ran this request"
 	case strings.Contains(f.end.Error, "targetLimited"):
 		return fmt.Sprintf("refused with %d: the rate limits of all targets with its model left no room, come back in %v", f.end.Status, round(f.end.RetryAfter))
--- a/internal/room/story/story_test.go
+++ b/internal/room/story/story_test.go
@@ -102,6 +102,11 @@
 			"refused with 503 after 4s, never sent: of the 2 targets with its model 1 were full, 0 leaving, 0 dead and 0 failing, " +
 				"and the rate limits of 1 left no room",
 		},
+		{
+			"it crashes targets",
+			[]string{`a|20|20|request refused|"id":"q","key":"s/m","sends":0,"took":1,"status":503,"error":"refused: crashesTargets, notRun"`},
+			"refused: targets had crashed while they ran this request",
+		},
 		{
 			"rejected, then nobody orders",
 			[]string{
