--- a/internal/room/story/line.go
+++ b/internal/room/story/line.go
@@ -45,8 +45,8 @@
 	// its end, and Quiet the time since the last event of its stream.
 	Left, Waited, First, Took, Quiet time.Duration
 	// RetryAfter is the time after which a refused client was told to retry.
-	RetryAfter time.Duration
-	Events, Dropped                  int
+	RetryAfter      time.Duration
+	Events, Dropped int
 	// Holders is the number of targets that held the model when the request began
 	// to wait. The others count those of them that accepted no requests, by reason.
 	Holders, Full, Leaving, Dead, Ejected, Limited int
--- a/internal/wire/news/greeting.go
+++ b/internal/wire/news/greeting.go
@@ -38,7 +38,7 @@
 	Leaving              bool
 }
 
-// bornMs and born keep an unknown time zero.
+// bornMs and born convert a start time. An unknown one stays zero.
 func bornMs(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -1,5 +1,6 @@
-// Package news is the protocol between the entries of the users' platform:
-// what the holder tells, what entries ask for, and what all must know at once.
+// Package news is the protocol between the entries on the users' platform. It has
+// calls for gossip, the lease holder's snapshots, entries' reports, configurations and
+// lists of targets, and limits.
 package news
 
 import (
@@ -17,34 +18,34 @@
 	"github.com/fulmarcross/fulmarcross/internal/wire/peer"
 )
 
-// Greeting is what entries tell each other to be known.
+// Greeting is a gossip message or the answer to one.
 type Greeting struct {
 	From membership.Member
-	// Digest is the sender's list in short.
+	// Digest summarises the sender's list of members.
 	Digest membership.Digest
-	// Pulses are the beats of the sender's list. Only answers carry them, and
-	// only when the lists differ.
+	// Pulses are the heartbeats of the sender's list. Only answers contain them, and
+	// only if the lists differ.
 	Pulses []membership.ProcessHeartbeat
-	// Want are the processes that the sender wants to know of, and Known those
-	// that the other had wanted to.
+	// Want are the hashes of the processes that the sender requests, and Known the
+	// members that the other entry requested.
 	Want  []uint64
 	Known []membership.Member
 }
 
-// Handler is what an entry does for its peers.
+// Handler handles the calls of an entry's peers.
 type Handler interface {
-	// Greet takes in a peer and returns this entry's own greeting.
+	// Greet applies a gossip message and returns the answer.
 	Greet(g Greeting) Greeting
-	// Hear takes in a holder's news, unless they build on news that this entry
-	// does not have. It returns what it has then.
+	// Hear applies a holder's delta if this entry has the version that it is based
+	// on. It returns the version that this entry then has.
 	Hear(d holder.Delta) holder.Version
-	// Report takes in an entry's demand.
+	// Report records an entry's demand.
 	Report(r demand.Report, missing []holder.Missing) error
 	// View returns what is newer here than what the peer has.
 	View(have Versions) View
-	// Block takes in a request that crashes the targets that run it.
+	// Block blocks a request that crashes the targets that run it.
 	Block(fp request.Fingerprint)
-	// Lend takes in a peer's shares of teams' limits.
+	// Lend accepts a delegation of a peer's shares of limits.
 	Lend(l Lending) Receipt
 	// Draw decides whether a peer's request is within its team's limit.
 	Draw(d Drawing) Drawn
@@ -58,7 +59,7 @@
 
 const serviceName = "Entry"
 
-// Empty is the answer of calls that return nothing.
+// Empty is the answer to calls that return nothing.
 type Empty struct{}
 
 type service struct{ h Handler }
@@ -122,7 +123,7 @@
 // Client calls one entry.
 type Client struct{ frame.Caller }
 
-// Greet exchanges greetings.
+// Greet exchanges gossip with the peer.
 func (c *Client) Greet(ctx context.Context, g Greeting) (Greeting, error) {
 	var out GreetingMessage
 
@@ -133,11 +134,11 @@
 	return toGreeting(out)
 }
 
-// Hear sends news. It returns which the entry has then.
+// Hear sends a delta. It returns the version that the peer then has.
 func (c *Client) Hear(ctx context.Context, d holder.Delta) (holder.Version, error) {
 	var has EditionMessage
 
-	// After an error a late answer may still be written to has.
+	// After an error, a late answer may still be written to has.
 	if err := c.Call(ctx, serviceName+".Hear", fromDelta(d, time.Now()), &has); err != nil {
 		return holder.Version{}, err
 	}
@@ -155,7 +156,7 @@
 	return c.Call(ctx, serviceName+".Report", in, &Empty{})
 }
 
-// View fetches what is newer at the peer.
+// View fetches the configuration and the list if the peer's are newer.
 func (c *Client) View(ctx context.Context, have Versions) (View, error) {
 	var out ViewMessage
 
@@ -166,12 +167,12 @@
 	return toView(out)
 }
 
-// Block sends a request that crashes targets.
+// Block sends the fingerprint of a request that crashes targets.
 func (c *Client) Block(ctx context.Context, fp request.Fingerprint) error {
 	return c.Call(ctx, serviceName+".Block", uint64(fp), &Empty{})
 }
 
-// Message is a holder's news on the wire.
+// Message is a holder.Delta on the wire.
 type Message struct {
 	_ struct{} `cbor:",toarray"`
 
@@ -221,8 +222,8 @@
 	Held     []HeldMessage
 }
 
-// HeldMessage is a holder.ResidentModel on the wire. It says how long until the model is
-// ready, so that no clocks are compared.
+// HeldMessage is a holder.ResidentModel on the wire. It states the time until the model
+// is ready, so that no clocks are compared.
 type HeldMessage struct {
 	_ struct{} `cbor:",toarray"`
 
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -28,7 +28,7 @@
 	return membership.Member{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:7"), Process: string(id) + "-process", Started: time.UnixMilli(7), Strength: 0.5, Heartbeat: 3}
 }
 
-// echo keeps what it gets.
+// echo records the arguments of its calls.
 type echo struct {
 	greeting Greeting
 	news     holder.Delta
@@ -91,9 +91,8 @@
 
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
 
-// TestCallsArrive holds that every call reaches the handler with all that it
-// carries. A call whose types net/rpc does not take is left out without a
-// word, and then no entry ever hears the holder.
+// TestCallsArrive guards against calls that lose a field, and against methods that
+// net/rpc omits silently because of their types.
 func TestCallsArrive(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -210,8 +209,8 @@
 	assert.DeepEqual(t, known, []ratelimit.Observation{stated}, about)
 }
 
-// BenchmarkHear is one telling of a delta with one station over loopback, both
-// ends counted, and the size of its body.
+// BenchmarkHear measures one call with a delta of one engine over loopback, with both
+// ends, and the size of its body.
 func BenchmarkHear(b *testing.B) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
--- a/internal/wire/news/quota.go
+++ b/internal/wire/news/quota.go
@@ -8,42 +8,42 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 )
 
-// Lending is a loan of shares of teams' limits to the home that is named.
+// Lending is a delegation of shares of limits to the named owner.
 type Lending struct {
 	quota.Delegation
 
-	// Home is the process that the loan is meant for.
+	// Home is the owner's process.
 	Home string
-	// Returns are what was counted for requests that did not run, by team.
+	// Returns are the refunds for requests that did not run, by team.
 	Returns map[string]float64
 }
 
-// Receipt is a home's answer to a loan.
+// Receipt is an owner's answer to a delegation.
 type Receipt struct {
-	// Process is the home's, and Stamp its clock.
+	// Process is the owner's process, and Stamp its clock.
 	Process string
 	Stamp   quota.Uptime
-	// Held is what the home holds of the sender's share.
+	// Held are the slots of the sender's share that are delegated to the owner.
 	Held quota.SlotSet
-	// Released says that the home stops and uses nothing that it was lent.
+	// Released says that the owner is stopping and uses no delegations.
 	Released bool
 }
 
-// Drawing is a request that wants to run.
+// Drawing asks an owner whether a request may run.
 type Drawing struct {
 	Team string
 	Cost float64
 }
 
-// Drawn is a home's answer to it.
+// Drawn is an owner's answer to a Drawing.
 type Drawn struct {
 	quota.Decision
 
-	// Process is the home's.
+	// Process is the owner's process.
 	Process string
-	// Stranger says that the home does not know the team yet.
+	// Stranger says that the owner does not know the team yet.
 	Stranger bool
-	// Released says that the home stops.
+	// Released says that the owner is stopping.
 	Released bool
 }
 
@@ -112,7 +112,7 @@
 	return nil
 }
 
-// Lend lends shares of limits to the peer.
+// Lend delegates shares of limits to the peer.
 func (c *Client) Lend(ctx context.Context, l Lending) (Receipt, error) {
 	in := LendingMessage{
 		Entry: string(l.Entry), Slots: uint16(l.Slots), UntilMs: time.Duration(l.Until).Milliseconds(), Home: l.Home, Returns: l.Returns,
--- a/internal/wire/news/view.go
+++ b/internal/wire/news/view.go
@@ -7,17 +7,17 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 )
 
-// Versions are how far an entry has followed the store.
+// Versions are the versions that an entry has.
 type Versions struct {
 	_ struct{} `cbor:",toarray"`
 
-	// Config is the configuration's version, and List the store's at which
+	// Config is the configuration's version, and List the store's version at which
 	// the list of targets was last read.
 	Config, List uint64
 }
 
-// View is what an entry learnt from the store, for a peer that the store turns
-// away.
+// View contains what an entry has read from the store, for a peer that the store
+// rejects.
 type View struct {
 	// Config is the configuration's compressed text, if it is newer than the
 	// peer's.
@@ -25,13 +25,13 @@
 	// List is the version of Targets. Zero means that the peer's list is as
 	// new.
 	List uint64
-	// Base is the version of the peer's list if Targets and Gone are what
-	// changed since; zero means that Targets are all there are.
+	// Base is the version of the peer's list if Targets and Gone are the changes
+	// since. Zero means that Targets is the complete list.
 	Base    uint64
 	Targets []inventory.Target
 	Gone    []instance.ID
-	// Listed are hashes of the ids of all targets on the list where it is not
-	// known which have gone since, and else nil.
+	// Listed are hashes of the ids of all listed targets if it is not known which
+	// were removed since Base, and nil otherwise.
 	Listed []uint64
 }
 
