--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,7 +1,7 @@
-// Package engine is a small stand-in of a model engine: it batches, caches
-// prompt prefixes, loads checkpoints through a shared weight store and breaks
-// on demand. Its answers are a function of the prompt, so that a client can
-// tell whether it got its own answer and all of it.
+// Package engine is a small stand-in of a model engine. It batches requests, caches
+// prompt prefixes, loads checkpoints from a shared weight store and has faults that can
+// be set. Its answers are a function of the prompt, so that a client can check that an
+// answer is its own and complete.
 package engine
 
 import (
@@ -20,10 +20,10 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 )
 
-// Poison is a word that crashes the engine which reads it in a prompt.
+// Poison is a word that crashes an engine that reads it in a prompt.
 const Poison = "crash-the-target"
 
-// Fetcher takes the time that a load of bytes takes from the weight store.
+// Fetcher waits for the time that a load takes.
 type Fetcher interface {
 	Fetch(ctx context.Context, model string, bytes int64, tier target.Tier) error
 }
@@ -40,7 +40,7 @@
 	FirstToken, PerToken time.Duration
 	// ReportLag is how old a load report is when it is read.
 	ReportLag time.Duration
-	// Restart is how long a crashed engine stays away.
+	// Restart is the time that a crashed engine takes to restart.
 	Restart time.Duration
 	Weights Fetcher
 }
@@ -71,8 +71,8 @@
 	faults  Faults
 	crashes int
 
-	// OnChange, when set, is called under the engine's lock after each change
-	// of what it holds. Checkers hang on to it.
+	// OnChange, if set, is called under the engine's lock after each change of what it
+	// holds, for checks.
 	OnChange func(id instance.ID, held []target.ResidentModel, memory int64)
 }
 
@@ -102,7 +102,7 @@
 	return e
 }
 
-// start begins a new incarnation with nothing loaded. The disk cache stays.
+// start begins a new incarnation with nothing loaded. The disk cache remains.
 func (e *Engine) start() {
 	e.incarnation = uuid.NewString()
 	e.down = false
@@ -168,7 +168,7 @@
 	return s, nil
 }
 
-// swapLocked makes s carry the answer of a generation that is running.
+// swapLocked makes s return the answer of another running generation.
 func (e *Engine) swapLocked(s *stream) {
 	for id, other := range e.running {
 		s.id, s.gen = id, &generation{
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -9,13 +9,13 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 )
 
-// Faults are the engine's switches.
+// Faults are the engine's faults.
 type Faults struct {
 	// SwapAnswers makes the next two streams carry each other's request ids.
 	SwapAnswers bool
 	// Truncate makes the next stream end cleanly without its end mark.
 	Truncate bool
-	// LateOrders delays the carrying out of every order.
+	// LateOrders delays every order.
 	LateOrders time.Duration
 	// FailLoads makes the next loads fail.
 	FailLoads int
@@ -23,7 +23,7 @@
 	DropEvents bool
 }
 
-// SetFaults replaces the switches.
+// SetFaults replaces the faults.
 func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -31,8 +31,8 @@
 	e.faults = f
 }
 
-// Crash ends the incarnation. All it ran and held is gone; after the restart
-// time the engine is back, empty.
+// Crash ends the incarnation, with all that it ran and held. The engine restarts empty
+// after the restart time.
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -76,7 +76,7 @@
 	e.crashLocked()
 }
 
-// Silence makes all open streams go quiet for good. New ones work.
+// Silence makes all open streams stall for good. New ones work.
 func (e *Engine) Silence() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -90,7 +90,7 @@
 	}
 }
 
-// Ran reports whether the prompt was ever run here.
+// Ran reports whether the prompt was ever run on this engine.
 func (e *Engine) Ran(prompt string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -106,7 +106,7 @@
 	return e.crashes
 }
 
-// Use returns how many models are ready and how many generations run.
+// Use returns the numbers of ready models and of running generations.
 func (e *Engine) Use() (ready, running int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -131,7 +131,7 @@
 // ID returns the engine's instance id.
 func (e *Engine) ID() instance.ID { return e.opt.ID }
 
-// Leave makes the engine say that it is leaving and refuse new generations.
+// Leave makes the engine report that it is leaving and refuse new generations.
 func (e *Engine) Leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -74,8 +74,8 @@
 	return e.inventoryLocked(), nil
 }
 
-// loadLocked starts a load. Like many engines, it takes the order on trust
-// and does not check its memory: that is what the books are for.
+// loadLocked starts a load. Like many engines, it does not check whether its memory
+// suffices: the lease holder must not overcommit it.
 func (e *Engine) loadLocked(a target.Load) {
 	if _, ok := e.held[a.Model]; ok {
 		return
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// faultsMessage is Faults on the wire, with the one-time faults besides.
+// faultsMessage is Faults on the wire, with the faults that occur once.
 type faultsMessage struct {
 	SwapAnswers  bool  `json:"swapAnswers"`
 	Truncate     bool  `json:"truncate"`
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -46,7 +46,7 @@
 	return time.Duration(float64(e.opt.PerToken) / e.opt.Speed * batch)
 }
 
-// stream produces one generation's frames as they are asked for.
+// stream produces a generation's frames on demand.
 type stream struct {
 	ctx      context.Context //nolint:containedctx // A stream lives as long as its call.
 	engine   *Engine
--- a/internal/standin/engine/weights.go
+++ b/internal/standin/engine/weights.go
@@ -9,12 +9,13 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 )
 
-// Weights is a stand-in of the weight store's rate: a few loads at full speed
-// at once, proportionally slower beyond that. The zero value is instant.
+// Weights is a stand-in of the weight store's bandwidth: a number of loads run at full
+// speed, and more of them proportionally slower. With the zero value loads take no
+// time.
 type Weights struct {
 	// BytesPerSecond is the speed of one remote load at full speed.
 	BytesPerSecond int64
-	// Concurrent is how many loads run at full speed.
+	// Concurrent is the number of loads that run at full speed.
 	Concurrent int
 
 	inFlight atomic.Int64
@@ -29,7 +30,7 @@
 	diskSpeedup   = 3
 )
 
-// Slow divides the store's speed by factor from now on.
+// Slow divides the store's speed by factor.
 func (w *Weights) Slow(factor float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/pause/pause.go
+++ b/internal/standin/pause/pause.go
@@ -1,5 +1,4 @@
-// Package pause stops what a process sends, and lets it go again, as when the
-// process itself is paused.
+// Package pause simulates a paused process by blocking what it sends.
 package pause
 
 import (
@@ -7,13 +6,13 @@
 	"sync"
 )
 
-// Gate delays all that passes it while it is closed. The zero value is open.
+// Gate blocks callers of Wait while it is closed. The zero value is open.
 type Gate struct {
 	mu     sync.Mutex
 	closed chan struct{}
 }
 
-// Wait returns when the gate is open, or with the context's error.
+// Wait waits until the gate is open. It returns the context's error if that ends first.
 func (g *Gate) Wait(ctx context.Context) error {
 	g.mu.Lock()
 	closed := g.closed
@@ -31,7 +30,7 @@
 	}
 }
 
-// Close makes all that comes wait.
+// Close closes the gate.
 func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -41,7 +40,7 @@
 	}
 }
 
-// Open lets all pass again.
+// Open opens the gate.
 func (g *Gate) Open() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/standin/platform/books.go
+++ b/internal/standin/platform/books.go
@@ -1,5 +1,5 @@
-// Package platform is a small stand-in of the platform: table service, object
-// store, weight store and instance list in memory, with switches for faults.
+// Package platform is a small stand-in of the platform: a table service, an object
+// store, a weight store and a list of instances in memory, with faults that can be set.
 package platform
 
 import (
@@ -19,7 +19,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/platform/weight"
 )
 
-// Platform keeps all the platform's books. The zero value is empty and ready.
+// Platform contains the platform's state. The zero value is empty and ready to use.
 type Platform struct {
 	mu          sync.Mutex
 	rows        map[string]table.Row
@@ -31,7 +31,7 @@
 
 	faults Faults
 
-	// Reads and Writes count the rows read and written, for budgets.
+	// Reads and Writes count the rows read and written.
 	Reads, Writes atomic.Int64
 }
 
@@ -41,16 +41,16 @@
 	since time.Time
 }
 
-// Faults are the switches of the stand-in.
+// Faults are the faults of the stand-in.
 type Faults struct {
 	// TableDown makes every call on the table and the object store fail
 	// before it takes effect.
 	TableDown bool
 	// TableDelay is added to every call on the table.
 	TableDelay time.Duration
-	// LoseAnswers is how many of the next commits take effect and then fail.
+	// LoseAnswers is the number of next commits that take effect and then fail.
 	LoseAnswers int
-	// ListLag is how long a change of an instance's state stays unseen.
+	// ListLag is the delay after which a change of an instance's state is listed.
 	ListLag time.Duration
 }
 
@@ -59,7 +59,7 @@
 	errLost = errors.New("answer lost")
 )
 
-// SetFaults replaces the switches.
+// SetFaults replaces the faults.
 func (p *Platform) SetFaults(f Faults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -190,7 +190,7 @@
 	return ctx.Err()
 }
 
-// Row returns a row as it is, whatever the faults. It is for checkers.
+// Row returns a row regardless of the faults, for checks.
 func (p *Platform) Row(key string) (table.Row, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -280,7 +280,7 @@
 	return slices.Clone(p.checkpoints), nil
 }
 
-// Announce puts in on the instance list, or changes its line there.
+// Announce adds an instance to the list or replaces it.
 func (p *Platform) Announce(in instance.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -292,7 +292,7 @@
 	p.instances[in.ID] = listed{Instance: in, since: time.Now()}
 }
 
-// Remove takes the instance off the list.
+// Remove removes the instance from the list.
 func (p *Platform) Remove(id instance.ID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -1,6 +1,6 @@
-// Package rows is a small stand-in of the users' platform's store: rows in
-// tables under one version that grows, a feed of changes with a bounded
-// history, and switches for faults that may differ from caller to caller.
+// Package rows is a small stand-in of the store of the users' platform. It has tables
+// of rows with a common increasing version, a change feed with a bounded history, and
+// faults that can be set for each client.
 package rows
 
 import (
@@ -16,14 +16,14 @@
 	"github.com/fulmarcross/fulmarcross/internal/platform/table"
 )
 
-// Store keeps the rows. The zero value is empty and ready.
+// Store contains the rows. The zero value is empty and ready to use.
 type Store struct {
 	mu      sync.Mutex
 	tables  map[string]map[string]table.Row
 	version uint64
 	// history are the changes in order, of all tables.
 	history []change
-	// forgotten is the version up to which the history is gone.
+	// forgotten is the version up to which the history has been dropped.
 	forgotten uint64
 	// changed is closed at the next change.
 	changed chan struct{}
@@ -34,17 +34,17 @@
 	row   table.Row
 }
 
-// Faults are the switches of one caller's way to the store.
+// Faults are the faults of one client's access to the store.
 type Faults struct {
 	// Down makes every call fail before it takes effect.
 	Down bool
-	// Silent makes every call hang until its caller gives up.
+	// Silent makes every call hang until its client cancels it.
 	Silent bool
-	// LoseAnswers is how many of the next commits take effect and then fail.
+	// LoseAnswers is the number of next commits that take effect and then fail.
 	LoseAnswers int
 }
 
-// Door is one caller's way to the store.
+// Door is one client's access to the store.
 type Door struct {
 	Store *Store
 
@@ -57,7 +57,7 @@
 	errLost = errors.New("answer lost")
 )
 
-// SetFaults replaces the switches.
+// SetFaults replaces the faults.
 func (d *Door) SetFaults(f Faults) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -165,20 +165,20 @@
 	return s.version, nil
 }
 
-// Put writes one row, whatever stands there.
+// Put writes one row unconditionally.
 func (s *Store) Put(name, key string, value []byte) {
 	// Without conditions there is no conflict.
 	_, _ = s.Commit(name, table.Transaction{Writes: []table.Write{{Key: key, Value: value}}})
 }
 
-// Remove drops one row.
+// Remove deletes one row.
 func (s *Store) Remove(name, key string) {
 	// Without conditions there is no conflict.
 	_, _ = s.Commit(name, table.Transaction{Writes: []table.Write{{Key: key, Delete: true}}})
 }
 
-// Forget drops the history, so that those who wait for changes must read the
-// whole.
+// Forget drops the history, so that clients that wait for changes must read whole
+// tables.
 func (s *Store) Forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,7 +186,7 @@
 	s.history, s.forgotten = nil, s.version
 }
 
-// Range returns the rows from a key up to another, sorted by key.
+// Range returns the rows between two keys, sorted by key.
 func (s *Store) Range(name, from, to string, limit int) (rows []table.Row, more bool, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -1,5 +1,5 @@
-// Package service is a small stand-in of a plain service. It books every call
-// that it ran, so that a checker can find one that ran twice.
+// Package service is a small stand-in of a plain service. It records every call that
+// it ran, so that tests can find calls that ran twice.
 package service
 
 import (
@@ -13,13 +13,13 @@
 	"github.com/fulmarcross/fulmarcross/internal/standin/httpjson"
 )
 
-// PathFaults is the path of the fault switches.
+// PathFaults is the path for setting faults.
 const PathFaults = "/faults"
 
-// PathRuns is the path of the books: how often each key ran.
+// PathRuns is the path that returns how often each key ran.
 const PathRuns = "/runs"
 
-// Service is the stand-in. The zero value works at once.
+// Service is the stand-in. The zero value is ready to use.
 type Service struct {
 	// Delay is how long each call takes.
 	Delay time.Duration
@@ -29,7 +29,7 @@
 	drop int
 }
 
-// maxBody bounds what a call may send.
+// maxBody limits the body of a call.
 const maxBody = 1 << 20
 
 // LoseAnswers makes the next n calls run and then cut the connection.
@@ -48,7 +48,7 @@
 	return maps.Clone(s.runs)
 }
 
-// ServeHTTP runs a call: it books its key and echoes its body.
+// ServeHTTP runs a call: it records its key and echoes its body.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
@@ -68,7 +68,7 @@
 	_, _ = fmt.Fprintf(w, "done %s %s %s", r.Method, r.URL.Path, body)
 }
 
-// book counts a run and reports whether its answer is to be lost.
+// book counts a run and reports whether its answer must be lost.
 func (s *Service) book(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,7 +87,7 @@
 	return lost
 }
 
-// Handler serves s with its books and fault switches beside it.
+// Handler serves s, its records and the setting of faults.
 func Handler(s *Service) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", s)
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -12,21 +12,21 @@
 	"github.com/fulmarcross/fulmarcross/platform"
 )
 
-// Reply is what a caller got.
+// Reply is the answer that a client received.
 type Reply struct {
 	Status int
 	Body   string
-	// Signed says that a target wrote it.
+	// Signed says that it comes from a target.
 	Signed bool
-	// Whole says that it came to its end.
+	// Whole says that it is complete.
 	Whole bool
-	// Header is the answer's.
+	// Header is the answer's header.
 	Header http.Header
 	// First and Took are the times to the answer's first and last bytes.
 	First, Took time.Duration
 }
 
-// Ask sends one request to an entry, on a connection of its own.
+// Ask sends one request to an entry on a new connection.
 func Ask(ctx context.Context, e *Entry, path, body string, ask relay.RequestInfo) (Reply, error) {
 	return send(ctx, http.DefaultClient, e.Callers, path, body, ask, true)
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -1,5 +1,5 @@
-// Package site is a small deployment on loopback in one process: a stand-in of
-// the store, model workers, a plain service, and real entries before them.
+// Package site is a small deployment on loopback in one process: stand-ins of the
+// store, of model workers and of a plain service, and real entries.
 package site
 
 import (
@@ -44,28 +44,28 @@
 
 const (
 	engines = 4
-	// models is how many there are; three fit on an engine.
+	// models is the number of models. Three fit on an engine.
 	models  = 16
 	modelMB = 60
-	// cold is the load from an engine's disk. The demo's engines are quick.
+	// cold is the duration of a load from an engine's disk.
 	cold = 150 * time.Millisecond
-	// goal is that of the streams; their callers wait four times as long.
+	// goal is the latency objective of streams. Their clients wait four times as long.
 	goal = 2 * time.Second
-	// turnPause and grace are as on the users' sites, but shorter.
+	// turnPause and grace are shorter than on the users' sites.
 	turnPause = 600 * time.Millisecond
 	grace     = 6 * time.Second
 )
 
-// Options choose what a site looks like.
+// Options configure a site.
 type Options struct {
-	// Entries is how many run in this process.
+	// Entries is the number of entries, which run in this process.
 	Entries int
 	Log     io.Writer
 	// Teams are in force from the start, with the keys of each by its name.
 	Teams []team.Team
 	Keys  map[string][]string
-	// Front returns the address under which a target is listed, which leads to
-	// its own. Nil lists its own.
+	// Front returns the address under which a target is listed, which must forward to
+	// its own. If it is nil, targets are listed under their own addresses.
 	Front func(id instance.ID, own netip.AddrPort) (netip.AddrPort, error)
 }
 
@@ -78,7 +78,7 @@
 
 	mu     sync.Mutex
 	config *route.Config
-	// keys are the callers' of each team.
+	// keys are the keys of each team.
 	keys    map[string][]string
 	targets map[instance.ID]inventory.Target
 	handler map[instance.ID]platform.Worker
@@ -93,10 +93,10 @@
 	Name    instance.ID
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
-	// Door is the entry's way to the store.
+	// Door is the entry's access to the store.
 	Door *rows.Door
 	stop context.CancelFunc
-	// done is closed when the entry has ended, with err.
+	// done is closed when the entry has ended. err is then its error.
 	done chan struct{}
 	err  error
 }
@@ -104,7 +104,7 @@
 // Model returns the name of a model.
 func Model(i int) string { return fmt.Sprintf("model-%d", i) }
 
-// Start starts a site. Close ends it.
+// Start starts a site. Close stops it.
 func Start(ctx context.Context, opt Options) (*Site, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Site{
@@ -143,8 +143,8 @@
 		}
 	}
 
-	// All stand on the list before entries read it: a test that takes the store
-	// away right after would leave them with a part of it.
+	// All targets are listed before entries read the list. Otherwise a test that makes
+	// the store fail at once would leave them with a part of it.
 	written := make(map[instance.ID]inventory.Target)
 	s.register(written)
 	s.wg.Go(func() { s.beat(ctx, written) })
@@ -251,7 +251,7 @@
 // beatEvery is how often targets write to the list.
 const beatEvery = 100 * time.Millisecond
 
-// beat writes the targets' entries whenever they change.
+// beat writes the rows of targets that have changed.
 func (s *Site) beat(ctx context.Context, written map[instance.ID]inventory.Target) {
 	for ctx.Err() == nil {
 		s.register(written)
@@ -263,7 +263,7 @@
 	}
 }
 
-// register writes the targets' entries that differ from those written.
+// register writes the rows of targets that differ from those in written.
 func (s *Site) register(written map[instance.ID]inventory.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -280,10 +280,10 @@
 	}
 }
 
-// Leave makes a target report that it takes no new work.
+// Leave makes a target report that it is draining.
 func (s *Site) Leave(id instance.ID) { s.change(id, func(t *inventory.Target) { t.Leaving = true }) }
 
-// Restart makes a target report as a new process that takes work.
+// Restart makes a target report as a new process that accepts requests.
 func (s *Site) Restart(id instance.ID) {
 	s.change(id, func(t *inventory.Target) { t.Leaving, t.StartedMs = false, t.StartedMs+1 })
 }
@@ -298,15 +298,14 @@
 }
 
 const (
-	// firstPort and ports are a range below the one from which the system
-	// draws ports for outgoing connections. One that it drew between the choice
-	// of a port and its use would keep the entry from listening.
+	// firstPort and ports are a range below the ephemeral ports. An ephemeral port could
+	// be used for a connection between its choice here and its use by an entry.
 	firstPort = 20000
 	ports     = 12000
 )
 
-// lastPort counts the ports that were tried. It starts at another place in
-// each process.
+// lastPort counts the ports that were tried. It starts at a different value in each
+// process.
 var lastPort = func() *atomic.Int64 {
 	var n atomic.Int64
 	n.Store(int64(os.Getpid()) * 97) //nolint:mnd // A prime, so that processes that follow each other lie apart.
@@ -314,7 +313,7 @@
 	return &n
 }()
 
-// Free returns an address on which nobody listens.
+// Free returns an unused address.
 func Free() (netip.AddrPort, error) {
 	for {
 		port := firstPort + lastPort.Add(1)%ports
@@ -333,7 +332,7 @@
 	}
 }
 
-// Door opens a way to the store for one entry.
+// Door returns an access to the store for one entry, with its address.
 func (s *Site) Door() (*rows.Door, netip.AddrPort, error) {
 	l, at, err := listen()
 	if err != nil {
@@ -387,7 +386,7 @@
 	return nil
 }
 
-// Stop stops an entry gracefully and waits for its end.
+// Stop shuts an entry down gracefully and waits for its end.
 func (e *Entry) Stop() {
 	e.stop()
 	<-e.done
@@ -419,7 +418,7 @@
 	return nil
 }
 
-// Close ends the site.
+// Close stops the site.
 func (s *Site) Close() {
 	var wg sync.WaitGroup
 	for _, e := range s.Entries {
@@ -435,7 +434,7 @@
 	}
 }
 
-// Broken returns what the engines saw that must not be.
+// Broken describes violations that the engines recorded.
 func (s *Site) Broken() []string {
 	var out []string
 
@@ -474,7 +473,7 @@
 	return out
 }
 
-// Runs returns how often a request ran, over all targets.
+// Runs returns how often a request ran on all targets together.
 func (s *Site) Runs(id string) int {
 	n := 0
 	for _, w := range s.Workers {
--- a/internal/standin/site/try.go
+++ b/internal/standin/site/try.go
@@ -17,18 +17,18 @@
 )
 
 const (
-	// tryCallers send at the same time, each one request after the other.
+	// tryCallers is the number of concurrent clients.
 	tryCallers = 12
 	tryEntries = 3
-	// answerTokens is the length of a stream.
+	// answerTokens is the number of events of a stream.
 	answerTokens = 12
-	// tryDeadline is what a caller allows.
+	// tryDeadline is the timeout of a request.
 	tryDeadline = 8 * time.Second
-	// mostMs bounds the histograms.
+	// mostMs is the largest value of the histograms.
 	mostMs = 60_000
 )
 
-// ledger is what the callers of a trial saw.
+// ledger records the answers of a trial.
 type ledger struct {
 	mu     sync.Mutex
 	report trial.Report
@@ -36,8 +36,8 @@
 	cold   *hdrhistogram.Histogram
 }
 
-// Try plays a calm day of the length given and reports what callers and
-// targets saw.
+// Try sends requests without faults for a time and reports what clients and targets
+// recorded.
 func Try(ctx context.Context, seed uint64, length time.Duration, log io.Writer) (trial.Report, error) {
 	s, err := Start(ctx, Options{Entries: tryEntries, Log: log})
 	if err != nil {
@@ -69,7 +69,7 @@
 	return l.report, ctx.Err()
 }
 
-// call is one caller's day.
+// call sends one client's requests until end.
 func (s *Site) call(ctx context.Context, l *ledger, caller int, draw *rand.Rand, end time.Time) {
 	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("try-%d-%d", caller, n)
@@ -90,7 +90,7 @@
 	}
 }
 
-// note books one answer.
+// note records one answer.
 func (l *ledger) note(runs int, r Reply, err error, model string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -126,7 +126,7 @@
 	}
 }
 
-// proper reports whether an answer is the one to its request.
+// proper reports whether an answer belongs to its request.
 func proper(r Reply, model string) bool {
 	if model == "" {
 		return strings.HasPrefix(r.Body, "done: ")
@@ -135,13 +135,13 @@
 	return strings.Count(r.Body, "data: ") == answerTokens
 }
 
-// time books how long an answer took to begin.
+// time records the time to the first byte of an answer.
 func (l *ledger) time(r Reply, model string) {
 	if model == "" {
 		return
 	}
 
-	// A value beyond the bound is kept at it.
+	// Larger values count as mostMs.
 	ms := min(max(1, r.First.Milliseconds()), mostMs)
 	_ = l.first.RecordValue(ms)
 
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -16,33 +16,33 @@
 )
 
 const (
-	// tokens is the length of a stream.
+	// tokens is the number of events of a stream.
 	tokens = 6
-	// callFor is how long callers wait, and callPause the most between two of
-	// a caller's requests.
+	// callFor is the timeout of a request, and callPause the longest pause between two
+	// requests of a client.
 	callFor   = 4 * time.Second
 	callPause = 120 * time.Millisecond
 )
 
-// Report is what callers and targets saw.
+// Report is the result of a soak.
 type Report struct {
-	// Asked counts the requests, Answered those answered whole, Refused those
-	// that were told that they had not run, and Unknown all others.
+	// Asked counts all requests, Answered those with a complete answer, Refused those
+	// that did not run according to their answers, and Unknown the others.
 	Asked, Answered, Refused, Unknown int
-	// Broken are the promises that were broken.
+	// Broken describes the promises that were broken.
 	Broken []string
 }
 
-// book is what callers saw.
+// book records what clients received.
 type book struct {
 	mu   sync.Mutex
 	seen Report
-	// once are the requests that may run once, and refused those that were told
-	// that they never run.
+	// once are the requests that may run once, and refused those that must not run,
+	// according to their answers.
 	once, refused []string
 }
 
-// kind is a kind of request with the answer that it must have.
+// kind is a kind of request with a check of its answer.
 type kind struct {
 	path, model, body string
 	once              bool
@@ -66,8 +66,8 @@
 	}
 }
 
-// call is one caller: one request after the other on a connection that it keeps
-// until the process closes it.
+// call is one client. It sends one request after another on a connection that it keeps
+// open until the process closes it.
 func (s *soak) call(ctx context.Context, p *process, caller int) {
 	draw := rand.New(rand.NewPCG(s.Seed, uint64(1+caller))) //nolint:gosec // No secret, and small.
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
@@ -82,7 +82,7 @@
 }
 
 func (s *soak) ask(ctx context.Context, c *http.Client, p *process, team, id string, k kind) {
-	// The request ends by itself; a soak that ends does not cut it short.
+	// The end of the soak does not cancel the request.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callFor)
 	defer cancel()
 
@@ -121,17 +121,17 @@
 	b.seen.Broken = append(b.seen.Broken, fmt.Sprintf(format, args...))
 }
 
-// targets are the targets' own books.
+// targets are the targets' records.
 type targets interface {
-	// Runs returns how often a request ran, and Broken what targets saw that
-	// must not be.
+	// Runs returns how often a request ran, and Broken describes violations that the
+	// targets recorded.
 	Runs(id string) int
 	Broken() []string
 	// Ran returns the runs on plain targets, in order.
 	Ran() []worker.Run
 }
 
-// report judges what was seen once everything has ended.
+// report checks what was recorded after all requests have ended.
 func (b *book) report(s targets, recovered error) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -161,7 +161,7 @@
 	return b.seen
 }
 
-// NotServedError says that an entry does not serve a kind of request in time.
+// NotServedError reports that an entry did not serve a kind of request in time.
 type NotServedError struct {
 	Entry, Path string
 	Status      int
@@ -207,7 +207,7 @@
 	return errors.Join(errs...)
 }
 
-// served asks an entry until it answers, on new connections.
+// served sends requests to an entry, each on a new connection, until one is answered.
 func (s *soak) served(ctx context.Context, p *process, k kind) error {
 	for n := 0; ; n++ {
 		id := fmt.Sprintf("ready-%s%s-%d-%d", p.name, k.path, n, time.Now().UnixNano())
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -15,8 +15,8 @@
 	"github.com/fulmarcross/fulmarcross/platform"
 )
 
-// process is one entry as a process of its own. It is started again whenever it
-// ends, under the same settings, until the soak ends it.
+// process is an entry that runs as a process. It is restarted with the same settings
+// whenever it ends, until end is called.
 type process struct {
 	name    string
 	command []string
@@ -32,8 +32,7 @@
 	over  bool
 }
 
-// newProcess writes the settings of an entry whose store is at the address
-// given.
+// newProcess writes the settings of an entry that uses the store at an address.
 func newProcess(dir string, i int, command, env []string, store netip.AddrPort, seed netip.AddrPort) (*process, netip.AddrPort, error) {
 	var at [4]netip.AddrPort
 
@@ -72,7 +71,7 @@
 	return &process{name: name, command: command, env: append(env, platform.SettingsVariable+"="+path), callers: at[0], log: log}, at[2], err
 }
 
-// start starts the process, and again after each end.
+// start starts the process and restarts it whenever it ends.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,7 +103,7 @@
 	return nil
 }
 
-// signal sends a signal to the process by its id.
+// signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/soak/proxy.go
+++ b/internal/standin/soak/proxy.go
@@ -10,28 +10,28 @@
 	"time"
 )
 
-// Trouble is what a proxy does to the connections through it.
+// Trouble is a fault of a link.
 type Trouble int
 
-// The troubles of a link.
+// The faults of a link.
 const (
-	// Calm passes everything on.
+	// Calm forwards everything.
 	Calm Trouble = iota
-	// Slow holds every piece for slowBy.
+	// Slow delays all data by slowBy.
 	Slow
-	// Silent passes nothing on, in either way, and resets nothing.
+	// Silent forwards nothing in either direction and resets nothing.
 	Silent
-	// OneWay passes on what is sent and nothing of what is answered.
+	// OneWay forwards requests and no answers.
 	OneWay
-	// Reset resets all connections, and new ones at once.
+	// Reset resets all connections, also new ones.
 	Reset
 )
 
-// slowBy is how long a slow link holds a piece: fifty times what the users'
-// store takes for an answer.
+// slowBy is the delay of a slow link: fifty times the response time of the users'
+// store.
 const slowBy = 200 * time.Millisecond
 
-// proxy stands on loopback before one address.
+// proxy is a TCP proxy on loopback for one address.
 type proxy struct {
 	to netip.AddrPort
 	l  net.Listener
@@ -58,8 +58,8 @@
 
 func (p *proxy) address() (netip.AddrPort, error) { return netip.ParseAddrPort(p.l.Addr().String()) }
 
-// set begins a trouble and ends the one before. What a silent link held back
-// is passed on then, as behind a cut that its ends outlast.
+// set begins a fault and ends the one before. It then forwards the data that a silent
+// link held back, as after a partition that the connections survive.
 func (p *proxy) set(t Trouble) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -137,7 +137,7 @@
 	p.mu.Unlock()
 }
 
-// pass copies one way, but for what comes during the troubles given.
+// pass copies in one direction, except during the given faults.
 func (p *proxy) pass(to, from net.Conn, mute ...Trouble) {
 	buf := make([]byte, 32<<10) //nolint:mnd // As io.Copy's.
 
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -1,6 +1,6 @@
-// Package soak plays seeded troubles on real entries, each a process of its
-// own, between stand-ins of the store and the targets, and checks from outside
-// what was promised: by what callers and targets see.
+// Package soak runs real entries, each as a process of its own, between stand-ins of
+// the store and the targets. It injects faults that a seed determines, and checks the
+// promises by what clients and targets record.
 package soak
 
 import (
@@ -21,37 +21,38 @@
 )
 
 const (
-	// grace is how long a process may take to stop, and turnPause for how long
-	// no two holders may take turns, as in the stand-in site.
+	// grace is how long a graceful shutdown may take, and turnPause the time within
+	// which orders of two holders must not alternate, as in package site.
 	grace     = 6 * time.Second
 	turnPause = 600 * time.Millisecond
-	// restartAfter is how long after its end a process is started again.
+	// restartAfter is the time between the end of a process and its restart.
 	restartAfter = 150 * time.Millisecond
-	// stepMost is the longest pause between two troubles, and troubleMost the
-	// longest trouble: they overlap.
+	// stepMost is the longest time between the starts of two faults, and troubleMost
+	// the longest duration of a fault. Faults overlap.
 	stepMost    = 900 * time.Millisecond
 	troubleMost = 4 * time.Second
-	// recovery is how long after the last trouble everything must be served.
+	// recovery is the time after the last fault within which every request must be
+	// served again.
 	recovery = 12 * time.Second
-	// startTime bounds the start of all processes.
+	// startTime limits the time until all processes have started.
 	startTime = 20 * time.Second
-	// callersEach is how many callers an entry has.
+	// callersEach is the number of clients of each entry.
 	callersEach = 4
 )
 
-// Options choose a soak.
+// Options configure a soak.
 type Options struct {
 	Seed    uint64
 	Entries int
-	// Length is for how long troubles begin.
+	// Length is the time during which faults begin.
 	Length time.Duration
 	// RateLimits adds targets that state rate limits to the troubles.
 	RateLimits bool
-	// Command runs an entry, and Env is added to its environment.
+	// Command starts an entry, with Env added to its environment.
 	Command, Env []string
-	// Dir is where settings and logs are written.
+	// Dir is the directory for settings and logs.
 	Dir string
-	// Progress gets a line for each trouble.
+	// Progress receives a line for each fault. It may be nil.
 	Progress io.Writer
 }
 
@@ -65,12 +66,12 @@
 	targets   map[instance.ID]*proxy
 	book      book
 	excuses   excuses
-	// heal counts the troubles that have not ended.
+	// heal counts the faults that have not ended.
 	heal  sync.WaitGroup
 	began time.Time
 }
 
-// Run plays a soak and returns what was seen.
+// Run runs a soak and returns its report.
 func Run(ctx context.Context, opt Options) (Report, error) {
 	s := &soak{Options: opt, targets: make(map[instance.ID]*proxy)}
 
@@ -119,7 +120,7 @@
 	return r, ctx.Err()
 }
 
-// front puts a proxy before a target.
+// front starts a proxy in front of a target and returns its address.
 func (s *soak) front(id instance.ID, own netip.AddrPort) (netip.AddrPort, error) {
 	p, err := newProxy(own)
 	if err != nil {
@@ -186,8 +187,8 @@
 	}
 }
 
-// trouble plays what the seed draws, one trouble after the other, each in a
-// goroutine that also ends it.
+// trouble begins the faults that the seed determines. Each ends in a goroutine of its
+// own.
 func (s *soak) trouble(ctx context.Context) {
 	draw := rand.New(rand.NewPCG(s.Seed, 0)) //nolint:gosec // No secret.
 
@@ -213,7 +214,7 @@
 	}
 }
 
-// event is one trouble: what begins and what ends it.
+// event is a fault, with functions that begin and end it.
 type event struct {
 	name       string
 	begin, end func()
@@ -234,7 +235,7 @@
 
 var linkTroubles = []Trouble{Slow, Silent, OneWay, Reset}
 
-// draw draws a trouble.
+// draw draws a fault.
 func (s *soak) draw(draw *rand.Rand) event {
 	p := s.processes[draw.IntN(len(s.processes))]
 	store := draw.IntN(len(s.stores))
--- a/internal/standin/soak/teams.go
+++ b/internal/standin/soak/teams.go
@@ -8,8 +8,8 @@
 	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
 
-// The teams of a soak's callers: one without a limit, one that asks for more than
-// its limit, and callers whose key nobody knows.
+// The teams of a soak's clients: one without a limit, one that sends more than its
+// limit, and clients with an unknown key.
 const (
 	free   = "free"
 	tight  = "tight"
@@ -17,11 +17,11 @@
 )
 
 const (
-	// tightRate is below what the callers of the team ask for.
+	// tightRate is below the rate at which the team sends requests.
 	tightRate  = 6.0
 	tightBurst = 6.0
-	// limitWindow is the span in which runs are counted, and limitLate how long
-	// after it was let in a request may run: the plain routes have a second.
+	// limitWindow is the window in which runs are counted, and limitLate how long after
+	// its admission a request may run: the timeout of the plain routes.
 	limitWindow = 4 * time.Second
 	limitLate   = time.Second
 )
@@ -32,10 +32,10 @@
 	return []team.Team{{Name: free}, {Name: tight, Limit: team.Limit{PerSecond: tightRate, Burst: tightBurst}}}
 }
 
-// credentials are what a team's callers bring.
+// credentials returns the credentials of a team's clients.
 func credentials(name string) []string { return []string{"Bearer key-of-" + name} }
 
-// callerTeam returns the team of a caller's nth request.
+// callerTeam returns the team of a client's nth request.
 func callerTeam(caller, n int) string {
 	const forgedEvery = 8
 
@@ -49,7 +49,7 @@
 	}
 }
 
-// checkTeams judges under which teams requests ran.
+// checkTeams checks the teams under which requests ran.
 func (b *book) checkTeams(runs []worker.Run) {
 	var limited []time.Time
 
@@ -71,7 +71,7 @@
 	b.checkLimit(limited)
 }
 
-// checkLimit judges whether more ran in a window than the limit allows.
+// checkLimit checks that no more requests ran in a window than the limit allows.
 func (b *book) checkLimit(runs []time.Time) {
 	most := int(tightRate*(limitWindow+limitLate).Seconds() + tightBurst)
 	first := 0
--- a/internal/standin/trial/added.go
+++ b/internal/standin/trial/added.go
@@ -17,9 +17,9 @@
 // addedRounds is how many requests the added latency is measured with.
 const addedRounds = 200
 
-// measureAdded measures what an entry adds to a request: the time of short
-// answers through an entry less the median time of the same straight from the
-// engine, one request at a time, after the load.
+// measureAdded measures the latency that an entry adds: the time of short answers
+// through an entry minus the median time of the same answers directly from the engine,
+// one request at a time, after the load.
 func (t *Trial) measureAdded(ctx context.Context) *hdrhistogram.Histogram {
 	h := histogram()
 
@@ -70,8 +70,8 @@
 	fastModel  = "draft-11"
 )
 
-// startFastEngine adds an engine that takes no time of its own and is the
-// only one with room for a model that nobody has asked for.
+// startFastEngine adds an engine without delays, which is the only one with room for a
+// model that has not been requested.
 func (t *Trial) startFastEngine() error {
 	e := engine.New(engine.Options{ID: fastEngine, Memory: 64 * modelBytes, Speed: 100, Slots: 64, ChecksToken: true})
 	e.OnChange = t.books.check(t.platform, t.opt.Cells)
@@ -96,7 +96,7 @@
 	return nil
 }
 
-// warm asks until the model is loaded on the fast engine.
+// warm sends requests until the model is loaded on the fast engine.
 func (t *Trial) warm(ctx context.Context, a ask) bool {
 	const tries = 40
 
--- a/internal/standin/trial/books.go
+++ b/internal/standin/trial/books.go
@@ -18,7 +18,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/wire/record"
 )
 
-// books are what the clients and stand-ins counted.
+// books are the counts of clients and stand-ins.
 type books struct {
 	requests, answered, refused, lost, crossed, truncated atomic.Int64
 	untrue, late, overcommitted, excess                   atomic.Int64
@@ -70,9 +70,9 @@
 	b.refusals[code]++
 }
 
-// check returns what an engine calls after each change of what it holds: the
-// bytes must fit its memory, and each replica must have been decided, which
-// means that the ledger has a row for it.
+// check returns the function that an engine calls after each change of what it holds.
+// It checks that the models fit into its memory and that the ledger has a row for each
+// replica.
 func (b *books) check(p *platform.Platform, cells int) func(instance.ID, []target.ResidentModel, int64) {
 	return func(id instance.ID, held []target.ResidentModel, memory int64) {
 		var sum int64
@@ -92,10 +92,10 @@
 	}
 }
 
-// sampleEvery is how often the use of the engines is looked at.
+// sampleEvery is the interval at which the use of the engines is sampled.
 const sampleEvery = 50 * time.Millisecond
 
-// sample sums the time during which engines hold models and run nothing.
+// sample sums the time in which engines hold models and run nothing.
 func (b *books) sample(all []*engine.Engine, stop <-chan struct{}) {
 	t := time.NewTicker(sampleEvery)
 	defer t.Stop()
@@ -127,7 +127,7 @@
 	Refusals map[request.Code]int
 	// TableReads and TableWrites are the rows read and written.
 	TableReads, TableWrites int64
-	// PoisonCrashes is how many engines the poisonous request crashed.
+	// PoisonCrashes is the number of engines that the poisonous request crashed.
 	PoisonCrashes int
 	// Slowest is the story of the request whose first token took longest.
 	Slowest []timeline.Event
@@ -139,7 +139,7 @@
 		r.PoisonCrashes > maxPoisonCrashes || r.Answered == 0
 }
 
-// maxPoisonCrashes is how many targets one request may crash.
+// maxPoisonCrashes is the number of targets that one request may crash.
 const maxPoisonCrashes = 2
 
 func (t *Trial) report(added *hdrhistogram.Histogram) Report {
--- a/internal/standin/trial/client.go
+++ b/internal/standin/trial/client.go
@@ -26,10 +26,11 @@
 	requestsPerSecond = 60
 	maxTokens         = 24
 	timeout           = 8 * time.Second
-	// lateBy is how much later than its deadline an answer may come before
-	// it counts as late: the way back and the client's own scheduling.
+	// lateBy is how much later than its deadline an answer may arrive without counting as
+	// late, because of the network and the client's scheduling.
 	lateBy = 250 * time.Millisecond
-	// giveUp is when a client without any answer counts the request as lost.
+	// giveUp is the time after which a client without an answer counts the request as
+	// lost.
 	giveUp = 2 * time.Second
 	// serviceShare of the requests are calls of a plain service.
 	serviceShare = 0.2
@@ -52,7 +53,7 @@
 	started time.Time
 }
 
-// load sends requests at a steady mean rate and waits for all of them.
+// load sends requests at a constant mean rate and waits for all of them.
 func (t *Trial) load(ctx context.Context) {
 	var wg sync.WaitGroup
 
@@ -88,7 +89,7 @@
 	_, _ = fmt.Fprintf(t.opt.Progress, "\r%4d requests sent, %3.0f s to go ", n, time.Until(end).Seconds())
 }
 
-// draw makes the n-th request. Few models get most requests, as in life.
+// draw returns the n-th request. A few models get most requests.
 func (t *Trial) draw(n int) ask {
 	a := ask{
 		number: n,
@@ -111,7 +112,7 @@
 	return a
 }
 
-// reply is what a client got.
+// reply is the answer that a client received.
 type reply struct {
 	status  int
 	body    string
@@ -121,8 +122,8 @@
 	first   time.Duration
 }
 
-// send sends one request through the balancer until it is answered, as a
-// caller whose connection breaks would, and books what came.
+// send sends one request through the balancer, again after a broken connection, until
+// it is answered, and records the answer.
 func (t *Trial) send(ctx context.Context, a ask) {
 	a.cold = !a.service && !t.anyReady(a.model)
 	a.started = time.Now()
@@ -158,7 +159,7 @@
 	return false
 }
 
-// errNoEntry means that the balancer has nowhere to send the request.
+// errNoEntry means that the balancer has no entry for the request.
 var errNoEntry = errors.New("no ready entry")
 
 func (t *Trial) try(ctx context.Context, a ask) (reply, error) {
@@ -288,11 +289,11 @@
 		text.WriteString(chunk.Choices[0].Text)
 	}
 
-	// The connection broke: neither an end mark nor a refusal came.
+	// The connection broke before an end mark or a refusal.
 	return reply{}, io.ErrUnexpectedEOF
 }
 
-// book compares what came with what is right.
+// book compares an answer with the expected one and counts it.
 func (t *Trial) book(a ask, r reply) {
 	b := &t.books
 	b.requests.Add(1)
@@ -340,12 +341,12 @@
 	}
 }
 
-// ran reports whether a target's books show that the request ran. The repeat
-// of a service call is the same request.
+// ran reports whether a target recorded that the request ran. The retry of a service
+// call is the same request.
 func (t *Trial) ran(a ask) bool {
 	if a.service {
-		// Another sending of the same key may have run. A refusal of this
-		// one is untrue only if it was the only one.
+		// Another attempt with the same key may have run. The refusal of this one is
+		// false only if it was the only one.
 		return !a.repeat && t.serviceRuns(a.prompt) > 0
 	}
 
--- a/internal/standin/trial/demo.go
+++ b/internal/standin/trial/demo.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// fillLists writes the demo's two lists as an operator would.
+// fillLists writes the demo's two lists through the operators' interface.
 func (t *Trial) fillLists(ctx context.Context) error {
 	changes := []plan.Change{
 		plan.SetPlan{Plan: plan.Plan{
--- a/internal/standin/trial/faults.go
+++ b/internal/standin/trial/faults.go
@@ -9,14 +9,14 @@
 	"github.com/fulmarcross/fulmarcross/internal/standin/platform"
 )
 
-// fault is one thing that goes wrong.
+// fault is a fault of the trial.
 type fault struct {
-	// at is the share of the load's time after which it happens.
+	// at is the fraction of the load's duration after which it is injected.
 	at     float64
 	inject func(context.Context)
 }
 
-// inject brings the faults about one after the other. Some overlap.
+// inject injects the faults in order. Some overlap.
 func (t *Trial) inject(ctx context.Context) {
 	started := time.Now()
 
@@ -43,8 +43,8 @@
 	}
 }
 
-// killHolder ends the process that holds the cell while something loads, and
-// starts another on a new instance.
+// killHolder ends the process that holds the lease during a load and starts another on a
+// new instance.
 func (t *Trial) killHolder(ctx context.Context) {
 	n := t.holder()
 	if n == nil {
@@ -57,7 +57,7 @@
 	_, _ = t.StartEntry(ctx, t.opt.Entries)
 }
 
-// awaitLoad returns when an engine is loading something, or soon.
+// awaitLoad waits for a short time until an engine is loading a model.
 func (t *Trial) awaitLoad(ctx context.Context) {
 	const patience = time.Second
 
@@ -93,8 +93,8 @@
 	t.platform.SetFaults(platform.Faults{LoseAnswers: 6})
 }
 
-// pauseHolder stops all that the holder sends for longer than its lease, with
-// whatever orders it has in hand, and then lets them go.
+// pauseHolder blocks all that the holder sends, with its orders in flight, for longer
+// than its lease.
 func (t *Trial) pauseHolder(context.Context) {
 	n := t.holder()
 	if n == nil {
@@ -118,7 +118,7 @@
 	}
 }
 
-// sendPoison sends a request that crashes each target, again and again.
+// sendPoison repeatedly sends a request that crashes every target.
 func (t *Trial) sendPoison(ctx context.Context) {
 	const repeats = 5
 
@@ -138,8 +138,8 @@
 	}()
 }
 
-// reclaimTarget takes a target away: the list says so first, and soon after
-// the engine is gone.
+// reclaimTarget removes a target: first the list shows that it is leaving, and soon
+// after the engine stops.
 func (t *Trial) reclaimTarget(context.Context) {
 	e := t.engines[1]
 
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -1,7 +1,7 @@
-// Package trial runs the whole path in one process on loopback: stand-ins of
-// the platform, engines and services, entries, demo lists, a bounded load and,
-// if asked, faults. What it reports is counted from the books of its clients
-// and stand-ins, not from the system's own counters.
+// Package trial runs the whole system in one process on loopback: stand-ins of the
+// platform, engines and services, entries, demo lists, a bounded load and optional
+// faults. Its report comes from the records of its clients and stand-ins, not from the
+// system's own counters.
 package trial
 
 import (
@@ -31,16 +31,16 @@
 	"github.com/fulmarcross/fulmarcross/internal/standin/service"
 )
 
-// Options choose what a trial does.
+// Options configure a trial.
 type Options struct {
 	Seed   uint64
 	For    time.Duration
 	Faults bool
-	// Entries is how many entries there are; zero means three.
+	// Entries is the number of entries. Zero means three.
 	Entries int
-	// Cells is how many cells the targets are split into; zero means one.
+	// Cells is the number of cells of targets. Zero means one.
 	Cells int
-	// Progress receives a line now and then; nil means nobody looks.
+	// Progress receives occasional lines. It may be nil.
 	Progress io.Writer
 	Logger   zerolog.Logger
 }
@@ -65,7 +65,7 @@
 	Service = serviceName
 )
 
-// node is an entry and what keeps it running.
+// node is a running entry.
 type node struct {
 	*entry.Entry
 
@@ -75,7 +75,7 @@
 	dead   atomic.Bool
 }
 
-// Trial is one run.
+// Trial is a running trial.
 type Trial struct {
 	opt      Options
 	rng      *rand.Rand
@@ -85,7 +85,7 @@
 	services []*service.Service
 	address  netip.AddrPort
 	servers  []*http.Server
-	// addresses are those of the engines, in the order of engines.
+	// addresses are the addresses of engines, in the same order.
 	addresses []netip.AddrPort
 
 	mu    sync.Mutex
@@ -94,7 +94,7 @@
 	books books
 }
 
-// Start makes a trial and returns when its entries are ready. Stop ends it.
+// Start starts a trial and returns when its entries are ready. Stop ends it.
 func Start(ctx context.Context, opt Options) (*Trial, error) {
 	opt.Cells = max(1, opt.Cells)
 
@@ -123,7 +123,7 @@
 	return t, nil
 }
 
-// Entries returns the entries that were started, in their order.
+// Entries returns the entries in the order in which they were started.
 func (t *Trial) Entries() []*entry.Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -142,7 +142,7 @@
 // Services returns the services' stand-ins.
 func (t *Trial) Services() []*service.Service { return t.services }
 
-// Kill ends an entry at once, and takes it off the list.
+// Kill ends an entry at once and removes it from the list.
 func (t *Trial) Kill(e *entry.Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -157,7 +157,7 @@
 	}
 }
 
-// Run makes a trial, runs it to its end and returns its report.
+// Run runs a trial and returns its report.
 func Run(ctx context.Context, opt Options) (Report, error) {
 	t, err := Start(ctx, opt)
 	if err != nil {
@@ -175,8 +175,8 @@
 	return r, nil
 }
 
-// story returns what the entries' time line tells of the slowest request, and
-// what else happened meanwhile that was not about another request.
+// story returns the events of the entries' time line that concern the slowest request,
+// and other events of that time that concern no request.
 func (t *Trial) story(ctx context.Context) []timeline.Event {
 	nodes := t.ready()
 	if len(nodes) == 0 {
@@ -298,7 +298,7 @@
 	return e, nil
 }
 
-// Shutdown tells an entry to shut down gracefully.
+// Shutdown makes an entry shut down gracefully.
 func (t *Trial) Shutdown(e *entry.Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -310,7 +310,7 @@
 	}
 }
 
-// NotReadyError says that the entries did not become ready.
+// NotReadyError reports that the entries did not become ready.
 type NotReadyError struct{}
 
 func (*NotReadyError) Error() string { return "trial: the entries did not become ready" }
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// step is the time between two events of a stream, and events how many a
-	// stream has where its request does not say.
+	// step is the time between two events of a stream, and events the number of events
+	// of a stream whose request states none.
 	step   = 10 * time.Millisecond
 	events = 10
 )
@@ -53,7 +53,7 @@
 	}
 }
 
-// Plain is a stand-in of a target of a plain service, with a book of its runs.
+// Plain is a stand-in of a target of a plain service. It records its runs.
 type Plain struct {
 	Worker
 
@@ -65,7 +65,7 @@
 type Run struct {
 	ID   string
 	Team string
-	// Keyed says that a caller's key came with it.
+	// Keyed says that it contained a client's key.
 	Keyed bool
 	At    time.Time
 }
@@ -78,7 +78,7 @@
 	return slices.Clone(p.ran)
 }
 
-// plainWork is how long a plain service works for a request.
+// plainWork is the time that a plain service takes for a request.
 const plainWork = 15 * time.Millisecond
 
 // Serve implements platform.Worker.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -1,6 +1,6 @@
-// Package worker is a small stand-in of a model worker of the users' platform:
-// it takes orders under their sequence, loads from three tiers, runs requests
-// and keeps a book of what was asked of it, from which tests judge.
+// Package worker is a small stand-in of a model worker of the users' platform. It
+// accepts orders with the right sequence, loads from three tiers and runs requests. It
+// records what it received, for checks by tests.
 package worker
 
 import (
@@ -16,9 +16,9 @@
 // Worker is one model worker. Set the exported fields before use.
 type Worker struct {
 	Engine *route.Engine
-	// Holding are the models that are loaded from the start.
+	// Holding are the models that are loaded at the start.
 	Holding []string
-	// OnDisk are the models whose weights are at hand.
+	// OnDisk are the models whose weights are on disk.
 	OnDisk []string
 
 	mu       sync.Mutex
@@ -35,37 +35,36 @@
 	limits   limitRecord
 }
 
-// model is one loaded model, or one on its way.
+// model is a model that is loaded or being loaded.
 type model struct {
 	ready    bool
 	running  int
 	adapters map[string]bool
 }
 
-// Ordered is an order as it arrived.
+// Ordered is an order that has arrived.
 type Ordered struct {
 	holder.Order
 
 	At      time.Time
 	Outcome holder.Outcome
-	// Late says that it was carried out after At, if at all.
+	// Late says that it was to be carried out later than At.
 	Late bool
 }
 
-// Faults are the switches of the stand-in.
+// Faults are the faults of the stand-in.
 type Faults struct {
-	// LateOrders is how many of the next orders are not answered, and carried
-	// out after Late.
+	// LateOrders is the number of next orders that are not answered and are carried out
+	// after Late.
 	LateOrders int
 	Late       time.Duration
-	// LostOrders is how many of the next orders are carried out and not
-	// answered.
+	// LostOrders is the number of next orders that are carried out and not answered.
 	LostOrders int
-	// LostAnswers is how many of the next requests run and are not answered.
+	// LostAnswers is the number of next requests that run and are not answered.
 	LostAnswers int
 }
 
-// SetFaults replaces the switches.
+// SetFaults replaces the faults.
 func (w *Worker) SetFaults(f Faults) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -89,7 +88,7 @@
 	})
 }
 
-// Order takes an order. It reports false when no answer is to be given.
+// Order handles an order. It returns false if there must be no answer.
 func (w *Worker) Order(o holder.Order) (holder.Outcome, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -211,7 +210,7 @@
 	})
 }
 
-// unloadCheck is how often an unload looks whether its model's runs have
+// unloadCheck is the interval at which an unload checks whether its model's runs have
 // ended.
 const unloadCheck = 20 * time.Millisecond
 
@@ -237,7 +236,7 @@
 	time.AfterFunc(unloadCheck, end)
 }
 
-// Report says what the worker holds.
+// Report returns what the worker holds.
 func (w *Worker) Report() holder.Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -275,7 +274,7 @@
 	return out
 }
 
-// Describe returns the worker's entry on the list of targets.
+// Describe returns the worker's row of the list of targets.
 func (w *Worker) Describe(t inventory.Target) inventory.Target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -298,8 +297,8 @@
 	return t
 }
 
-// Begin starts a request. It reports false when the worker does not hold what
-// the request is for.
+// Begin starts a run. It returns false if the worker does not hold the model or
+// adapter.
 func (w *Worker) Begin(id, name, adapter string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -317,7 +316,7 @@
 	return true
 }
 
-// End ends a request's run.
+// End ends a run.
 func (w *Worker) End(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -327,7 +326,7 @@
 	}
 }
 
-// TakeFault reports whether the next answer is to be lost.
+// TakeFault reports whether the answer must be lost, and counts it.
 func (w *Worker) TakeFault() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -357,7 +356,7 @@
 	return w.runs[id]
 }
 
-// Broken returns what was ordered that must not be.
+// Broken describes the orders that overcommitted the worker.
 func (w *Worker) Broken() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -384,8 +383,8 @@
 	return out
 }
 
-// Turns returns where a holder orders again within span of another's orders
-// that came after its own.
+// Turns returns the orders of holders that follow within span an order of another
+// holder, which itself follows an earlier order of theirs.
 func Turns(span time.Duration, workers ...*Worker) []string {
 	var out []string
 
