--- a/internal/customer/quota/permit_test.go
+++ b/internal/customer/quota/permit_test.go
@@ -196,6 +196,9 @@
 	assert.Assert(t, ask("a", 2, second+second/2).Granted)
 	assert.Equal(t, ask("b", 2, second+second/2).Wait, 500*time.Millisecond)
 
+	// So is a bucket that is new when much has accrued.
+	assert.Assert(t, !o.Permit(PermitRequest{Entry: "a", Target: "new", PerSecond: 2}, 1, 60*second).Granted)
+
 	// Places of entries that do not return are lost.
 	assert.Assert(t, ask("d", 2, 60*second).Granted)
 	assert.Assert(t, !ask("d", 2, 60*second).Granted)
