--- a/internal/serving/dispatch/modelqueue.go
+++ b/internal/serving/dispatch/modelqueue.go
@@ -221,13 +221,17 @@
 		return false
 	}
 
-	// Customers take turns, so a customer with few queued requests is served
-	// before the rest of longer queues. If the new request's customer has k
-	// requests, including the new one, at most k requests of each customer with
-	// queued requests are assumed to start first.
-	ahead := min(n, m.q.Customers()*(m.q.Waiting(it.Customer)+1))
+	return time.Now().Add(time.Duration(m.ahead(it)) * m.startRate.gap).After(it.Deadline)
+}
 
-	return time.Now().Add(time.Duration(ahead) * m.startRate.gap).After(it.Deadline)
+// ahead returns how many queued requests are assumed to start before a new one.
+//
+// Customers take turns, so a customer with few queued requests is served before
+// the rest of longer queues. If the new request's customer has k requests,
+// including the new one, at most k requests of each customer with queued requests
+// are assumed to start first.
+func (m *modelQueue) ahead(it *queue.Item[*waiter]) int {
+	return min(m.q.Len(), m.q.Customers()*(m.q.Waiting(it.Customer)+1))
 }
 
 // drainTime predicts how long it takes to start all queued requests. It returns
--- a/internal/serving/dispatch/ratelimit.go
+++ b/internal/serving/dispatch/ratelimit.go
@@ -17,9 +17,7 @@
 		return nil
 	}
 
-	ahead := min(m.q.Len(), m.q.Customers()*(m.q.Waiting(it.Customer)+1))
-
-	start := pause.Until.Add(time.Duration(ahead) * pause.Interval)
+	start := pause.Until.Add(time.Duration(m.ahead(it)) * pause.Interval)
 	if !start.After(it.Deadline) {
 		return nil
 	}
