--- a/internal/customer/quota/permit_test.go
+++ b/internal/customer/quota/permit_test.go
@@ -220,3 +220,23 @@
 	assert.Equal(t, ask("d", 0, 62*second).Wait, maxPermitWait)
 	assert.Assert(t, ask("d", 0, 73*second).Granted)
 }
+
+// BenchmarkPermit measures one decision on a limit that 300 entries ask for.
+func BenchmarkPermit(b *testing.B) {
+	const entries = 300
+
+	var o Owner
+
+	ids := make([]instance.ID, entries)
+	for i := range ids {
+		ids[i] = instance.ID(fmt.Sprint(i))
+		o.Accept(Delegation{Entry: ids[i], Slots: 0xffff, Until: Uptime(time.Hour)}, entries, 0)
+	}
+
+	now := Uptime(time.Second)
+
+	for i := 0; b.Loop(); i++ {
+		now += Uptime(10 * time.Millisecond)
+		o.Permit(PermitRequest{Entry: ids[i%entries], Target: "t", PerSecond: 1}, entries, now)
+	}
+}
