fix(node): entries tell each other only the rate limits that changed

By reading: each target that begins to state a limit made every entry send all known limits to four others and get as many back, 500 x 27 bytes at a time, up to 50 times a second.

Entries now send at once only the targets that have changed, and each 1.5 s at most 64 limits, drawn at random, to one other entry; the answer has only what is newer.

--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -157,8 +157,11 @@
 	// the next report sends to the holder.
 	missing           map[holder.Missing]missingReport
 	unreportedMissing []holder.Missing
-	snapshotNumber    uint64
-	applied           appliedRouting
+	// unsharedRateLimits are the targets that have begun or ceased to state a limit
+	// since this entry last informed others.
+	unsharedRateLimits []instance.ID
+	snapshotNumber     uint64
+	applied            appliedRouting
 }
 
 // New returns an entry. Run starts it.
--- a/internal/fleet/node/ratelimits.go
+++ b/internal/fleet/node/ratelimits.go
@@ -17,10 +17,11 @@
 	// learns that a target has begun or ceased to state a limit. Each of them
 	// informs others.
 	rateLimitFanOut = 4
-	// rateLimitInterval is the time between two exchanges with a peer while any
-	// limit is known: they reach entries that have joined or missed a message, and
-	// carry changed values.
+	// rateLimitInterval is the time between two messages to a random peer while any
+	// limit is known. They reach entries that have joined or missed a message, and
+	// carry changed values, of at most rateLimitSample targets each.
 	rateLimitInterval = 1500 * time.Millisecond
+	rateLimitSample   = 64
 	// rateLimitSpacing keeps exchanges that follow news apart.
 	rateLimitSpacing = 20 * time.Millisecond
 )
@@ -40,10 +41,16 @@
 	n.cfg.Log.Info().Str("target", string(o.Target)).Bool("limited", o.Limit.Stated).Float64("perSecond", o.Limit.PerSecond).
 		Str("source", source).Msg("rate limit of target changed")
 
-	if before.Stated != o.Limit.Stated {
-		signal(n.rateLimitNews)
-		signal(n.quotas.roundSoon)
+	if before.Stated == o.Limit.Stated {
+		return
 	}
+
+	n.mu.Lock()
+	n.unsharedRateLimits = append(n.unsharedRateLimits, o.Target)
+	n.mu.Unlock()
+
+	signal(n.rateLimitNews)
+	signal(n.quotas.roundSoon)
 }
 
 // RateLimits implements news.Handler.
@@ -52,42 +59,55 @@
 		n.recordRateLimit(o, "peer")
 	}
 
-	return n.rateLimits.Observations()
+	return n.rateLimits.Newer(known)
 }
 
-// shareRateLimits exchanges the known limits with peers until ctx ends.
+// shareRateLimits informs peers of limits until ctx ends.
 func (n *Node) shareRateLimits(ctx context.Context) {
 	for ctx.Err() == nil {
 		t := time.NewTimer(jitter(rateLimitInterval))
-		count := 1
 
 		select {
 		case <-ctx.Done():
 		case <-n.rateLimitNews:
 			_ = clock.Sleep(ctx, rateLimitSpacing) // The loop checks ctx.
-			count = rateLimitFanOut
+			n.exchangeRateLimits(ctx, n.takeUnsharedRateLimits(), rateLimitFanOut)
 		case <-t.C:
+			n.exchangeRateLimits(ctx, n.rateLimits.Sample(rateLimitSample), 1)
 		}
 
 		t.Stop()
-
-		if !n.rateLimits.Empty() {
-			n.exchangeRateLimits(ctx, count)
-		}
 	}
 }
 
-// exchangeRateLimits exchanges the known limits with a number of random peers.
-func (n *Node) exchangeRateLimits(ctx context.Context, count int) {
+// takeUnsharedRateLimits returns the observations that this entry has not sent to
+// others yet.
+func (n *Node) takeUnsharedRateLimits() []ratelimit.Observation {
+	n.mu.Lock()
+	targets := n.unsharedRateLimits
+	n.unsharedRateLimits = nil
+	n.mu.Unlock()
+
+	return n.rateLimits.Of(targets)
+}
+
+// exchangeRateLimits sends observations to a number of random peers.
+func (n *Node) exchangeRateLimits(ctx context.Context, known []ratelimit.Observation, count int) {
+	if len(known) == 0 {
+		return
+	}
+
 	alive := n.peers.alive()
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 
 	for _, m := range alive[:min(count, len(alive))] {
-		go n.exchangeRateLimitsWith(ctx, m.ID)
+		go n.exchangeRateLimitsWith(ctx, m.ID, known)
 	}
 }
 
-func (n *Node) exchangeRateLimitsWith(ctx context.Context, id instance.ID) {
+// exchangeRateLimitsWith sends observations to a peer and records those that it
+// returns because they are newer.
+func (n *Node) exchangeRateLimitsWith(ctx context.Context, id instance.ID, known []ratelimit.Observation) {
 	p := n.peers.connection(id)
 	if p == nil {
 		return
@@ -96,14 +116,14 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 
-	known, err := p.client.RateLimits(ctx, n.rateLimits.Observations())
+	newer, err := p.client.RateLimits(ctx, known)
 	if err != nil {
 		n.cfg.Log.Debug().Err(err).Str("peer", string(id)).Msg("cannot exchange rate limits")
 
 		return
 	}
 
-	for _, o := range known {
+	for _, o := range newer {
 		n.recordRateLimit(o, "peer")
 	}
 }
--- a/internal/serving/ratelimit/ratelimit.go
+++ b/internal/serving/ratelimit/ratelimit.go
@@ -4,8 +4,8 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -75,14 +75,48 @@
 	return o, known
 }
 
-// Observations returns the newest observation of each target, sorted by target.
-func (r *Registry) Observations() []Observation {
+// Of returns the observations of the given targets that are known.
+func (r *Registry) Of(targets []instance.ID) []Observation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return slices.SortedFunc(maps.Values(r.latest), func(a, b Observation) int {
-		return strings.Compare(string(a.Target), string(b.Target))
-	})
+	var out []Observation
+
+	for _, id := range targets {
+		if o, known := r.latest[id]; known {
+			out = append(out, o)
+		}
+	}
+
+	return out
+}
+
+// Newer returns the observations that are newer than the given ones of the same
+// targets.
+func (r *Registry) Newer(than []Observation) []Observation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var out []Observation
+
+	for _, o := range than {
+		if mine, known := r.latest[o.Target]; known && mine.At.After(o.At) {
+			out = append(out, mine)
+		}
+	}
+
+	return out
+}
+
+// Sample returns at most n observations, drawn at random.
+func (r *Registry) Sample(n int) []Observation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	out := slices.Collect(maps.Values(r.latest))
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+
+	return out[:min(n, len(out))]
 }
 
 // Limited returns the number of targets that state a limit.
--- a/internal/serving/ratelimit/ratelimit_test.go
+++ b/internal/serving/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,6 +68,24 @@
 	assert.Equal(t, r.Limited(), 2)
 
 	r.Retain(func(id instance.ID) bool { return id != "gone" }, start.Add(time.Minute))
-	assert.Equal(t, len(r.Observations()), 1)
-	assert.Equal(t, r.Observations()[0].Target, instance.ID("kept"))
+	assert.Equal(t, len(r.Sample(10)), 1)
+	assert.Equal(t, r.Sample(10)[0].Target, instance.ID("kept"))
+}
+
+// TestShared checks which observations an entry sends to others.
+func TestShared(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+	var r Registry
+
+	for i := range 100 {
+		r.Record(Observation{Target: instance.ID(fmt.Sprint(i)), Limit: Limit{Stated: true, PerSecond: 1}, At: start.Add(time.Duration(i) * time.Second)})
+	}
+
+	assert.Equal(t, len(r.Sample(64)), 64)
+	assert.Equal(t, len(r.Of([]instance.ID{"1", "2", "other"})), 2)
+
+	newer := r.Newer([]Observation{{Target: "1", At: start.Add(time.Hour)}, {Target: "2", At: start}, {Target: "other", At: start}})
+	assert.Equal(t, len(newer), 1)
+	assert.Equal(t, newer[0].Target, instance.ID("2"))
 }
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -52,8 +52,8 @@
 	// Permit decides whether a peer may send a request to the target of the
 	// observation.
 	Permit(entry instance.ID, o ratelimit.Observation) Permit
-	// RateLimits records what a peer knows of targets' rate limits and returns
-	// what is known here.
+	// RateLimits records a peer's observations of targets' rate limits and returns
+	// those of the same targets that are newer here.
 	RateLimits(known []ratelimit.Observation) []ratelimit.Observation
 }
 
--- a/internal/wire/news/permit.go
+++ b/internal/wire/news/permit.go
@@ -118,7 +118,8 @@
 	}, nil
 }
 
-// RateLimits exchanges with the peer what both know of targets' rate limits.
+// RateLimits sends observations of targets' rate limits to the peer. It returns those
+// of the same targets that are newer there.
 func (c *Client) RateLimits(ctx context.Context, known []ratelimit.Observation) ([]ratelimit.Observation, error) {
 	var out []RateLimitMessage
 	if err := c.Call(ctx, serviceName+".RateLimits", fromObservations(known, clock.Now()), &out); err != nil {
