--- a/internal/customer/quota/permit_test.go
+++ b/internal/customer/quota/permit_test.go
@@ -141,6 +141,43 @@
 	}
 }
 
+// TestServesChangedRateLimit checks that limits that are raised or lowered are kept and
+// used, also after the entry that decides has changed.
+func TestServesChangedRateLimit(t *testing.T) {
+	const (
+		span = 10 * time.Second
+		step = 20 * time.Millisecond
+		n    = 12
+	)
+
+	f := newFleet(n, team.Limit{})
+
+	for phase, perSecond := range []float64{2, 20, 2, 50, 1} {
+		began := len(f.ran)
+
+		for _, e := range f.entries {
+			e.choice = phase % choices
+		}
+
+		for range int(span / step) {
+			f.now = f.now.Add(step)
+
+			for _, e := range f.entries {
+				if f.now.UnixMilli()%Interval(n).Milliseconds() < step.Milliseconds() {
+					f.delegate(e, false, false)
+				}
+
+				f.permitted(e, perSecond)
+			}
+		}
+
+		// Shares move to another owner once their delegations have expired.
+		got, most := float64(len(f.ran)-began), perSecond*span.Seconds()
+		assert.Assert(t, got >= 0.8*perSecond*(span-2*TTL(n)).Seconds()-1, "phase %d: %g of %g", phase, got, most)
+		assert.Assert(t, got <= most+permitBurst*perSecond+choices, "phase %d: %g of %g", phase, got, most)
+	}
+}
+
 // TestUnlistedEntriesDelegate guards against owners that together grant more than a
 // limit while entries that they have not listed yet already delegate to them.
 func TestUnlistedEntriesDelegate(t *testing.T) {
