refactor: rate limits without derived state and with the teams' token bucket

Read again as a whole: the buckets of teams and of targets' limits filled in the same way twice, and share one type now; whether a target states a limit was returned beside a limit that says so; a limit that changed was read under one lock and replaced under another.

--- a/internal/customer/quota/owner.go
+++ b/internal/customer/quota/owner.go
@@ -106,18 +106,29 @@
 	accrued float64
 }
 
-// bucket is a team's token bucket. The zero value is empty; its first fill adds
-// all that has accrued in the pool.
-type bucket struct {
-	limit team.Limit
-	group int
-	// level falls below zero only after a request larger than the delegated part of
-	// the burst.
+// tokens are the tokens of a bucket. The first fill of the zero value adds all that has
+// accrued in the pool.
+type tokens struct {
 	level float64
 	// accrued is the pool's value at the last fill.
 	accrued float64
 }
 
+// fill adds what has accrued at a rate, up to the capacity.
+func (t *tokens) fill(p *pool, perSecond, capacity float64) {
+	t.level = min(t.level+(p.accrued-t.accrued)*perSecond, capacity)
+	t.accrued = p.accrued
+}
+
+// bucket is a team's token bucket. Its level falls below zero only after a request
+// larger than the delegated part of the burst.
+type bucket struct {
+	tokens
+
+	limit team.Limit
+	group int
+}
+
 // Accept accepts a delegation. entries is the number of entries that share the
 // limits: each delegated part counts as 1/(entries*Parts) of them, so if entries were
 // too low, the owners together could grant more than a limit. An entry passes the
@@ -249,8 +260,7 @@
 
 // fill adds what has accrued, up to the delegated part of the burst.
 func (b *bucket) fill(p *pool) {
-	b.level = min(b.level+(p.accrued-b.accrued)*b.limit.PerSecond, p.fraction*b.limit.Burst)
-	b.accrued = p.accrued
+	b.tokens.fill(p, b.limit.PerSecond, p.fraction*b.limit.Burst)
 }
 
 // Consume decides whether a request of the named team with the given cost may run.
--- a/internal/customer/quota/permit.go
+++ b/internal/customer/quota/permit.go
@@ -23,9 +23,8 @@
 // permitBucket is the token bucket of a target's rate limit, in requests. It starts
 // empty, so that a new owner grants nothing that a former one may have granted.
 type permitBucket struct {
-	level float64
-	// accrued is the pool's value at the last fill.
-	accrued float64
+	tokens
+
 	// tickets are the entries that were refused and may ask again.
 	tickets map[instance.ID]ticket
 	issued  int
@@ -41,9 +40,7 @@
 // fill adds what has accrued, up to one request or, if that is more, to the delegated
 // part of the burst.
 func (b *permitBucket) fill(p *pool, perSecond float64) {
-	capacity := max(1, p.fraction*(1+permitBurst*perSecond))
-	b.level = min(b.level+(p.accrued-b.accrued)*perSecond, capacity)
-	b.accrued = p.accrued
+	b.tokens.fill(p, perSecond, max(1, p.fraction*(1+permitBurst*perSecond)))
 }
 
 // ahead returns how many entries have an earlier ticket than an entry, and how many
@@ -131,7 +128,7 @@
 
 	b := o.permits[target]
 	if b == nil {
-		b = &permitBucket{accrued: p.accrued}
+		b = &permitBucket{tokens: tokens{accrued: p.accrued}}
 		o.permits[target] = b
 	}
 
--- a/internal/fleet/node/permits.go
+++ b/internal/fleet/node/permits.go
@@ -18,7 +18,7 @@
 // states no rate limit needs no permit; for any other the owners of its limit decide.
 // If they refuse, permit returns how long to wait before they are asked again.
 func (q *quotas) permit(ctx context.Context, target instance.ID) (time.Duration, bool) {
-	o, _ := q.node.rateLimits.Observation(target)
+	o := q.node.rateLimits.Observation(target)
 	if !o.Limit.Stated {
 		return 0, true
 	}
@@ -84,7 +84,7 @@
 	q.node.recordRateLimit(o, "peer")
 
 	entries := q.limitSharers()
-	latest, _ := q.node.rateLimits.Observation(o.Target)
+	latest := q.node.rateLimits.Observation(o.Target)
 	out := news.Permit{Process: q.node.process, Released: q.node.stopping.Load(), Latest: latest}
 
 	switch {
--- a/internal/fleet/node/ratelimits.go
+++ b/internal/fleet/node/ratelimits.go
@@ -33,8 +33,8 @@
 // recordRateLimit records an observation from an answer or a peer. An entry that
 // learns that a target has begun or ceased to state a limit informs others.
 func (n *Node) recordRateLimit(o ratelimit.Observation, source string) {
-	before, _ := n.rateLimits.Limit(o.Target)
-	if !n.rateLimits.Record(o) {
+	before, changed := n.rateLimits.Record(o)
+	if !changed {
 		return
 	}
 
@@ -137,7 +137,7 @@
 	}
 
 	for id, t := range n.knownTargets() {
-		if _, limited := n.rateLimits.Limit(id); t.Service == service && !t.Leaving && !limited {
+		if t.Service == service && !t.Leaving && !n.rateLimits.Limit(id).Stated {
 			return true
 		}
 	}
@@ -158,11 +158,7 @@
 		return listed
 	}, clock.Now())
 
-	n.quotas.retainTargets(func(id instance.ID) bool {
-		_, limited := n.rateLimits.Limit(id)
-
-		return limited
-	})
+	n.quotas.retainTargets(func(id instance.ID) bool { return n.rateLimits.Limit(id).Stated })
 }
 
 // Permit implements news.Handler.
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -306,9 +306,7 @@
 		return ratelimit.Limit{}
 	}
 
-	limit, _ := h.cfg.RateLimit(id)
-
-	return limit
+	return h.cfg.RateLimit(id)
 }
 
 // swapTarget returns the engine as an input of swap.Decide.
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -42,9 +42,8 @@
 	// force, or nil.
 	Targets func() map[instance.ID]inventory.Target
 	Routes  func() *route.Config
-	// RateLimit returns the rate limit that a target states, and false if it states
-	// none. It may be nil.
-	RateLimit func(id instance.ID) (ratelimit.Limit, bool)
+	// RateLimit returns the rate limit that a target states. It may be nil.
+	RateLimit func(id instance.ID) ratelimit.Limit
 	// Strength is the share of a processor that this entry has.
 	Strength float64
 	// Peers returns the other entries that are alive.
--- a/internal/serving/ratelimit/ratelimit.go
+++ b/internal/serving/ratelimit/ratelimit.go
@@ -37,16 +37,16 @@
 	latest map[instance.ID]Observation
 }
 
-// Record keeps the observation if it is newer than the one known. It reports
-// whether the limit known of the target changed. An answer without a limit is
+// Record keeps the observation if it is newer than the one known. It returns the limit
+// that was known of the target and whether that changed. An answer without a limit is
 // ignored if no limit is known.
-func (r *Registry) Record(o Observation) bool {
+func (r *Registry) Record(o Observation) (before Limit, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	old, known := r.latest[o.Target]
 	if !known && !o.Limit.Stated || known && !o.At.After(old.At) {
-		return false
+		return old.Limit, false
 	}
 
 	if r.latest == nil {
@@ -55,24 +55,18 @@
 
 	r.latest[o.Target] = o
 
-	return old.Limit != o.Limit
+	return old.Limit, old.Limit != o.Limit
 }
 
-// Limit returns the target's rate limit, and false if it states none.
-func (r *Registry) Limit(target instance.ID) (Limit, bool) {
-	o, _ := r.Observation(target)
+// Limit returns the target's rate limit.
+func (r *Registry) Limit(target instance.ID) Limit { return r.Observation(target).Limit }
 
-	return o.Limit, o.Limit.Stated
-}
-
-// Observation returns the newest observation of the target.
-func (r *Registry) Observation(target instance.ID) (Observation, bool) {
+// Observation returns the newest observation of the target, or a zero one.
+func (r *Registry) Observation(target instance.ID) Observation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	o, known := r.latest[target]
-
-	return o, known
+	return r.latest[target]
 }
 
 // Of returns the observations of the given targets that are known.
--- a/internal/serving/ratelimit/ratelimit_test.go
+++ b/internal/serving/ratelimit/ratelimit_test.go
@@ -43,12 +43,12 @@
 			)
 
 			for _, o := range tc.observations {
-				changed = r.Record(o)
+				_, changed = r.Record(o)
 			}
 
-			got, limited := r.Limit("a")
+			got := r.Limit("a")
 			assert.Equal(t, got, tc.want)
-			assert.Equal(t, limited, tc.want.Stated)
+			assert.Equal(t, got.Stated, tc.want.Stated)
 			assert.Equal(t, changed, tc.changed)
 		})
 	}
