refactor(soak): faults by name of field, and one for links

What excuses a target had made every fault a row of five positions, most of them empty. A fault without an end needs none; the three faults of links are one function.

--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -204,7 +204,10 @@
 
 			what.begin()
 			time.Sleep(length)
-			what.end()
+
+			if what.end != nil {
+				what.end()
+			}
 
 			if what.excuses != "" {
 				s.excuses.add(what.excuses, began, time.Now().Add(what.after))
@@ -214,7 +217,7 @@
 	}
 }
 
-// event is a fault, with functions that begin and end it.
+// event is a fault, with functions that begin and end it. A nil end does nothing.
 type event struct {
 	name       string
 	begin, end func()
@@ -224,13 +227,15 @@
 	after   time.Duration
 }
 
-// cutOff returns the target if the trouble of its link cuts it off from all entries.
-func cutOff(target instance.ID, link Trouble) string {
+// linkTrouble is a fault of a link. If the link leads to a target and the fault cuts it
+// off, the target is excused.
+func linkTrouble(name string, p *proxy, link Trouble, target instance.ID) event {
+	e := event{name: fmt.Sprintf("link %s: %d", name, link), begin: func() { p.set(link) }, end: func() { p.set(Calm) }}
 	if link == Silent || link == OneWay {
-		return string(target)
+		e.excuses = string(target)
 	}
 
-	return ""
+	return e
 }
 
 var linkTroubles = []Trouble{Slow, Silent, OneWay, Reset}
@@ -242,22 +247,21 @@
 	engine := instance.ID(fmt.Sprintf("engine-%d", draw.IntN(len(s.site.Workers))))
 	desk := instance.ID(fmt.Sprintf("desk-%d", draw.IntN(len(s.site.Desks))))
 	link := linkTroubles[draw.IntN(len(linkTroubles))]
-	nothing := func() {}
 
 	all := []event{
-		{p.name + " is killed", func() { p.signal(syscall.SIGKILL) }, nothing, p.name, backAfter},
-		{p.name + " is stopped", func() { p.signal(syscall.SIGTERM) }, nothing, p.name, stoppedAfter},
-		{p.name + " is paused", func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, p.name, 0},
-		{fmt.Sprintf("link of %s to the store: %d", s.processes[store].name, link), func() { s.stores[store].set(link) }, func() { s.stores[store].set(Calm) }, "", 0},
-		{fmt.Sprintf("link to %s: %d", engine, link), func() { s.targets[engine].set(link) }, func() { s.targets[engine].set(Calm) }, cutOff(engine, link), 0},
-		{fmt.Sprintf("link to %s: %d", desk, link), func() { s.targets[desk].set(link) }, func() { s.targets[desk].set(Calm) }, cutOff(desk, link), 0},
-		{"orders of " + string(engine) + " are late", func() {
+		{name: p.name + " is killed", begin: func() { p.signal(syscall.SIGKILL) }, excuses: p.name, after: backAfter},
+		{name: p.name + " is stopped", begin: func() { p.signal(syscall.SIGTERM) }, excuses: p.name, after: stoppedAfter},
+		{name: p.name + " is paused", begin: func() { p.signal(syscall.SIGSTOP) }, end: func() { p.signal(syscall.SIGCONT) }, excuses: p.name},
+		linkTrouble("of "+s.processes[store].name+" to the store", s.stores[store], link, ""),
+		linkTrouble("to "+string(engine), s.targets[engine], link, engine),
+		linkTrouble("to "+string(desk), s.targets[desk], link, desk),
+		{name: "orders of " + string(engine) + " are late", begin: func() {
 			s.site.Workers[engine].SetFaults(worker.Faults{LateOrders: 2, Late: troubleMost / 2, LostOrders: 1}) //nolint:mnd // Some.
-		}, nothing, "", 0},
-		{string(desk) + " leaves", func() { s.site.Leave(desk) }, func() { s.site.Restart(desk) }, "", 0},
-		{"the configuration changes", func() {
+		}},
+		{name: string(desk) + " leaves", begin: func() { s.site.Leave(desk) }, end: func() { s.site.Restart(desk) }},
+		{name: "the configuration changes", begin: func() {
 			s.site.PutConfig(func(c *route.Config) { c.Routes[0].Attempts = 2 + int(c.Version%2) }) //nolint:mnd,gosec // Either.
-		}, nothing, "", 0},
+		}},
 	}
 
 	if s.RateLimits {
