test: shared set-up of rate limit, soak and protocol tests

Sites of any size, limits of all plain targets and their check, runs of the soak and clients of the protocol between entries were written out two to four times. Assertions and bounds are the same.

--- a/internal/fleet/node/node_test.go
+++ b/internal/fleet/node/node_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,11 +27,11 @@
 	return startWith(t, site.Options{Log: io.Discard})
 }
 
-// startWith returns a ready site of three entries.
+// startWith returns a ready site, of three entries unless opt says otherwise.
 func startWith(t *testing.T, opt site.Options) *site.Site {
 	t.Helper()
 
-	opt.Entries = 3
+	opt.Entries = cmp.Or(opt.Entries, 3)
 
 	s, err := site.Start(t.Context(), opt)
 	assert.NilError(t, err)
--- a/internal/fleet/node/ratelimits_test.go
+++ b/internal/fleet/node/ratelimits_test.go
@@ -42,21 +42,30 @@
 func perSecond(n float64) ratelimit.Limit { return ratelimit.Limit{Stated: true, PerSecond: n} }
 
 // startFour returns a ready site of four entries.
-func startFour(t *testing.T, opt site.Options) *site.Site {
+func startFour(t *testing.T) *site.Site {
 	t.Helper()
 
-	opt.Entries = 4
+	return startWith(t, site.Options{Log: io.Discard, Entries: 4})
+}
 
-	s, err := site.Start(t.Context(), opt)
-	assert.NilError(t, err)
-	t.Cleanup(s.Close)
+// limitDesks makes all plain targets state a limit.
+func limitDesks(s *site.Site, l ratelimit.Limit) {
+	for _, d := range s.Desks {
+		d.SetRateLimit(l)
+	}
+}
 
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
+// checkDesks checks that no plain target got more than the rule allows, and that each
+// got usedAtLeast of the given rate in the span that ends at until.
+func checkDesks(t *testing.T, s *site.Site, what string, rate float64, until time.Time, span time.Duration) {
+	t.Helper()
 
-	assert.NilError(t, s.WaitReady(ctx))
+	for id, d := range s.Desks {
+		assert.Equal(t, d.Exceeded(rule), "", "%s: %s", what, id)
 
-	return s
+		n := d.Arrived(until.Add(-span), until)
+		assert.Assert(t, float64(n) >= usedAtLeast*rate*span.Seconds(), "%s: %s got %d", what, id, n)
+	}
 }
 
 // statuses counts answers by their status, and collects what refused clients got.
@@ -125,7 +134,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			s := startFour(t, site.Options{Log: io.Discard})
+			s := startFour(t)
 
 			limited := map[string]*worker.Worker{"desk-0": &s.Desks["desk-0"].Worker, "engine-0": s.Workers["engine-0"]}
 			for _, w := range limited {
@@ -171,21 +180,14 @@
 		judged = 6 * time.Second
 	)
 
-	s := startFour(t, site.Options{Log: io.Discard})
+	s := startFour(t)
 
-	for _, d := range s.Desks {
-		d.SetRateLimit(perSecond(limit))
-	}
+	limitDesks(s, perSecond(limit))
 
 	until := time.Now().Add(contact + judged)
 	got := load(s, "/look/x", "", until)
 
-	for id, d := range s.Desks {
-		assert.Equal(t, d.Exceeded(rule), "", id)
-
-		n := d.Arrived(until.Add(-judged), until)
-		assert.Assert(t, float64(n) >= usedAtLeast*limit*judged.Seconds(), "%s got %d", id, n)
-	}
+	checkDesks(t, s, "limited", limit, until, judged)
 
 	assert.Assert(t, got.n[http.StatusServiceUnavailable] > 0)
 	assert.Equal(t, len(got.n), 2, "%v", got.n)
@@ -201,7 +203,7 @@
 func TestRateLimitChanges(t *testing.T) {
 	t.Parallel()
 
-	s := startFour(t, site.Options{Log: io.Discard})
+	s := startFour(t)
 
 	steps := []struct {
 		name  string
@@ -219,19 +221,12 @@
 	const judged = 4 * time.Second
 
 	for _, step := range steps {
-		for _, d := range s.Desks {
-			d.SetRateLimit(step.limit)
-		}
+		limitDesks(s, step.limit)
 
 		until := time.Now().Add(contact + judged)
 		load(s, "/look/x", "", until)
 
-		for id, d := range s.Desks {
-			assert.Equal(t, d.Exceeded(rule), "", "%s: %s", step.name, id)
-
-			n := d.Arrived(until.Add(-judged), until)
-			assert.Assert(t, float64(n) >= usedAtLeast*step.most*judged.Seconds(), "%s: %s got %d", step.name, id, n)
-		}
+		checkDesks(t, s, step.name, step.most, until, judged)
 	}
 }
 
@@ -245,25 +240,18 @@
 		judged = 6 * time.Second
 	)
 
-	s := startFour(t, site.Options{Log: io.Discard})
+	s := startFour(t)
 
 	for _, e := range s.Entries {
 		e.Door.SetFaults(rows.Faults{Down: true})
 	}
 
-	for _, d := range s.Desks {
-		d.SetRateLimit(perSecond(limit))
-	}
+	limitDesks(s, perSecond(limit))
 
 	until := time.Now().Add(contact + judged)
 	load(s, "/look/x", "", until)
 
-	for id, d := range s.Desks {
-		assert.Equal(t, d.Exceeded(rule), "", id)
-
-		n := d.Arrived(until.Add(-judged), until)
-		assert.Assert(t, float64(n) >= usedAtLeast*limit*judged.Seconds(), "%s got %d", id, n)
-	}
+	checkDesks(t, s, "limited", limit, until, judged)
 }
 
 // TestRateLimitWhenOwnersStop checks that limits are kept and used while the entries
@@ -273,11 +261,9 @@
 
 	const limit = 5.0
 
-	s := startFour(t, site.Options{Log: io.Discard})
+	s := startFour(t)
 
-	for _, d := range s.Desks {
-		d.SetRateLimit(perSecond(limit))
-	}
+	limitDesks(s, perSecond(limit))
 
 	// Two of the three entries that decide stop, at least one of them an owner of
 	// each limit.
@@ -290,14 +276,9 @@
 	until := time.Now().Add(contact + 3*time.Second + grace + judged)
 	load(s, "/look/x", "", until)
 
-	for id, d := range s.Desks {
-		assert.Equal(t, d.Exceeded(rule), "", id)
-
-		// The shares of entries that have stopped are not used until they are off the
-		// list.
-		n := d.Arrived(until.Add(-judged), until)
-		assert.Assert(t, float64(n) >= usedAtLeast*limit/2*judged.Seconds(), "%s got %d", id, n)
-	}
+	// The shares of entries that have stopped are not used until they are off the
+	// list.
+	checkDesks(t, s, "limited", limit/2, until, judged)
 }
 
 // grace is how long a site's entry may take to stop.
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -28,15 +28,24 @@
 	os.Exit(m.Run())
 }
 
-// TestSoak plays one short seed. Longer ones and others are played by hand.
-func TestSoak(t *testing.T) {
+// play runs a soak with this test's program as its entries.
+func play(t *testing.T, opt Options) Report {
+	t.Helper()
+
 	self, err := os.Executable()
 	assert.NilError(t, err)
 
-	r, err := Run(t.Context(), Options{
-		Seed: 1, Entries: 3, Length: 3 * time.Second, Command: []string{self}, Env: []string{asEntry + "=1"}, Dir: t.TempDir(),
-	})
+	opt.Command, opt.Env, opt.Dir = []string{self}, []string{asEntry + "=1"}, t.TempDir()
+
+	r, err := Run(t.Context(), opt)
 	assert.NilError(t, err)
+
+	return r
+}
+
+// TestSoak plays one short seed. Longer ones and others are played by hand.
+func TestSoak(t *testing.T) {
+	r := play(t, Options{Seed: 1, Entries: 3, Length: 3 * time.Second})
 	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
 	assert.Assert(t, r.Answered > 0)
 }
@@ -45,13 +54,7 @@
 func TestSoakRateLimits(t *testing.T) {
 	t.Parallel()
 
-	self, err := os.Executable()
-	assert.NilError(t, err)
-
-	r, err := Run(t.Context(), Options{
-		Seed: 1, Entries: 4, Length: 12 * time.Second, RateLimits: true, Command: []string{self}, Env: []string{asEntry + "=1"}, Dir: t.TempDir(),
-	})
-	assert.NilError(t, err)
+	r := play(t, Options{Seed: 1, Entries: 4, Length: 12 * time.Second, RateLimits: true})
 	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
 	assert.Assert(t, r.Answered > 0)
 }
@@ -66,19 +69,13 @@
 
 // TestKeptSeeds plays the seeds that found a fault, unchanged, with its cause.
 func TestKeptSeeds(t *testing.T) {
-	self, err := os.Executable()
-	assert.NilError(t, err)
-
 	const backAfterLeaving = "a target that left and started again under its id and address was never used again"
 
 	for seed, cause := range map[uint64]string{1: backAfterLeaving, 3: backAfterLeaving, 26: backAfterLeaving, 28: backAfterLeaving} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 
-			r, err := Run(t.Context(), Options{
-				Seed: seed, Entries: 4, Length: 10 * time.Second, Command: []string{self}, Env: []string{asEntry + "=1"}, Dir: t.TempDir(),
-			})
-			assert.NilError(t, err)
+			r := play(t, Options{Seed: seed, Entries: 4, Length: 10 * time.Second})
 			assert.Equal(t, len(r.Broken), 0, "%s: %v", cause, r.Broken)
 		})
 	}
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -91,20 +91,28 @@
 
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
 
-// TestCallsArrive guards against calls that lose a field, and against methods that
-// net/rpc omits silently because of their types.
-func TestCallsArrive(t *testing.T) {
+// connect serves e on loopback and returns a client of it.
+func connect(tb testing.TB, e *echo) *Client {
+	tb.Helper()
+
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	assert.NilError(tb, err)
+	tb.Cleanup(func() { _ = l.Close() })
 
-	var got echo
+	go func() { _ = Serve(tb.Context(), l, e) }()
 
-	go func() { _ = Serve(t.Context(), l, &got) }()
+	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
+	tb.Cleanup(c.Close)
 
-	defer func() { _ = l.Close() }()
+	return c
+}
 
-	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
-	defer c.Close()
+// TestCallsArrive guards against calls that lose a field, and against methods that
+// net/rpc omits silently because of their types.
+func TestCallsArrive(t *testing.T) {
+	var got echo
+
+	c := connect(t, &got)
 
 	greeting := Greeting{From: member("a"), Digest: membership.Digest{MembersHash: 1 << 60, Heartbeats: []uint64{1, 2}}, Want: []uint64{3}}
 	greeting.From.Leaving = true
@@ -182,17 +190,9 @@
 // TestRateLimitCalls checks that the calls about targets' rate limits carry what is
 // known, with its age.
 func TestRateLimitCalls(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-
 	var got echo
 
-	go func() { _ = Serve(t.Context(), l, &got) }()
-
-	defer func() { _ = l.Close() }()
-
-	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
-	defer c.Close()
+	c := connect(t, &got)
 
 	stated := ratelimit.Observation{Target: "t", Limit: ratelimit.Limit{Stated: true, PerSecond: 1.3}, At: clock.Now().Add(-2 * time.Second)}
 	withdrawn := ratelimit.Observation{Target: "u", At: clock.Now().Add(-time.Second)}
@@ -212,17 +212,9 @@
 // BenchmarkHear measures one call with a delta of one engine over loopback, with both
 // ends, and the size of its body.
 func BenchmarkHear(b *testing.B) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
-
 	var got echo
 
-	go func() { _ = Serve(b.Context(), l, &got) }()
-
-	defer func() { _ = l.Close() }()
-
-	c := &Client{Caller: frame.Caller{Address: netip.MustParseAddrPort(l.Addr().String())}}
-	defer c.Close()
+	c := connect(b, &got)
 
 	d := holder.Delta{Base: holder.Version{Token: 3, Process: 1 << 63, Number: 1200}, Snapshot: holder.Snapshot{
 		Holder: "frontend-centro-a-1", Process: "2853b030-cd73-48f1-8f11-0ab77e672abc", Token: 3, Number: 1201, LeaseVersion: 700, ConfigVersion: 6, ListVersion: 650,
