feat(relay): the log says which software a target has and which stream a request resumes

Each row's software is now kept (instance.Software) and logged with each choice of a target; behaviour is unchanged.

--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -16,6 +16,10 @@
 // DataCentre names the zone in which an instance runs.
 type DataCentre string
 
+// Software is the version of a target's program. It says nothing about the weights of its
+// models. Versions have no order, and one compares only with itself.
+type Software string
+
 // Role is the purpose of an instance.
 type Role string
 
--- a/internal/fleet/inventory/inventory.go
+++ b/internal/fleet/inventory/inventory.go
@@ -19,6 +19,8 @@
 	Address    netip.AddrPort
 	DataCentre instance.DataCentre
 	Slots      int
+	// Software is the version of the target's program.
+	Software instance.Software
 	// Leaving says that the target accepts no new work.
 	Leaving bool
 	// StartedMs is when the target's process started, in milliseconds since 1970 by the
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -248,7 +248,7 @@
 func (b *builder) addTarget(t inventory.Target, service route.Service, s *holder.EngineState, restUntil time.Time) {
 	info := router.TargetInfo{
 		ID: t.ID, DataCentre: t.DataCentre, Address: t.Address, Speed: 1, Slots: t.Slots,
-		Leaving: t.Leaving, RestUntil: restUntil, Incarnation: processOf(t).Incarnation, ReportAge: reportAge,
+		Leaving: t.Leaving, RestUntil: restUntil, Incarnation: processOf(t).Incarnation, Software: t.Software, ReportAge: reportAge,
 	}
 
 	e := service.Engine
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -157,7 +157,7 @@
 // long the request was queued if a wait had been predicted.
 func (d *delivery) logChoice(t *router.Target, waited time.Duration) {
 	info := t.Info()
-	line := d.Log.Info().Func(d.addPrediction(waited)).Str("id", d.info.ID).Str("key", d.req.Model).Str("target", string(t.ID)).Int("own", t.InFlight()).
+	line := d.Log.Info().Func(d.addPrediction(waited)).Str("id", d.info.ID).Str("key", d.req.Model).Str("target", string(t.ID)).Str("software", string(info.Software)).Int("own", t.InFlight()).
 		Int("running", info.Running).Int("slots", info.Slots).Dur("age", t.ReportAge(time.Now()))
 
 	if info.SmallBatch {
@@ -165,9 +165,23 @@
 		line = line.Int("tokens", p.Tokens).Float64("speed", p.Speed).Dur("firstToken", p.FirstToken)
 	}
 
+	if after := d.resumesAfter(); after != "" {
+		line = line.Str("after", after).Str("resumes", d.info.Resumes)
+	}
+
 	line.Msg("target chosen")
 }
 
+// resumesAfter returns the id of the last event that the client has received, in this answer
+// or in an earlier one; it is empty if the stream begins.
+func (d *delivery) resumesAfter() string {
+	if d.lastEvent != "" {
+		return d.lastEvent
+	}
+
+	return d.info.LastEvent
+}
+
 // attempt sends the request to the target and forwards its answer.
 func (d *delivery) attempt(ctx context.Context, t *router.Target) error {
 	n := d.attemptLog.Begin()
@@ -177,15 +191,10 @@
 		d.Budgets.Credit(d.service, sent)
 	}
 
-	lastEvent := d.lastEvent
-	if lastEvent == "" {
-		lastEvent = d.info.LastEvent
-	}
-
 	out := &outgoing{
 		method: d.r.Method, uri: d.r.RequestURI, host: d.r.Host, id: d.info.ID,
 		header: d.Protocol.Outgoing(d.r.Header, Attempt{
-			Timeout: d.deadline.Sub(sent), Target: t.ID, LastEvent: lastEvent, Prioritised: d.prioritised, Priority: d.priority(),
+			Timeout: d.deadline.Sub(sent), Target: t.ID, LastEvent: d.resumesAfter(), Prioritised: d.prioritised, Priority: d.priority(),
 			DropCredentials: d.keysInUse, Team: d.teamName(),
 		}),
 		body: d.body, hasBody: d.r.ContentLength != 0, newConn: !d.route.Retryable(),
--- a/internal/serving/router/table.go
+++ b/internal/serving/router/table.go
@@ -47,6 +47,8 @@
 	Down bool
 	// Incarnation is the engine's incarnation in the report.
 	Incarnation string
+	// Software is the version of the target's program.
+	Software instance.Software
 	// Tokens is the memory for prompts and answers that the requests of all entries may
 	// take, in tokens, and TokenLimit what the target has. Zero for TokenLimit means
 	// unknown.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -241,6 +241,9 @@
 	return l, at, err
 }
 
+// firstSoftware is the software of all targets at the start.
+const firstSoftware instance.Software = "v1"
+
 func (s *Site) target(id instance.ID, service string, slots int, w platform.Worker) error {
 	l, at, err := s.listen()
 	if err != nil {
@@ -261,7 +264,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.targets[id] = inventory.Target{ID: id, Service: service, Address: at, DataCentre: "dc", Slots: slots, StartedMs: 1}
+	s.targets[id] = inventory.Target{ID: id, Service: service, Address: at, DataCentre: "dc", Slots: slots, Software: firstSoftware, StartedMs: 1}
 	s.handler[id] = w
 
 	return nil
--- a/internal/wire/news/view.go
+++ b/internal/wire/news/view.go
@@ -51,6 +51,7 @@
 	_ struct{} `cbor:",toarray"`
 
 	ID, Service, Address, DataCentre string
+	Software                         string
 	Slots                            int
 	Leaving                          bool
 	Born                             int64
@@ -76,7 +77,7 @@
 
 	for _, t := range v.Targets {
 		m := TargetMessage{
-			ID: string(t.ID), Service: t.Service, Address: t.Address.String(), DataCentre: string(t.DataCentre), Slots: t.Slots,
+			ID: string(t.ID), Service: t.Service, Address: t.Address.String(), DataCentre: string(t.DataCentre), Software: string(t.Software), Slots: t.Slots,
 			Leaving: t.Leaving, Born: t.StartedMs, Sequence: t.Sequence, Version: t.Version, InMemory: t.InMemory, OnDisk: t.OnDisk,
 		}
 		for _, h := range t.Resident {
@@ -102,7 +103,7 @@
 		}
 
 		in := inventory.Target{
-			ID: instance.ID(t.ID), Service: t.Service, Address: address, DataCentre: instance.DataCentre(t.DataCentre), Slots: t.Slots,
+			ID: instance.ID(t.ID), Service: t.Service, Address: address, DataCentre: instance.DataCentre(t.DataCentre), Software: instance.Software(t.Software), Slots: t.Slots,
 			Leaving: t.Leaving, StartedMs: t.Born, Sequence: t.Sequence, Version: t.Version, InMemory: t.InMemory, OnDisk: t.OnDisk,
 		}
 		for _, h := range t.Held {
