test(node): streams go on at other software than began them, known red

Targets of the stand-ins have software, and each event names the one that made it, so that a client sees a mix without asking anybody. Clients take streams up as the users' pages say, at the same entry, at another, with the first one dead, with all dead.

--- /dev/null
+++ b/internal/fleet/node/software_test.go
@@ -0,0 +1,224 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/network"
+	"github.com/fulmarcross/fulmarcross/internal/standin/rows"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+)
+
+const (
+	// streamsTaken is the number of streams that clients take up in a test.
+	streamsTaken = 24
+	// streamEvents is the number of events of each, and eventsBefore the number after which
+	// its client's connection breaks.
+	streamEvents, eventsBefore = 60, 5
+)
+
+// sideBySide returns a site where engines of so many versions of the software hold the same
+// models.
+func sideBySide(entries, versions int) site.Options {
+	return site.Options{Entries: entries, Network: delayed(), Engine: func(i int) site.EngineOptions {
+		return site.EngineOptions{Software: instance.Software(fmt.Sprintf("v1.%d", i%versions)), Holding: []string{site.Model(0), site.Model(1)}}
+	}}
+}
+
+// takenStream is a stream that a client takes up after its connection broke.
+type takenStream struct {
+	id string
+	// before and after are its events of the two tries.
+	before, after []site.Event
+	status        int
+	took          time.Duration
+}
+
+// goneOn reports whether the client has the whole stream.
+func (s *takenStream) goneOn() bool {
+	return s.status == http.StatusOK && len(s.before)+len(s.after) == streamEvents
+}
+
+func streamAsk(id string) relay.RequestInfo {
+	return relay.RequestInfo{ID: id, Timeout: 8 * time.Second, Model: site.Model(0), TokensIn: 10, TokensOut: streamEvents, Prompt: id}
+}
+
+// beginStreams begins streams at an entry and breaks their connections.
+func beginStreams(t *testing.T, e *site.Entry, name string) []takenStream {
+	t.Helper()
+
+	out := make([]takenStream, streamsTaken)
+
+	var wg sync.WaitGroup
+
+	for i := range out {
+		wg.Go(func() {
+			id := fmt.Sprintf("%s-%d", name, i)
+			r, err := site.AskFor(context.WithoutCancel(t.Context()), e, eventsBefore, "/note/x", "text"+id, streamAsk(id))
+			assert.Check(t, err)
+
+			out[i] = takenStream{id: id, before: site.Events(r.Body)}
+		})
+	}
+
+	wg.Wait()
+
+	return out
+}
+
+// takeUp takes streams up at an entry.
+func takeUp(t *testing.T, e *site.Entry, streams []takenStream) {
+	t.Helper()
+
+	var wg sync.WaitGroup
+
+	for i := range streams {
+		s := &streams[i]
+
+		wg.Go(func() {
+			ask := streamAsk(s.id + "-again")
+			ask.Resumes, ask.LastEvent = s.id, strconv.Itoa(len(s.before))
+
+			r, err := site.Ask(context.WithoutCancel(t.Context()), e, "/note/x", "text"+s.id, ask)
+			assert.Check(t, err)
+
+			s.status, s.after, s.took = r.Status, site.Events(r.Body), r.Took
+		})
+	}
+
+	wg.Wait()
+}
+
+// checkTaken checks the users' rules: hardly a stream holds events of two versions of the
+// software, and at least half of those that are taken up go on.
+func checkTaken(t *testing.T, streams []takenStream) {
+	t.Helper()
+
+	mixed, goneOn := 0, 0
+
+	for _, s := range streams {
+		if site.Mixed(append(s.before, s.after...)) {
+			mixed++
+		}
+
+		if s.goneOn() {
+			goneOn++
+		}
+	}
+
+	assert.Check(t, mixed <= 2, "%d of %d streams hold events of two versions", mixed, len(streams))
+	assert.Check(t, 2*goneOn >= len(streams), "%d of %d streams go on", goneOn, len(streams))
+}
+
+// takeUpCases say what happens between a stream's beginning at the first entry and its being
+// taken up at the entry returned.
+func takeUpCases() map[string]func(t *testing.T, s *site.Site) *site.Entry {
+	return map[string]func(t *testing.T, s *site.Site) *site.Entry{
+		"at the same entry": func(_ *testing.T, s *site.Site) *site.Entry { return s.Entries[0] },
+		"at another entry":  func(_ *testing.T, s *site.Site) *site.Entry { return s.Entries[1] },
+		"the entry that began it is dead": func(_ *testing.T, s *site.Site) *site.Entry {
+			die(s, s.Entries[0])
+
+			return s.Entries[1]
+		},
+		"all entries are dead and a new one starts": func(t *testing.T, s *site.Site) *site.Entry {
+			t.Helper()
+			time.Sleep(storeLag)
+			die(s, s.Entries...)
+
+			e, err := s.Add(t.Context())
+			assert.NilError(t, err)
+			assert.NilError(t, s.WaitEntryReady(t.Context(), e))
+
+			return e
+		},
+	}
+}
+
+// storeLag is the time in which entries have written to the store what a restart of all
+// entries needs.
+const storeLag = 300 * time.Millisecond
+
+// die makes entries as good as dead to all others: they reach neither entries, targets nor
+// the store.
+func die(s *site.Site, entries ...*site.Entry) {
+	for _, e := range entries {
+		s.Silence(e, true)
+		s.CutTargets(e, network.Reset)
+		e.Door.SetFaults(rows.Faults{Down: true})
+	}
+}
+
+// TestTakenUpStreamMixesSoftware guards against a client's stream that goes on at another version of a target's program than began it.
+func TestTakenUpStreamMixesSoftware(t *testing.T) {
+	for name, between := range takeUpCases() {
+		for _, versions := range []int{2, 4} {
+			t.Run(fmt.Sprintf("%s, %d versions", name, versions), func(t *testing.T) {
+				simulateSite(t, sideBySide(4, versions), func(t *testing.T, s *site.Site) {
+					streams := beginStreams(t, s.Entries[0], "taken")
+					takeUp(t, between(t, s), streams)
+					checkTaken(t, streams)
+				})
+			})
+		}
+	}
+}
+
+// TestRetriedStreamMixesSoftware guards against an answer that goes on at another version of a target's program after its target failed.
+func TestRetriedStreamMixesSoftware(t *testing.T) {
+	simulateSite(t, sideBySide(4, 2), func(t *testing.T, s *site.Site) {
+		mixed, whole := 0, 0
+
+		for engine := range s.Workers {
+			for _, events := range retriedStreams(t, s, engine) {
+				if len(events) > 0 && site.Mixed(events) {
+					mixed++
+				}
+
+				if len(events) == streamEvents {
+					whole++
+				}
+			}
+		}
+
+		all := len(s.Workers) * streamsTaken
+		assert.Check(t, mixed <= 2, "%d of %d answers hold events of two versions", mixed, all)
+		assert.Check(t, 2*whole >= all, "%d of %d answers are whole", whole, all)
+	})
+}
+
+// retriedStreams returns the events of streams while one engine resets its connections to
+// their entry.
+func retriedStreams(t *testing.T, s *site.Site, engine instance.ID) [][]site.Event {
+	t.Helper()
+
+	var (
+		wg  sync.WaitGroup
+		out = make([][]site.Event, streamsTaken)
+	)
+
+	for i := range out {
+		wg.Go(func() {
+			id := fmt.Sprintf("retried-%s-%d", engine, i)
+			r, _ := site.Ask(context.WithoutCancel(t.Context()), s.Entries[0], "/note/x", "text"+id, streamAsk(id)) // It may break off.
+			out[i] = site.Events(r.Body)
+		})
+	}
+
+	time.Sleep(200 * time.Millisecond)
+	s.CutTarget(s.Entries[0], engine, network.Reset)
+	wg.Wait()
+	s.CutTarget(s.Entries[0], engine, network.Whole)
+	time.Sleep(settled)
+
+	return out
+}
--- a/internal/standin/site/caller.go
+++ b/internal/standin/site/caller.go
@@ -37,22 +37,9 @@
 }
 
 func send(ctx context.Context, c *http.Client, at netip.AddrPort, path, body string, ask relay.RequestInfo, last bool) (Reply, error) {
-	method := http.MethodPost
-	if body == "" {
-		method = http.MethodGet
-	}
-
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+path, strings.NewReader(body))
-	if err != nil {
-		return Reply{}, err
-	}
-
-	req.Host, req.Close = Host, last
-	platform.SetAsk(req.Header, ask)
-
 	began := time.Now()
 
-	resp, err := c.Do(req)
+	resp, err := open(ctx, c, at, path, body, ask, last)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -64,3 +51,21 @@
 
 	return r, nil
 }
+
+// open sends a request and returns the head of its answer.
+func open(ctx context.Context, c *http.Client, at netip.AddrPort, path, body string, ask relay.RequestInfo, last bool) (*http.Response, error) {
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
+	}
+
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+
+	req.Host, req.Close = Host, last
+	platform.SetAsk(req.Header, ask)
+
+	return c.Do(req)
+}
--- a/internal/standin/site/silence.go
+++ b/internal/standin/site/silence.go
@@ -1,6 +1,9 @@
 package site
 
-import "github.com/fulmarcross/fulmarcross/internal/standin/network"
+import (
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/standin/network"
+)
 
 // Silence cuts an entry off from calls of the other entries or ends that. It needs a
 // network with a delay.
@@ -21,6 +24,15 @@
 	}
 }
 
+// CutTarget partitions an entry from one target, or ends that. It needs a network with a
+// delay.
+func (s *Site) CutTarget(e *Entry, id instance.ID, c network.Cut) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.network.SetCut(e.Peers, s.targets[id].Address, c)
+}
+
 // CutPeers partitions the connections that an entry opens to another, or ends that. It needs
 // a network with a delay.
 func (s *Site) CutPeers(from, to *Entry, c network.Cut) {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -71,6 +71,20 @@
 	Front func(id instance.ID, own netip.AddrPort) (netip.AddrPort, error)
 	// MemoryMB bounds the memory of each entry, unless it is zero.
 	MemoryMB float64
+	// Engine describes an engine. If it is nil, all engines have the same software and hold
+	// two models each.
+	Engine func(i int) EngineOptions
+}
+
+// EngineOptions describe an engine at the start.
+type EngineOptions struct {
+	Software instance.Software
+	Holding  []string
+}
+
+// defaultEngine returns an engine that holds two models.
+func defaultEngine(i int) EngineOptions {
+	return EngineOptions{Software: firstSoftware, Holding: []string{Model(2 * i), Model(2*i + 1)}}
 }
 
 // Site is a running deployment.
@@ -132,8 +146,15 @@
 		return nil, err
 	}
 
+	engineOf := opt.Engine
+	if engineOf == nil {
+		engineOf = defaultEngine
+	}
+
 	for i := range engines {
-		w := &worker.Worker{Engine: s.config.Services[Drafting].Engine, Holding: []string{Model(2 * i), Model(2*i + 1)}}
+		e := engineOf(i)
+		w := &worker.Worker{Engine: s.config.Services[Drafting].Engine, Software: e.Software, Holding: e.Holding}
+
 		for m := range models / 2 {
 			w.OnDisk = append(w.OnDisk, Model((i+2*m)%models), Model((i+2*m+1)%models))
 		}
@@ -337,6 +358,22 @@
 	s.change(id, func(t *inventory.Target) { t.Leaving, t.StartedMs = false, t.StartedMs+1 })
 }
 
+// Upgrade makes an engine a new process of other software, which holds the models given and
+// accepts requests.
+func (s *Site) Upgrade(id instance.ID, to instance.Software, holding ...string) {
+	s.Workers[id].Upgrade(to, holding...)
+	s.Restart(id)
+}
+
+// Add starts one more entry.
+func (s *Site) Add(ctx context.Context) (*Entry, error) {
+	if err := s.entry(ctx, len(s.Entries), io.Discard); err != nil {
+		return nil, err
+	}
+
+	return s.Entries[len(s.Entries)-1], nil
+}
+
 func (s *Site) change(id instance.ID, f func(*inventory.Target)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -548,29 +585,36 @@
 // WaitReady waits until every entry reports ready.
 func (s *Site) WaitReady(ctx context.Context) error {
 	for _, e := range s.Entries {
-		for {
-			resp, err := s.client().Get("http://" + e.Ready.String() + platform.ReadyPath)
-			if err == nil {
-				resp.Body.Close()
-
-				if resp.StatusCode == http.StatusOK {
-					break
-				}
-			}
-
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-e.done:
-				return e.err
-			case <-time.After(beatEvery / 5): //nolint:mnd // Often enough.
-			}
+		if err := s.WaitEntryReady(ctx, e); err != nil {
+			return err
 		}
 	}
 
 	return nil
 }
 
+// WaitEntryReady waits until an entry reports ready.
+func (s *Site) WaitEntryReady(ctx context.Context, e *Entry) error {
+	for {
+		resp, err := s.client().Get("http://" + e.Ready.String() + platform.ReadyPath)
+		if err == nil {
+			resp.Body.Close()
+
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.done:
+			return e.err
+		case <-time.After(beatEvery / 5): //nolint:mnd // Often enough.
+		}
+	}
+}
+
 // Close stops the site.
 func (s *Site) Close() {
 	var wg sync.WaitGroup
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -43,6 +43,8 @@
 		last = r.TokensOut
 	}
 
+	by := w.madeBy()
+
 	for id := first + 1; id <= last; id++ {
 		select {
 		case <-r.Gone:
@@ -50,7 +52,7 @@
 		case <-time.After(step):
 		}
 
-		if a.Event(id) != nil {
+		if a.Event(id, by) != nil {
 			return
 		}
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
@@ -20,6 +21,8 @@
 	Holding []string
 	// OnDisk are the models whose weights are on disk.
 	OnDisk []string
+	// Software is the version of the program at the start.
+	Software instance.Software
 
 	mu       sync.Mutex
 	once     sync.Once
@@ -320,7 +323,7 @@
 
 	w.start()
 
-	t.Resident, t.Sequence = w.list(), w.sequence
+	t.Resident, t.Sequence, t.Software = w.list(), w.sequence, w.Software
 
 	for name := range w.disk {
 		t.OnDisk = append(t.OnDisk, name)
@@ -401,6 +404,28 @@
 	w.held, w.memory = make(map[string]*model), make(map[string]bool)
 }
 
+// Upgrade makes the worker a new process of other software, which holds the models given.
+func (w *Worker) Upgrade(to instance.Software, holding ...string) {
+	w.StartAnew()
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.Software = to
+
+	for _, name := range holding {
+		w.held[name] = &model{ready: true, adapters: make(map[string]*adapter)}
+	}
+}
+
+// madeBy returns the software that makes the events of a stream that begins now.
+func (w *Worker) madeBy() instance.Software {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.Software
+}
+
 // TakeFault reports whether the answer must be lost, and counts it.
 func (w *Worker) TakeFault() bool {
 	w.mu.Lock()
