fix(site): an event counts once it has ended

The client of the new tests took the last event's line for an event before its end arrived, with a line end in the software's name, so every stream looked mixed.

--- a/internal/standin/site/events.go
+++ b/internal/standin/site/events.go
@@ -57,8 +57,8 @@
 func Events(body string) []Event {
 	var out []Event
 
-	for text := range strings.SplitSeq(body, "\n\n") {
-		id, data, ok := strings.Cut(text, "\ndata: ")
+	for whole, rest, ended := strings.Cut(body, "\n\n"); ended; whole, rest, ended = strings.Cut(rest, "\n\n") {
+		id, data, ok := strings.Cut(whole, "\ndata: ")
 		number, err := strconv.Atoi(strings.TrimPrefix(id, "id: "))
 		_, by, named := strings.Cut(data, " by ")
 
