fix(router): an answer goes on only at the software that began it

Callers saw one answer with events of two versions of a target's program: an entry whose target failed after the first event retried on any target of the model.

serving/origin now says whether a target may go on with a stream, and every choice asks it through the query. The origin of a stream is set before its first event is sent, and travels with a request that is passed on to another entry. Where no target of the software serves the model, the request is refused at once.

--- a/internal/serving/dispatch/modelqueue.go
+++ b/internal/serving/dispatch/modelqueue.go
@@ -112,6 +112,7 @@
 func (d *Dispatcher) acquire(ctx context.Context, req *request.Request, q router.Query) (*router.Target, bool, error) {
 	m := d.queueOf(req.Model)
 	req.PredictedWait = 0
+	q.Origin = req.Origin
 
 	if t := m.tryImmediately(&q); t != nil {
 		return t, false, nil
@@ -373,7 +374,7 @@
 
 	it := m.pop(func(it *queue.Item[*waiter]) bool {
 		q := &it.Value.query
-		plain := !q.Suspect && len(q.Exclude) == 0
+		plain := !q.Suspect && len(q.Exclude) == 0 && !q.Origin.Begun()
 
 		if full && plain {
 			return false
--- a/internal/serving/dispatch/predict.go
+++ b/internal/serving/dispatch/predict.go
@@ -236,9 +236,12 @@
 
 // refusable reports whether a prediction may refuse the request. One that was sent before
 // is not refused, since its client has waited for longer than its place in the queue says,
-// nor one whose client returns when it was told to.
+// nor one whose client returns when it was told to, nor one that resumes a stream, since the
+// prediction is not for the few targets that may go on with it.
 func refusable(it *queue.Item[*waiter]) bool {
-	return !it.Returned && len(it.Value.query.Exclude) == 0 && !it.Value.query.Suspect
+	q := &it.Value.query
+
+	return !it.Returned && len(q.Exclude) == 0 && !q.Suspect && !q.Origin.Begun()
 }
 
 // behind reports whether the first request of this entry has waited for much longer than
--- a/internal/serving/dispatch/unavailable.go
+++ b/internal/serving/dispatch/unavailable.go
@@ -18,6 +18,10 @@
 		return leavingRefusal()
 	}
 
+	if m.cannotGoOn(it.Value.req) {
+		return originRefusal()
+	}
+
 	pause, all := m.pause(now)
 	if !all {
 		return nil
@@ -39,7 +43,36 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.refuseUnavailable(m.newItem(req, nil), time.Now())
+	return m.refuseUnavailable(m.newItem(req, &waiter{req: req}), time.Now())
+}
+
+// cannotGoOn reports whether the request resumes a stream and no target of the software that
+// began it serves its model. Others may load the model, but the stream would not go on there.
+func (m *modelQueue) cannotGoOn(req *request.Request) bool {
+	return req.Origin.Begun() && !router.AnyGoesOn(m.d.cfg.Table.Targets(m.model), req.Origin)
+}
+
+// originRefusal refuses a request that resumes a stream. No time is known at which a target
+// could go on with it.
+func originRefusal() *request.Refusal {
+	return request.Refuse(request.OtherSoftware, defaultRetryAfter, "no target of the software that began its stream serves its model")
+}
+
+// refuseThoseThatCannotGoOn refuses the queued requests that resume streams which no target
+// can go on with. The caller holds the lock.
+func (m *modelQueue) refuseThoseThatCannotGoOn() {
+	var stuck []*queue.Item[*waiter]
+
+	m.q.Each(func(it *queue.Item[*waiter]) {
+		if m.cannotGoOn(it.Value.req) {
+			stuck = append(stuck, it)
+		}
+	})
+
+	for _, it := range stuck {
+		m.q.Remove(it)
+		it.Value.refuse(originRefusal())
+	}
 }
 
 // allLeave reports whether all targets of the model leave and no other can load it.
@@ -66,6 +99,8 @@
 		}
 	}
 
+	m.refuseThoseThatCannotGoOn()
+
 	pause, all := m.pause(now)
 	if !all {
 		return
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -148,9 +148,9 @@
 // logWaiting logs that a request waits and why the targets that hold its model
 // cannot accept it.
 func (d *delivery) logWaiting() {
-	s := d.Dispatcher.TargetStates(d.req.Model)
+	s := d.Dispatcher.TargetStates(d.req)
 	d.Log.Info().Str("id", d.info.ID).Str("key", d.req.Model).Int("holders", s.Targets).Int("full", s.Full).
-		Int("leaving", s.Leaving).Int("dead", s.Dead).Int("resting", s.Resting).Int("ejected", s.Ejected).Int("limited", s.Limited).Msg("request waits")
+		Int("leaving", s.Leaving).Int("dead", s.Dead).Int("otherSoftware", s.OtherSoftware).Int("resting", s.Resting).Int("ejected", s.Ejected).Int("limited", s.Limited).Msg("request waits")
 }
 
 // logChoice logs the chosen target and the values that the choice was based on, and how
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -155,6 +155,7 @@
 		return
 	}
 
+	d.req.Origin = d.passed.origin
 	d.suspect = d.Dispatcher.IsSuspect(d.req.Fingerprint())
 	d.finish(d.run(ctx))
 }
--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/statement"
 )
@@ -47,6 +48,8 @@
 	// target may then have answered before it had read all of it.
 	longBody bool
 	pool     *Pool
+	// origin is the software of the target that answered.
+	origin origin.Origin
 	// stop ends the watch on the request's context. It returns false if the
 	// context has already ended, which closes the connection.
 	stop func() bool
@@ -83,7 +86,8 @@
 // of the answer. If ctx ends before the answer is released or abandoned, the
 // connection is closed, so that the target stops its work.
 func (p *Pool) exchange(ctx context.Context, t *router.Target, out *outgoing, proto Protocol) (*answer, error) {
-	process := statement.Process{Target: t.ID, Incarnation: t.Info().Incarnation}
+	info := t.Info()
+	process := statement.Process{Target: t.ID, Incarnation: info.Incarnation}
 
 	c, err := p.open(ctx, t, out)
 	if err != nil {
@@ -113,7 +117,7 @@
 		return nil, err
 	}
 
-	a.pool, a.stop = p, stop
+	a.pool, a.stop, a.origin = p, stop, origin.Of(info.Software)
 
 	return a, nil
 }
--- a/internal/serving/relay/passon.go
+++ b/internal/serving/relay/passon.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -59,6 +60,8 @@
 	on      bool
 	runs    int
 	charged bool
+	// origin is the software that began the stream, as far as the other entry knows it.
+	origin origin.Origin
 }
 
 type passedKey struct{}
@@ -76,7 +79,11 @@
 
 		p := passed{on: true, runs: runs, charged: r.Header.Get(headerCharged) != ""}
 
-		for _, name := range []string{headerRuns, headerCharged} {
+		if values := r.Header.Values(headerSoftware); len(values) == 1 {
+			p.origin = origin.Of(instance.Software(values[0]))
+		}
+
+		for _, name := range []string{headerRuns, headerCharged, headerSoftware} {
 			r.Header.Del(name)
 		}
 
@@ -160,6 +167,10 @@
 		header.Set(headerCharged, "1")
 	}
 
+	if software, known := d.req.Origin.Known(); known {
+		header.Set(headerSoftware, string(software))
+	}
+
 	c, err := d.dialNeighbour(ctx, nb)
 	if err != nil {
 		return nil, &DialError{Err: err}
@@ -179,6 +190,7 @@
 	}
 
 	a.pool, a.stop, a.Close = d.Pool, stop, true
+	a.origin = originOfPassed(a)
 
 	return a, nil
 }
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -126,11 +126,19 @@
 			h[name] = values
 		}
 
+		if software, known := a.origin.Known(); known && d.passed.on {
+			h.Set(headerSoftware, string(software))
+		}
+
 		d.w.WriteHeader(a.StatusCode)
 
 		d.headSent = true
 	}
 
+	if len(event) > 0 {
+		d.beginStream(a)
+	}
+
 	if _, err := d.w.Write(event); err != nil {
 		return &clientError{err}
 	}
--- a/internal/serving/request/request.go
+++ b/internal/serving/request/request.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 )
 
 // Request is one admitted request for a model.
@@ -35,6 +37,8 @@
 	// Goal is the time until which a first token is on time. Zero means that
 	// there is no goal.
 	Goal time.Time
+	// Origin is what is known of the software that began the stream.
+	Origin origin.Origin
 	// PredictedWait is the wait that was predicted when the request was queued last. Zero
 	// means that none was.
 	PredictedWait time.Duration
@@ -81,6 +85,7 @@
 	Overloaded          Code = "overloaded"
 	TargetLimited       Code = "targetLimited"
 	TargetResting       Code = "targetResting"
+	OtherSoftware       Code = "otherSoftware"
 	TooCold             Code = "tooCold"
 	NoTarget            Code = "noTarget"
 	Poisoned            Code = "crashesTargets"
--- a/internal/serving/router/choose.go
+++ b/internal/serving/router/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 )
 
 // Query describes one choice of a target.
@@ -19,6 +20,9 @@
 	Suspect bool
 	// Tokens is the memory that the request may take on a target; zero means unknown.
 	Tokens int
+	// Origin is what is known of the software that began the stream. Only targets of that
+	// software are chosen.
+	Origin origin.Origin
 	// Reuse says that the request may be sent on a connection that carried another.
 	Reuse bool
 	// Entries is the number of entries that route by the same reports. Waiting
--- a/internal/serving/router/decision.go
+++ b/internal/serving/router/decision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 )
 
 // Reason says why a target must not be sent a request now. If several apply, the
@@ -19,6 +20,9 @@
 	Leaving
 	// Dead means that the target accepts no connections, or has not been reported.
 	Dead
+	// OtherSoftware means that the stream was begun by other software, or that it is not
+	// known which.
+	OtherSoftware
 	// Resting means that it asked this entry for rest, or accepts only single requests
 	// after one.
 	Resting
@@ -41,6 +45,8 @@
 		return "leaving"
 	case Dead:
 		return "dead"
+	case OtherSoftware:
+		return "other software"
 	case Resting:
 		return "resting"
 	case Ejected:
@@ -86,6 +92,8 @@
 		return Decision{Reason: Leaving}
 	case info == nil || info.Down || t.isDead(info):
 		return Decision{Reason: Dead}
+	case !q.Origin.Allows(info.Software):
+		return Decision{Reason: OtherSoftware}
 	}
 
 	if from, resting := t.rest.from(q.Now); resting {
@@ -114,12 +122,20 @@
 	return slices.ContainsFunc(targets, func(t *Target) bool { return !t.Leaving() && !t.Dead() })
 }
 
+// AnyGoesOn reports whether any of the targets that are neither leaving nor recorded as dead
+// may go on with a stream.
+func AnyGoesOn(targets []*Target, o origin.Origin) bool {
+	return slices.ContainsFunc(targets, func(t *Target) bool {
+		return !t.Leaving() && !t.Dead() && o.Allows(t.Info().Software)
+	})
+}
+
 // StateCounts counts the targets that hold a model and those of them that accept
 // no request. Each of the latter is counted once, by the first that applies of
-// Leaving, Dead, Resting, Ejected, Limited and Full. Dead includes unreachable (Down) targets and
+// Leaving, Dead, OtherSoftware, Resting, Ejected, Limited and Full. Dead includes unreachable (Down) targets and
 // those without a report.
 type StateCounts struct {
-	Targets, Full, Leaving, Dead, Resting, Ejected, Limited int
+	Targets, Full, Leaving, Dead, OtherSoftware, Resting, Ejected, Limited int
 }
 
 // CountStates counts the targets by their state.
@@ -132,6 +148,8 @@
 			s.Leaving++
 		case Dead:
 			s.Dead++
+		case OtherSoftware:
+			s.OtherSoftware++
 		case Resting:
 			s.Resting++
 		case Ejected:
