fix(node): a stream that its client takes up goes on only at the software that began it

Callers whose stream broke, mostly because its entry had died, took it up at another entry and got the rest from another version of a target's program. That entry read Last-Event-Id and not Resumes, and nobody told it what the first entry had begun.

An entry now finds out before it chooses a target. Where the store's history names one version, that is the evidence, and it is read after the request arrived; new software is recorded before its targets are used. Where there are several, each stream is recorded at two other entries by hash and, if it lasts, in the store, which alone survives a restart of all. An entry that reaches neither the store nor others refuses at once.

The ids of other teams and models name no stream; several Resumes are refused.

--- a/internal/fleet/node/calls.go
+++ b/internal/fleet/node/calls.go
@@ -21,6 +21,7 @@
 	purposeTargets purpose = "targets"
 	purposeLease   purpose = "lease"
 	purposeEntries purpose = "entries"
+	purposeStreams purpose = "streams"
 )
 
 // cause is why a call to the store is made.
@@ -118,9 +119,12 @@
 
 // countTableCall counts a call for a key of the entries' own table.
 func (n *Node) countTableCall(key string) {
-	if strings.HasPrefix(key, entryPrefix) {
+	switch {
+	case strings.HasPrefix(key, entryPrefix):
 		n.calls.count(purposeEntries, causeStart)
-	} else {
+	case key == historiesKey, strings.HasPrefix(key, streamPrefix):
+		n.calls.count(purposeStreams, n.pollState().cause())
+	default:
 		n.calls.count(purposeLease, n.pollState().cause())
 	}
 }
--- /dev/null
+++ b/internal/fleet/node/histories.go
@@ -0,0 +1,354 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/platform/table"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
+)
+
+const (
+	// historiesKey is the key of the row with the histories of all services.
+	historiesKey = "software"
+	// historiesInterval is the time between two comparisons of the list with the histories, and
+	// historiesMaxAge the age from which an entry reads them anew while a service has several
+	// versions of the software.
+	historiesInterval = time.Second
+	historiesMaxAge   = 30 * time.Second
+	// recordDelay is the longest time that entries leave it to the lease holder to record new
+	// software. Each waits for a random part.
+	recordDelay = 500 * time.Millisecond
+	// unrecordedHold is how long targets of software that is not recorded are sent no
+	// requests. It is longer than a record takes, and a new target's first load takes longer
+	// than that. While the store cannot record it, its targets are used all the same.
+	unrecordedHold = time.Second
+)
+
+// histories are the histories of all services, as they were last read.
+type histories struct {
+	mu        sync.Mutex
+	byService map[string]origin.History
+	// version is the version of their row, and readAt when it was requested; zero means that
+	// it has not been read.
+	version uint64
+	readAt  time.Time
+	// firstSeen is when this entry first saw software that is not recorded.
+	firstSeen map[serviceSoftware]time.Time
+	// next is the read that the next caller joins. reading says that one is in progress.
+	next    *historiesRead
+	reading bool
+}
+
+type serviceSoftware struct {
+	service  string
+	software instance.Software
+}
+
+// historiesRead is a read of the histories that several callers share.
+type historiesRead struct {
+	done      chan struct{}
+	byService map[string]origin.History
+	err       error
+}
+
+// historyRow is the history of one service in the store.
+type historyRow struct {
+	Software string `json:"software"`
+	// GoneMs is when the last target of the software left, in milliseconds since 1970.
+	GoneMs int64 `json:"goneMs,omitempty"`
+}
+
+func encodeHistories(all map[string]origin.History) ([]byte, error) {
+	out := make(map[string][]historyRow, len(all))
+
+	for service, h := range all {
+		for _, s := range h.Spans {
+			row := historyRow{Software: string(s.Software)}
+			if !s.GoneAt.IsZero() {
+				row.GoneMs = s.GoneAt.UnixMilli()
+			}
+
+			out[service] = append(out[service], row)
+		}
+	}
+
+	return json.Marshal(out)
+}
+
+func decodeHistories(data []byte) (map[string]origin.History, error) {
+	var rows map[string][]historyRow
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &rows); err != nil {
+			return nil, err
+		}
+	}
+
+	out := make(map[string]origin.History, len(rows))
+
+	for service, spans := range rows {
+		var h origin.History
+
+		for _, row := range spans {
+			s := origin.Span{Software: instance.Software(row.Software)}
+			if row.GoneMs != 0 {
+				s.GoneAt = time.UnixMilli(row.GoneMs)
+			}
+
+			h.Spans = append(h.Spans, s)
+		}
+
+		out[service] = h
+	}
+
+	return out, nil
+}
+
+// alone returns the software that alone can have begun a stream of the service, as far as
+// this entry knows.
+func (h *histories) alone(service string) origin.Origin {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.byService[service].Only()
+}
+
+func (h *histories) several(service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.byService[service].Several()
+}
+
+// heldUntil returns until when targets of the software get no requests because it is not
+// recorded. It returns false if they get some now.
+func (h *histories) heldUntil(key serviceSoftware, now time.Time) (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	// While nothing is recorded for the service, nothing can be taken for the only software.
+	history := h.byService[key.service]
+	if len(history.Spans) == 0 || history.Lists(key.software) {
+		delete(h.firstSeen, key)
+
+		return time.Time{}, false
+	}
+
+	first, seen := h.firstSeen[key]
+	if !seen {
+		if h.firstSeen == nil {
+			h.firstSeen = make(map[serviceSoftware]time.Time)
+		}
+
+		first = now
+		h.firstSeen[key] = first
+	}
+
+	until := first.Add(unrecordedHold)
+
+	return until, now.Before(until)
+}
+
+// readHistories returns the histories as of a time after the call. Calls at the same time
+// share a read.
+func (o *origins) readHistories(ctx context.Context) (map[string]origin.History, error) {
+	h := &o.histories
+	h.mu.Lock()
+
+	if h.next == nil {
+		h.next = &historiesRead{done: make(chan struct{})}
+	}
+
+	r := h.next
+
+	if !h.reading {
+		h.reading = true
+
+		go o.readAll()
+	}
+
+	h.mu.Unlock()
+
+	select {
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	case <-r.done:
+		return r.byService, r.err
+	}
+}
+
+// readAll carries out the reads that are waited for, one after the other.
+func (o *origins) readAll() {
+	h := &o.histories
+
+	for {
+		h.mu.Lock()
+		r := h.next
+		h.next, h.reading = nil, r != nil
+		h.mu.Unlock()
+
+		if r == nil {
+			return
+		}
+
+		ctx, cancel := context.WithTimeout(o.node.workCtx, findTimeout)
+		r.byService, r.err = o.readOnce(ctx)
+
+		cancel()
+		close(r.done)
+	}
+}
+
+// readOnce reads the histories from the store.
+func (o *origins) readOnce(ctx context.Context) (map[string]origin.History, error) {
+	began := time.Now()
+
+	rows, err := o.node.cfg.Table.Read(ctx, historiesKey)
+	if err != nil {
+		return nil, err
+	}
+
+	all, err := decodeHistories(rows[0].Value)
+	if err != nil {
+		return nil, err
+	}
+
+	o.applyHistories(all, rows[0].Version, began)
+
+	return all, nil
+}
+
+// applyHistories replaces the histories by those of a version of the row.
+func (o *origins) applyHistories(all map[string]origin.History, version uint64, at time.Time) {
+	h := &o.histories
+	h.mu.Lock()
+
+	changed := version != h.version || h.readAt.IsZero()
+	if version >= h.version {
+		h.byService, h.version, h.readAt = all, version, at
+	}
+
+	h.mu.Unlock()
+
+	if changed {
+		signal(o.node.routingChanged)
+		signal(o.shareSoon)
+		signal(o.storeSoon)
+	}
+}
+
+// maintainHistories keeps the histories in the store up to date with the list of targets.
+func (o *origins) maintainHistories(ctx context.Context) {
+	for ctx.Err() == nil {
+		if listed := o.listed(); len(listed) > 0 && o.outdated(listed) {
+			o.updateHistories(ctx, listed)
+		}
+
+		select {
+		case <-ctx.Done():
+		case <-o.listChanged:
+			_ = clock.Sleep(ctx, shareSpacing) // Changes of the list come in bursts.
+		case <-time.After(historiesInterval):
+		}
+	}
+}
+
+// outdated reports whether the histories lack software on the list, whether this lease holder
+// has to record that software is gone, or whether the entry should read them anew.
+func (o *origins) outdated(listed map[string][]instance.Software) bool {
+	h := &o.histories
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	several := false
+	for _, history := range h.byService {
+		several = several || history.Several()
+	}
+
+	if h.readAt.IsZero() || several && time.Since(h.readAt) > historiesMaxAge {
+		return true
+	}
+
+	_, changed := updated(h.byService, listed, o.node.holder.Holding(), time.Now())
+
+	return changed
+}
+
+// updated returns the histories for the software on the list. Only the lease holder drops
+// software that is gone.
+func updated(all map[string]origin.History, listed map[string][]instance.Software, holding bool, now time.Time) (map[string]origin.History, bool) {
+	out := maps.Clone(all)
+	if out == nil {
+		out = make(map[string]origin.History)
+	}
+
+	changed := false
+
+	for service, software := range listed {
+		slices.Sort(software)
+
+		h, c := out[service].Update(software, holding, now)
+		out[service] = h
+		changed = changed || c
+	}
+
+	return out, changed
+}
+
+// updateHistories reads the histories and, if they lack something, writes them. Entries other
+// than the lease holder leave it a while to do so.
+func (o *origins) updateHistories(ctx context.Context, listed map[string][]instance.Software) {
+	o.histories.mu.Lock()
+	first := o.histories.readAt.IsZero()
+	o.histories.mu.Unlock()
+
+	holding := o.node.holder.Holding()
+	if !holding && !first {
+		_ = clock.Sleep(ctx, time.Duration(rand.Int64N(int64(recordDelay)))) //nolint:gosec // No secret.
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, recordDelay)
+	defer cancel()
+
+	all, err := o.readHistories(ctx)
+	if err != nil || first && !holding {
+		return
+	}
+
+	next, changed := updated(all, listed, holding, time.Now())
+	if !changed {
+		return
+	}
+
+	data, err := encodeHistories(next)
+	if err != nil {
+		o.node.cfg.Log.Warn().Err(err).Msg("cannot encode histories of software")
+
+		return
+	}
+
+	o.histories.mu.Lock()
+	before := o.histories.version
+	o.histories.mu.Unlock()
+
+	version, err := o.node.cfg.Table.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: historiesKey, Version: before}},
+		Writes:     []table.Write{{Key: historiesKey, Value: data}},
+	})
+	if err != nil {
+		// Another entry was first, or the next comparison tries again.
+		o.node.cfg.Log.Info().Err(err).Msg("software not recorded")
+
+		return
+	}
+
+	o.node.cfg.Log.Info().RawJSON("software", data).Msg("software recorded")
+	o.applyHistories(next, version, time.Now())
+}
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -107,6 +107,7 @@
 	calls       calls
 	traffic     traffic
 	quotas      quotas
+	origins     origins
 	// rateLimits are the limits that targets state, departures the targets that have said
 	// that they leave, and rests those that have asked this entry for rest. statementNews signals that one of them has begun or
 	// ceased to say so.
@@ -204,6 +205,8 @@
 	n.workCtx, n.cancelWork = context.WithCancel(context.Background())
 	n.peers.node = n
 	n.reach.node = n
+	n.origins.node = n
+	n.origins.shareSoon, n.origins.storeSoon, n.origins.listChanged = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	n.quotas.node, n.quotas.roundSoon = n, make(chan struct{}, 1)
 	n.quotas.owner.Slack, n.quotas.delegator.Started = cfg.Slack, clock.Now()
 	n.peers.members.Self = membership.Member{ID: cfg.Self, Address: cfg.Peers, Process: n.process, Started: time.Now(), Strength: cfg.Strength}
@@ -218,7 +221,7 @@
 	})
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Dispatcher: n.dispatcher, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, TableKnown: n.configKnown, TableTooOld: n.configTooOld, RefreshTable: n.confirm, Limits: &n.quotas, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, OnStatement: n.hear, Reach: &n.reach, Log: cfg.Log, Metrics: n.metrics, BoundTokens: cfg.BoundedMemory,
+		Table: n.routes.Load, TableKnown: n.configKnown, TableTooOld: n.configTooOld, RefreshTable: n.confirm, Limits: &n.quotas, Origins: &n.origins, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, OnStatement: n.hear, Reach: &n.reach, Log: cfg.Log, Metrics: n.metrics, BoundTokens: cfg.BoundedMemory,
 	}
 
 	if cfg.BoundedMemory {
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -66,7 +66,9 @@
 	}
 
 	n.mu.Lock()
-	b := builder{applied: &n.applied, now: now, boundTokens: n.cfg.BoundedMemory, countID: 1 + uint64(n.holderReceived.Sub(n.started)/reportInterval), expires: now.Add(holderStateTTL), missing: n.missing, upcoming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
+	b := builder{applied: &n.applied, now: now, heldUntil: func(t inventory.Target) (time.Time, bool) {
+		return n.origins.histories.heldUntil(serviceSoftware{t.Service, t.Software}, now)
+	}, boundTokens: n.cfg.BoundedMemory, countID: 1 + uint64(n.holderReceived.Sub(n.started)/reportInterval), expires: now.Add(holderStateTTL), missing: n.missing, upcoming: make(map[string]time.Time), snapshot: router.Snapshot{Holder: n.cfg.Self, Token: 1}}
 	n.snapshotNumber++
 	b.snapshot.Number = n.snapshotNumber
 	b.snapshot.Targets = make([]router.TargetInfo, 0, len(n.targetsByID))
@@ -236,6 +238,9 @@
 	// countID distinguishes the holder's successive counts of running requests.
 	countID  uint64
 	snapshot router.Snapshot
+	// heldUntil returns until when a target is sent no requests because its software is not
+	// recorded yet. It returns false if it is sent some.
+	heldUntil func(inventory.Target) (time.Time, bool)
 	// boundTokens limits the tokens of each target's requests to its memory.
 	boundTokens bool
 	// keys are the ready keys of the target being added.
@@ -251,6 +256,14 @@
 		Leaving: t.Leaving, RestUntil: restUntil, Incarnation: processOf(t).Incarnation, Software: t.Software, ReportAge: reportAge,
 	}
 
+	if until, held := b.heldUntil(t); held {
+		b.expires = clock.Earlier(b.expires, until)
+		b.snapshot.Targets = append(b.snapshot.Targets, info)
+		b.applied.addChanges(&b.snapshot, t.ID, t.Address, nil)
+
+		return
+	}
+
 	e := service.Engine
 	if e == nil {
 		b.snapshot.Targets = append(b.snapshot.Targets, info)
--- a/internal/fleet/node/statements.go
+++ b/internal/fleet/node/statements.go
@@ -127,6 +127,8 @@
 	n.targetsByID = n.registry.Targets()
 	n.targets = n.targetsByID
 
+	signal(n.origins.listChanged)
+
 	if n.departures.Len() == 0 {
 		return
 	}
--- a/internal/serving/origin/origin.go
+++ b/internal/serving/origin/origin.go
@@ -3,7 +3,14 @@
 // it. The package does no I/O and reads no clock.
 package origin
 
-import "github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+)
 
 // Origin is what is known of the software that began a stream. A stream has begun once an
 // event of it was sent to its client. The zero value is a stream that has not begun.
@@ -59,3 +66,35 @@
 
 	return ""
 }
+
+// Key identifies a stream among those of all clients of all services.
+type Key uint64
+
+// KeyOf returns the key of the stream that an attempt began. Clients of other teams, and
+// requests for other models, have other keys, even for the same id.
+func KeyOf(team, routingKey, attempt string) Key {
+	d := xxhash.New()
+	for _, s := range []string{team, routingKey, attempt} {
+		_, _ = d.WriteString(s)
+		_, _ = d.WriteString("\x00")
+	}
+
+	return Key(d.Sum64())
+}
+
+// String returns the key in hexadecimal digits, of which it always has 16.
+func (k Key) String() string {
+	const digits, base = 16, 16
+
+	text := strconv.FormatUint(uint64(k), base)
+
+	return "0000000000000000"[:digits-len(text)] + text
+}
+
+// Record says that a stream was begun by software.
+type Record struct {
+	Key      Key
+	Software instance.Software
+	// Until is when the stream's client gives up, so that it can no longer be resumed.
+	Until time.Time
+}
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/customer/team"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
@@ -75,6 +76,10 @@
 	// client gets it if no later attempt succeeds and no part of a stream was
 	// sent.
 	fallback *bufferedAnswer
+	// stream is the key of the stream that the request begins or resumes. recorded is set
+	// once its software has been recorded.
+	stream   origin.Key
+	recorded bool
 	// held is what is held for the request where memory is bounded. readLate is set
 	// there if the answer was not read while the last event was written.
 	held     held
@@ -155,7 +160,12 @@
 		return
 	}
 
-	d.req.Origin = d.passed.origin
+	if err := d.findOrigin(ctx); err != nil {
+		d.finish(err)
+
+		return
+	}
+
 	d.suspect = d.Dispatcher.IsSuspect(d.req.Fingerprint())
 	d.finish(d.run(ctx))
 }
--- a/internal/serving/relay/finish.go
+++ b/internal/serving/relay/finish.go
@@ -46,6 +46,7 @@
 
 	switch {
 	case err == nil:
+		d.endStreamRecord()
 		d.recordOutcome(http.StatusOK)
 		line.Msg("request answered")
 
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -51,6 +51,8 @@
 	OnUnreachable func(t *router.Target)
 	// Reach knows whether this entry reaches its targets. If nil, it does.
 	Reach Reach
+	// Origins knows which software began streams. If nil, all targets have the same.
+	Origins Origins
 	// OnStatement is called with what each answer of a target states about it. It may
 	// be nil.
 	OnStatement func(statement.Heard)
--- a/internal/serving/request/request.go
+++ b/internal/serving/request/request.go
@@ -86,6 +86,7 @@
 	TargetLimited       Code = "targetLimited"
 	TargetResting       Code = "targetResting"
 	OtherSoftware       Code = "otherSoftware"
+	UnknownOrigin       Code = "unknownOrigin"
 	TooCold             Code = "tooCold"
 	NoTarget            Code = "noTarget"
 	Poisoned            Code = "crashesTargets"
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/membership"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/statement"
@@ -61,6 +62,10 @@
 	// Departures records which targets have said that they leave, as a peer knows, and
 	// returns those that this entry knows and that are not on the list of targets yet.
 	Departures(known []statement.Departure) []statement.Departure
+	// RecordOrigins records which software began streams that a peer forwards.
+	RecordOrigins(records []origin.Record)
+	// FindOrigin returns what this entry knows of the software that began a stream.
+	FindOrigin(service string, k origin.Key) OriginAnswer
 	// RateLimits records a peer's observations of targets' rate limits and returns
 	// those of the same targets that are newer here.
 	RateLimits(known []ratelimit.Observation) []ratelimit.Observation
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/statement"
@@ -54,6 +55,7 @@
 	query      ConfigQuery
 	part       ConfigPart
 	knowledge  HolderKnowledge
+	origins    []origin.Record
 }
 
 func (e *echo) Greet(g Greeting) Greeting {
@@ -84,7 +86,7 @@
 
 func (e *echo) View(have Versions) View {
 	return View{Config: []byte("c"), List: have.List + 1, Base: have.List, Listed: []uint64{}, Gone: []instance.ID{"gone"}, Targets: []inventory.Target{{
-		ID: "t", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 3, Resident: []inventory.ResidentModel{{Model: "m", Adapters: []string{"a"}}},
+		ID: "t", Software: "v1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 3, Resident: []inventory.ResidentModel{{Model: "m", Adapters: []string{"a"}}},
 	}}}
 }
 
@@ -118,6 +120,24 @@
 	return known[:1]
 }
 
+func (e *echo) RecordOrigins(records []origin.Record) { e.origins = records }
+
+func (e *echo) FindOrigin(service string, k origin.Key) OriginAnswer {
+	a := OriginAnswer{Stream: origin.Unknown(), Alone: origin.Unknown()}
+
+	for _, r := range e.origins {
+		if r.Key == k {
+			a.Stream = origin.Of(r.Software)
+		}
+	}
+
+	if service == "alone" {
+		a.Alone = origin.Of("")
+	}
+
+	return a
+}
+
 func (e *echo) Block(fp request.Fingerprint) { e.blocked = fp }
 
 // connect serves e on loopback and returns a client of it.
@@ -308,3 +328,29 @@
 
 	b.ReportMetric(float64(len(body)), "bytes")
 }
+
+func TestOrigins(t *testing.T) {
+	var e echo
+
+	c := connect(t, &e)
+	until := time.Now().Add(time.Minute)
+
+	assert.NilError(t, c.RecordOrigins(t.Context(), []origin.Record{{Key: 1 << 63, Software: "v1", Until: until}}))
+	assert.Assert(t, e.origins[0].Until.Sub(until).Abs() < time.Second)
+
+	for name, tc := range map[string]struct {
+		service string
+		key     origin.Key
+		want    OriginAnswer
+	}{
+		"the stream is known":              {"s", 1 << 63, OriginAnswer{Stream: origin.Of("v1"), Alone: origin.Unknown()}},
+		"nothing is known":                 {"s", 7, OriginAnswer{Stream: origin.Unknown(), Alone: origin.Unknown()}},
+		"only software without a name was": {"alone", 7, OriginAnswer{Stream: origin.Unknown(), Alone: origin.Of("")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := c.FindOrigin(t.Context(), tc.service, tc.key)
+			assert.NilError(t, err)
+			assert.Equal(t, got, tc.want)
+		})
+	}
+}
