--- a/internal/serving/dispatch/predict.go
+++ b/internal/serving/dispatch/predict.go
@@ -86,7 +86,7 @@
 			if max(info.Running, t.InFlight()) < info.Slots {
 				return true
 			}
-		case router.Leaving, router.Dead, router.Resting, router.Ejected, router.Limited:
+		case router.Leaving, router.Dead, router.OtherSoftware, router.Resting, router.Ejected, router.Limited:
 		}
 	}
 
--- a/internal/standin/site/events.go
+++ b/internal/standin/site/events.go
@@ -32,7 +32,7 @@
 		line, err := lines.ReadString('\n')
 		r.Body += line
 
-		if err == io.EOF { //nolint:errorlint // ReadString returns it unwrapped.
+		if err == io.EOF {
 			r.Whole = resp.StatusCode == http.StatusOK
 
 			return r, nil
