fix(dispatch): an answer of the product's own path goes on only at its software

The second serving path had the same fault: a retry, a migration off a target that leaves and the state that it carries went to any target of the model. Engines now state their software in their inventory, the cell's holder publishes it, and both a retry and a migration ask serving/origin. An answer whose target leaves ends there if all others have other software.

TestAnswerMixesSoftware failed before in three of six cases. A request whose model is served nowhere waits as before, since the model may be loaded again where its stream can go on; TestFaults showed that refused it.

--- a/internal/fleet/target/engine.go
+++ b/internal/fleet/target/engine.go
@@ -127,6 +127,8 @@
 	// Incarnation changes whenever the engine's process starts anew. What an earlier
 	// incarnation had loaded is gone.
 	Incarnation string
+	// Software is the version of the engine's program.
+	Software instance.Software
 	// Token is the highest fencing token received. It is zero on engines that ignore
 	// tokens.
 	Token  uint64
--- a/internal/placement/cell/publish.go
+++ b/internal/placement/cell/publish.go
@@ -84,6 +84,7 @@
 			Leaving:        e.State == instance.Leaving,
 			Down:           now.Sub(e.answeredAt) > downAfter,
 			Incarnation:    e.inventory.Incarnation,
+			Software:       e.inventory.Software,
 		}
 	}
 
--- a/internal/serving/dispatch/dispatch_test.go
+++ b/internal/serving/dispatch/dispatch_test.go
@@ -35,6 +35,8 @@
 	queuedCalls int
 	notices     []Notice
 	refreshes   int
+	// software are the versions of the engines' programs.
+	software map[instance.ID]instance.Software
 }
 
 const model = "m"
@@ -120,7 +122,7 @@
 		inv, err := e.Inventory(context.Background())
 		s.Targets = append(s.Targets, router.TargetInfo{
 			ID: e.ID(), Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i)), Slots: 4, Speed: 1,
-			Incarnation: inv.Incarnation, Down: err != nil,
+			Incarnation: inv.Incarnation, Software: fx.software[e.ID()], Down: err != nil,
 		})
 
 		if e.Holds(model) {
--- a/internal/serving/dispatch/forwarder.go
+++ b/internal/serving/dispatch/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/stream"
@@ -36,8 +37,9 @@
 	// attempt as well.
 	last      *router.Target
 	retrySame bool
-	// incarnation is the last target's incarnation when the attempt began.
+	// incarnation and software are the last target's when the attempt began.
 	incarnation string
+	software    instance.Software
 	// sentToDead says that the last target was recorded as dead when the
 	// attempt began.
 	sentToDead bool
@@ -95,7 +97,7 @@
 // nextTarget returns the target of the next attempt. The request is counted on
 // it.
 func (f *forwarder) nextTarget(ctx context.Context) (*router.Target, error) {
-	if f.retrySame && !f.last.Leaving() && f.last.Begin(f.suspect) {
+	if f.retrySame && !f.last.Leaving() && f.req.Origin.Allows(f.last.Info().Software) && f.last.Begin(f.suspect) {
 		return f.last, nil
 	}
 
@@ -153,7 +155,7 @@
 	f.importState(t)
 
 	f.last = t
-	f.incarnation, f.sentToDead = t.Info().Incarnation, t.Dead()
+	f.incarnation, f.software, f.sentToDead = t.Info().Incarnation, t.Info().Software, t.Dead()
 
 	number := f.attempts.Begin()
 	sent := time.Now()
@@ -234,6 +236,10 @@
 			return tokens, nil
 		}
 
+		if !f.req.Origin.Begun() {
+			f.req.Origin = origin.Of(f.software)
+		}
+
 		// Time that the client takes to read must not count as the target's silence.
 		stall.pause()
 
--- a/internal/serving/dispatch/migrate.go
+++ b/internal/serving/dispatch/migrate.go
@@ -19,14 +19,14 @@
 
 // shouldMigrate reports whether the answer should be resumed on another target:
 // its target is leaving, enough of the answer is still to come, and another
-// target that is not leaving has the model.
+// target that is not leaving has the model and may go on with the answer.
 func (f *forwarder) shouldMigrate() bool {
 	if !f.last.Leaving() || f.req.MaxTokens-f.checker.Next() < minTokensToMigrate {
 		return false
 	}
 
 	for _, t := range f.cfg.Table.Targets(f.req.Model) {
-		if t != f.last && !t.Leaving() {
+		if t != f.last && !t.Leaving() && f.req.Origin.Allows(t.Info().Software) {
 			return true
 		}
 	}
--- a/internal/serving/dispatch/unavailable.go
+++ b/internal/serving/dispatch/unavailable.go
@@ -46,16 +46,23 @@
 	return m.refuseUnavailable(m.newItem(req, &waiter{req: req}), time.Now())
 }
 
-// cannotGoOn reports whether the request resumes a stream and no target of the software that
-// began it serves its model. Others may load the model, but the stream would not go on there.
+// cannotGoOn reports whether the request resumes a stream and its model is served only by
+// targets of other software than began it. While no target serves the model, it may be loaded
+// again where the stream can go on.
 func (m *modelQueue) cannotGoOn(req *request.Request) bool {
-	return req.Origin.Begun() && !router.AnyGoesOn(m.d.cfg.Table.Targets(m.model), req.Origin)
+	if !req.Origin.Begun() {
+		return false
+	}
+
+	targets := m.d.cfg.Table.Targets(m.model)
+
+	return router.AnyUsable(targets) && !router.AnyGoesOn(targets, req.Origin)
 }
 
 // originRefusal refuses a request that resumes a stream. No time is known at which a target
 // could go on with it.
 func originRefusal() *request.Refusal {
-	return request.Refuse(request.OtherSoftware, defaultRetryAfter, "no target of the software that began its stream serves its model")
+	return request.Refuse(request.OtherSoftware, defaultRetryAfter, "only targets of other software than began its stream serve its model")
 }
 
 // refuseThoseThatCannotGoOn refuses the queued requests that resume streams which no target
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -36,6 +36,8 @@
 	Speed       float64
 	Slots       int
 	ChecksToken bool
+	// Software is the version of the engine's program.
+	Software instance.Software
 	// FirstToken and PerToken are the times at speed 1 on an idle engine.
 	FirstToken, PerToken time.Duration
 	// ReportLag is how old a load report is when it is read.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -149,6 +149,7 @@
 func (e *Engine) inventoryLocked() target.Inventory {
 	return target.Inventory{
 		Incarnation: e.incarnation,
+		Software:    e.opt.Software,
 		Token:       e.token,
 		Memory:      e.opt.Memory,
 		Speed:       e.opt.Speed,
--- a/internal/wire/engine/engine.go
+++ b/internal/wire/engine/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 )
 
@@ -74,6 +75,7 @@
 // Inventory is a target.Inventory on the wire.
 type Inventory struct {
 	Incarnation string         `json:"incarnation"`
+	Software    string         `json:"software,omitempty"`
 	Token       uint64         `json:"token"`
 	Memory      int64          `json:"memory"`
 	Speed       float64        `json:"speed"`
@@ -162,6 +164,7 @@
 func FromInventory(inv target.Inventory) Inventory {
 	out := Inventory{
 		Incarnation: inv.Incarnation,
+		Software:    string(inv.Software),
 		Token:       inv.Token,
 		Memory:      inv.Memory,
 		Speed:       inv.Speed,
@@ -185,6 +188,7 @@
 func ToInventory(inv Inventory) target.Inventory {
 	out := target.Inventory{
 		Incarnation: inv.Incarnation,
+		Software:    instance.Software(inv.Software),
 		Token:       inv.Token,
 		Memory:      inv.Memory,
 		Speed:       inv.Speed,
--- a/internal/wire/peer/routing.go
+++ b/internal/wire/peer/routing.go
@@ -24,6 +24,7 @@
 	Leaving     bool
 	Down        bool
 	Incarnation string
+	Software    string
 }
 
 // Replica is a router.Replica on the wire.
@@ -89,6 +90,7 @@
 			Leaving:     t.Leaving,
 			Down:        t.Down,
 			Incarnation: t.Incarnation,
+			Software:    string(t.Software),
 		})
 	}
 
@@ -138,6 +140,7 @@
 			Leaving:        t.Leaving,
 			Down:           t.Down,
 			Incarnation:    t.Incarnation,
+			Software:       instance.Software(t.Software),
 		})
 	}
 
