--- a/internal/cli/command/soakcmd.go
+++ b/internal/cli/command/soakcmd.go
@@ -12,18 +12,19 @@
 
 // soakCmd plays seeded troubles on real entries as processes of their own.
 type soakCmd struct {
-	Entry   string        `default:"target/fulmarcross-entry"                                                                 help:"The entry's program."`
-	Seed    uint64        `default:"1"                                                                                        help:"Seed of the troubles."`
-	Seeds   int           `default:"1"                                                                                        help:"How many seeds are played, from the first one on."`
-	Entries int           `default:"4"                                                                                        help:"How many entries run."`
-	For     time.Duration `default:"15s"                                                                                      help:"For how long troubles begin."`
-	Dir     string        `help:"Where settings and logs are written; a new folder if empty."`
-	Limits  bool          `help:"Targets also state rate limits."`
-	Rests   bool          `help:"Targets also leave by their answers alone, and ask for rest."`
-	Load    bool          `help:"A team and models also get more requests than there is room for, and targets are slow."`
-	Reach   bool          `help:"Entries are also cut off from all targets, and targets are brittle, or silent for a second."`
-	Changes bool          `help:"Series of large configurations also follow each other."`
-	Verbose bool          `help:"Print each trouble."`
+	Entry    string        `default:"target/fulmarcross-entry"                                                                 help:"The entry's program."`
+	Seed     uint64        `default:"1"                                                                                        help:"Seed of the troubles."`
+	Seeds    int           `default:"1"                                                                                        help:"How many seeds are played, from the first one on."`
+	Entries  int           `default:"4"                                                                                        help:"How many entries run."`
+	For      time.Duration `default:"15s"                                                                                      help:"For how long troubles begin."`
+	Dir      string        `help:"Where settings and logs are written; a new folder if empty."`
+	Limits   bool          `help:"Targets also state rate limits."`
+	Rests    bool          `help:"Targets also leave by their answers alone, and ask for rest."`
+	Load     bool          `help:"A team and models also get more requests than there is room for, and targets are slow."`
+	Reach    bool          `help:"Entries are also cut off from all targets, and targets are brittle, or silent for a second."`
+	Changes  bool          `help:"Series of large configurations also follow each other."`
+	Software bool          `help:"Engines of several versions of the software serve side by side, and clients take streams up."`
+	Verbose  bool          `help:"Print each trouble."`
 }
 
 // Run runs the command.
@@ -44,7 +45,7 @@
 
 	for seed := c.Seed; seed < c.Seed+uint64(max(1, c.Seeds)); seed++ { //nolint:gosec // Small.
 		opt := soak.Options{
-			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Stacks: s.err,
+			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Stacks: s.err,
 		}
 		if c.Verbose {
 			opt.Progress = s.err
@@ -57,6 +58,14 @@
 
 		_, _ = fmt.Fprintf(s.out, "seed %d: %d asked, %d answered, %d refused (%d by teams' limits and keys), %d unknown, %d broken\n", seed, r.Asked, r.Answered, r.Refused, r.Limited, r.Unknown, len(r.Broken))
 
+		if c.Software {
+			_, _ = fmt.Fprintf(s.out, "  %d streams taken up, %d went on, %d with events of several versions\n", r.Taken, r.GoneOn, len(r.Mixed))
+
+			for _, text := range r.Mixed {
+				_, _ = fmt.Fprintln(s.out, "  mixed:", text)
+			}
+		}
+
 		for _, text := range r.Broken {
 			_, _ = fmt.Fprintln(s.out, "  broken:", text)
 		}
--- a/internal/standin/site/events.go
+++ b/internal/standin/site/events.go
@@ -19,7 +19,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	resp, err := open(ctx, e.client, e.Callers, path, body, ask, true)
+	c := e.client
+	if c == nil {
+		c = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+
+	resp, err := open(ctx, c, e.Callers, path, body, ask, true)
 	if err != nil {
 		return Reply{}, err
 	}
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -32,6 +32,10 @@
 	// Limited counts those of Refused that teams' limits or keys do not allow, so that
 	// they must be refused.
 	Limited int
+	// Taken counts the streams that clients took up at entries that are not excused, GoneOn
+	// those of them that went on, and Mixed describes those with events of several versions.
+	Taken, GoneOn int
+	Mixed         []string
 	// Broken describes the promises that were broken.
 	Broken []string
 }
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -60,6 +60,9 @@
 	Reach bool
 	// Changes adds series of large configurations.
 	Changes bool
+	// Software has engines of several versions side by side, adds releases in no order, and
+	// clients that take their streams up at any entry.
+	Software bool
 	// Command starts an entry, with Env added to its environment.
 	Command, Env []string
 	// Dir is the directory for settings and logs.
@@ -85,6 +88,7 @@
 	excuses   excuses
 	cuts      cuts
 	series    series
+	streams   streams
 	// heal counts the faults that have not ended.
 	heal  sync.WaitGroup
 	began time.Time
@@ -100,8 +104,13 @@
 		return Report{}, err
 	}
 
+	o := site.Options{Log: io.Discard, Front: s.front, Teams: teams(), Keys: keys}
+	if opt.Software {
+		o.Engine = sideBySide
+	}
+
 	var err error
-	if s.site, err = site.Start(ctx, site.Options{Log: io.Discard, Front: s.front, Teams: teams(), Keys: keys}); err != nil {
+	if s.site, err = site.Start(ctx, o); err != nil {
 		return Report{}, err
 	}
 	defer s.site.Close()
@@ -126,6 +135,12 @@
 		}
 	}
 
+	if s.Software {
+		for i := range streamClients {
+			callers.Go(func() { s.takeUp(calls, i) })
+		}
+	}
+
 	s.trouble(ctx)
 	s.heal.Wait()
 	s.withdrawLimits()
@@ -141,6 +156,8 @@
 	r.Broken = append(r.Broken, s.unheard()...)
 	r.Broken = append(r.Broken, s.cuts.broken(&s.book, &s.excuses)...)
 	r.Broken = append(r.Broken, s.series.found()...)
+	r.Broken = append(r.Broken, s.streams.broken()...)
+	r.Taken, r.GoneOn, r.Mixed = s.streams.taken, s.streams.goneOn, s.streams.mixed
 
 	return r, ctx.Err()
 }
@@ -324,5 +341,9 @@
 		all = append(all, s.makeSeries())
 	}
 
+	if s.Software {
+		all = append(all, s.release(draw, engine), s.release(draw, engine))
+	}
+
 	return all[draw.IntN(len(all))]
 }
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -319,3 +319,13 @@
 		})
 	}
 }
+
+// TestSoakSoftware plays one short seed in which engines of several versions of the software
+// serve side by side and clients take their streams up.
+func TestSoakSoftware(t *testing.T) {
+	t.Parallel()
+
+	r := play(t, Options{Seed: 1, Entries: 4, Length: 12 * time.Second, Software: true})
+	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
+	assert.Assert(t, r.Taken >= minTaken, "%d", r.Taken)
+}
