--- a/internal/fleet/node/software_test.go
+++ b/internal/fleet/node/software_test.go
@@ -86,7 +86,7 @@
 
 		wg.Go(func() {
 			ask := streamAsk(s.id + "-again")
-			ask.Resumes, ask.LastEvent = s.id, strconv.Itoa(len(s.before))
+			ask.FirstAttempt, ask.LastEvent = s.id, strconv.Itoa(len(s.before))
 
 			r, err := site.Ask(context.WithoutCancel(t.Context()), e, "/note/x", "text"+s.id, ask)
 			assert.Check(t, err)
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -166,7 +166,7 @@
 	}
 
 	if after := d.resumesAfter(); after != "" {
-		line = line.Str("after", after).Str("resumes", d.info.Resumes)
+		line = line.Str("after", after).Str("firstAttempt", d.info.FirstAttempt)
 	}
 
 	line.Msg("target chosen")
--- a/internal/serving/relay/origin.go
+++ b/internal/serving/relay/origin.go
@@ -33,18 +33,18 @@
 		return nil
 	}
 
-	d.stream = origin.KeyOf(d.teamName(), d.req.Model, cmp.Or(d.info.Resumes, d.info.ID))
+	d.stream = origin.KeyOf(d.teamName(), d.req.Model, cmp.Or(d.info.FirstAttempt, d.info.ID))
 
 	switch {
 	case d.passed.origin.Begun():
 		d.req.Origin = d.passed.origin
-	case d.info.LastEvent == "" && d.info.Resumes == "", d.passing:
+	case d.info.LastEvent == "" && d.info.FirstAttempt == "", d.passing:
 		return nil // The entry to which the request is passed on finds out.
 	default:
 		d.req.Origin = d.Origins.Find(ctx, d.service, d.stream)
 	}
 
-	d.Log.Info().Str("id", d.info.ID).Str("resumes", d.info.Resumes).Str("after", d.info.LastEvent).Stringer("software", d.req.Origin).Msg("stream resumed")
+	d.Log.Info().Str("id", d.info.ID).Str("firstAttempt", d.info.FirstAttempt).Str("after", d.info.LastEvent).Stringer("software", d.req.Origin).Msg("stream resumed")
 
 	if _, known := d.req.Origin.Known(); !known {
 		return request.Refuse(request.UnknownOrigin, defaultRetryAfter, "it is not known which software began the stream")
--- a/internal/serving/relay/protocol.go
+++ b/internal/serving/relay/protocol.go
@@ -53,9 +53,9 @@
 	// LastEvent is the id of the last event that the client received before its
 	// stream broke off; it is empty if the request resumes no stream.
 	LastEvent string
-	// Resumes is the id of the client's attempt that brought the first event of the stream;
+	// FirstAttempt is the id of the client's attempt that brought the first event of the stream;
 	// it is empty if the client names none.
-	Resumes string
+	FirstAttempt string
 }
 
 // Attempt describes one attempt of a request at a target, for Protocol.Outgoing.
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -39,7 +39,7 @@
 
 	ms, _ := strconv.Atoi(h.Get("Left"))
 
-	return RequestInfo{ID: h.Get("Id"), Timeout: time.Duration(ms) * time.Millisecond, Model: h.Get("Model"), LastEvent: h.Get("After")}, nil
+	return RequestInfo{ID: h.Get("Id"), Timeout: time.Duration(ms) * time.Millisecond, Model: h.Get("Model"), LastEvent: h.Get("After"), FirstAttempt: h.Get("First")}, nil
 }
 
 func (testProtocol) Outgoing(in http.Header, a Attempt) http.Header {
@@ -116,6 +116,8 @@
 	// closed is when the server last closed a connection to a target.
 	closed time.Time
 	down   map[instance.ID]bool
+	// software are the versions of the targets' programs.
+	software map[instance.ID]instance.Software
 }
 
 func newFixture(t *testing.T, act targetScript, r route.Route) *fixture {
@@ -160,6 +162,7 @@
 	for i, id := range []instance.ID{"a", "b"} {
 		s.Targets = append(s.Targets, router.TargetInfo{
 			ID: id, Slots: slots, Speed: 1, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1+i)), Incarnation: strconv.FormatUint(number, 10),
+			Software: f.software[id],
 		})
 		s.Added = append(s.Added, router.Replica{Target: id, Model: "s/"})
 	}
--- a/internal/standin/soak/software.go
+++ b/internal/standin/soak/software.go
@@ -130,7 +130,7 @@
 
 		resumes := len(events) > 0
 		if resumes {
-			ask.Resumes, ask.LastEvent = id, strconv.Itoa(events[len(events)-1].Number)
+			ask.FirstAttempt, ask.LastEvent = id, strconv.Itoa(events[len(events)-1].Number)
 		} else {
 			id = ask.ID
 		}
