fix(node): the histories of software are compared without a circle of locks

Entry 0 held the lease and no report to it was answered. Its stacks: the comparison held the histories' lock and waited for the lease holder's, which was held while the list was read, whose lock the routing held while it waited for the histories'. The comparison now asks the holder first.

--- a/internal/fleet/node/histories.go
+++ b/internal/fleet/node/histories.go
@@ -263,6 +263,9 @@
 // outdated reports whether the histories lack software on the list, whether this lease holder
 // has to record that software is gone, or whether the entry should read them anew.
 func (o *origins) outdated(listed map[string][]instance.Software) bool {
+	// The holder's lock is held while the list is read, and the list's while the histories are.
+	holding := o.node.holder.Holding()
+
 	h := &o.histories
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -276,7 +279,7 @@
 		return true
 	}
 
-	_, changed := updated(h.byService, listed, o.node.holder.Holding(), time.Now())
+	_, changed := updated(h.byService, listed, holding, time.Now())
 
 	return changed
 }
--- a/internal/serving/relay/origin_test.go
+++ b/internal/serving/relay/origin_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// TestUnknownStreamIsRefusedAtOnce guards against a client that waits for a target although it is not known which one may go on with its stream.
+func TestUnknownStreamIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := softwareFixture(t, nil)
+		for id := range f.software {
+			f.targets.Target(id).MarkLeaving()
+		}
+
+		began := time.Now()
+		rec, _ := f.do(t.Context(), "body", "After", "3", "First", "never")
+
+		assert.Equal(t, rec.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(began) < 50*time.Millisecond)
+	})
+}
+
 // TestChainKeepsFirstAttempt guards against a stream that is taken up again by its last attempt, which brought no first event.
 func TestChainKeepsFirstAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
