test(node): streams are taken up while connections are silent, and by entries out of touch

Two more cases of taking up: all connections between entries silent (the store knows), and the store silent (entries know). An entry that reaches neither refuses within 300 ms what it was not told of, also where there is one version. After a restart of all entries, one version needs no records.

--- a/internal/fleet/node/software_test.go
+++ b/internal/fleet/node/software_test.go
@@ -130,6 +130,22 @@
 
 			return s.Entries[1]
 		},
+		"all connections between entries are silent": func(_ *testing.T, s *site.Site) *site.Entry {
+			time.Sleep(storeLag)
+
+			for _, from := range s.Entries {
+				for _, to := range s.Entries {
+					s.CutPeers(from, to, network.Silent)
+				}
+			}
+
+			return s.Entries[1]
+		},
+		"the store is silent": func(_ *testing.T, s *site.Site) *site.Entry {
+			s.Entries[1].Door.SetFaults(rows.Faults{Silent: true})
+
+			return s.Entries[1]
+		},
 		"all entries are dead and a new one starts": func(t *testing.T, s *site.Site) *site.Entry {
 			t.Helper()
 			time.Sleep(storeLag)
@@ -158,6 +174,19 @@
 	}
 }
 
+// revive ends all faults, so that the site can be closed.
+func revive(s *site.Site) {
+	for _, e := range s.Entries {
+		s.Silence(e, false)
+		s.CutTargets(e, network.Whole)
+		e.Door.SetFaults(rows.Faults{})
+
+		for _, to := range s.Entries {
+			s.CutPeers(e, to, network.Whole)
+		}
+	}
+}
+
 // TestTakenUpStreamMixesSoftware guards against a client's stream that goes on at another version of a target's program than began it.
 func TestTakenUpStreamMixesSoftware(t *testing.T) {
 	for name, between := range takeUpCases() {
@@ -166,6 +195,7 @@
 				simulateSite(t, sideBySide(4, versions), func(t *testing.T, s *site.Site) {
 					streams := beginStreams(t, s.Entries[0], "taken")
 					takeUp(t, between(t, s), streams)
+					revive(s)
 					checkTaken(t, streams)
 				})
 			})
@@ -173,6 +203,55 @@
 	}
 }
 
+// TestEntryOutOfTouchRefusesTakenUpStreams guards against an entry that reaches neither the store nor other entries and guesses, or waits.
+func TestEntryOutOfTouchRefusesTakenUpStreams(t *testing.T) {
+	for _, versions := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d versions", versions), func(t *testing.T) {
+			simulateSite(t, sideBySide(4, versions), func(t *testing.T, s *site.Site) {
+				streams := beginStreams(t, s.Entries[0], "alone")
+				s.Silence(s.Entries[1], true)
+				s.Entries[1].Door.SetFaults(rows.Faults{Silent: true})
+
+				for _, to := range s.Entries {
+					s.CutPeers(s.Entries[1], to, network.Silent)
+				}
+
+				takeUp(t, s.Entries[1], streams)
+				revive(s)
+
+				for _, stream := range streams {
+					if stream.goneOn() { // The entry had been told of it.
+						assert.Assert(t, versions > 1 && !site.Mixed(append(stream.before, stream.after...)))
+
+						continue
+					}
+
+					assert.Equal(t, stream.status, http.StatusServiceUnavailable)
+					assert.Assert(t, stream.took < 300*time.Millisecond, "%v", stream.took)
+				}
+			})
+		})
+	}
+}
+
+// TestOneSoftwareNeedsNoRecords guards against streams that are refused after all entries have died although their targets never had other software.
+func TestOneSoftwareNeedsNoRecords(t *testing.T) {
+	simulateSite(t, sideBySide(4, 1), func(t *testing.T, s *site.Site) {
+		streams := beginStreams(t, s.Entries[0], "one")
+		die(s, s.Entries...)
+
+		e, err := s.Add(t.Context())
+		assert.NilError(t, err)
+		assert.NilError(t, s.WaitEntryReady(t.Context(), e))
+		takeUp(t, e, streams)
+		revive(s)
+
+		for _, stream := range streams {
+			assert.Assert(t, stream.goneOn(), "%d", stream.status)
+		}
+	})
+}
+
 // TestRetriedStreamMixesSoftware guards against an answer that goes on at another version of a target's program after its target failed.
 func TestRetriedStreamMixesSoftware(t *testing.T) {
 	simulateSite(t, sideBySide(4, 2), func(t *testing.T, s *site.Site) {
