--- a/internal/cli/command/soakcmd.go
+++ b/internal/cli/command/soakcmd.go
@@ -12,11 +12,11 @@
 
 // soakCmd plays seeded troubles on real entries as processes of their own.
 type soakCmd struct {
-	Entry    string        `default:"target/fulmarcross-entry"                                                                 help:"The entry's program."`
-	Seed     uint64        `default:"1"                                                                                        help:"Seed of the troubles."`
-	Seeds    int           `default:"1"                                                                                        help:"How many seeds are played, from the first one on."`
-	Entries  int           `default:"4"                                                                                        help:"How many entries run."`
-	For      time.Duration `default:"15s"                                                                                      help:"For how long troubles begin."`
+	Entry    string        `default:"target/fulmarcross-entry"                                                                  help:"The entry's program."`
+	Seed     uint64        `default:"1"                                                                                         help:"Seed of the troubles."`
+	Seeds    int           `default:"1"                                                                                         help:"How many seeds are played, from the first one on."`
+	Entries  int           `default:"4"                                                                                         help:"How many entries run."`
+	For      time.Duration `default:"15s"                                                                                       help:"For how long troubles begin."`
 	Dir      string        `help:"Where settings and logs are written; a new folder if empty."`
 	Limits   bool          `help:"Targets also state rate limits."`
 	Rests    bool          `help:"Targets also leave by their answers alone, and ask for rest."`
--- a/internal/fleet/node/software_test.go
+++ b/internal/fleet/node/software_test.go
@@ -26,10 +26,10 @@
 	streamEvents, eventsBefore = 60, 5
 )
 
-// sideBySide returns a site where engines of so many versions of the software hold the same
+// sideBySide returns a site of four entries where engines of so many versions of the software hold the same
 // models.
-func sideBySide(entries, versions int) site.Options {
-	return site.Options{Entries: entries, Network: delayed(), Engine: func(i int) site.EngineOptions {
+func sideBySide(versions int) site.Options {
+	return site.Options{Entries: 4, Network: delayed(), Engine: func(i int) site.EngineOptions {
 		return site.EngineOptions{Software: instance.Software(fmt.Sprintf("v1.%d", i%versions)), Holding: []string{site.Model(0), site.Model(1)}}
 	}}
 }
@@ -192,7 +192,7 @@
 	for name, between := range takeUpCases() {
 		for _, versions := range []int{2, 4} {
 			t.Run(fmt.Sprintf("%s, %d versions", name, versions), func(t *testing.T) {
-				simulateSite(t, sideBySide(4, versions), func(t *testing.T, s *site.Site) {
+				simulateSite(t, sideBySide(versions), func(t *testing.T, s *site.Site) {
 					streams := beginStreams(t, s.Entries[0], "taken")
 					takeUp(t, between(t, s), streams)
 					revive(s)
@@ -207,7 +207,7 @@
 func TestEntryOutOfTouchRefusesTakenUpStreams(t *testing.T) {
 	for _, versions := range []int{1, 2} {
 		t.Run(fmt.Sprintf("%d versions", versions), func(t *testing.T) {
-			simulateSite(t, sideBySide(4, versions), func(t *testing.T, s *site.Site) {
+			simulateSite(t, sideBySide(versions), func(t *testing.T, s *site.Site) {
 				streams := beginStreams(t, s.Entries[0], "alone")
 				s.Silence(s.Entries[1], true)
 				s.Entries[1].Door.SetFaults(rows.Faults{Silent: true})
@@ -236,7 +236,7 @@
 
 // TestOneSoftwareNeedsNoRecords guards against streams that are refused after all entries have died although their targets never had other software.
 func TestOneSoftwareNeedsNoRecords(t *testing.T) {
-	simulateSite(t, sideBySide(4, 1), func(t *testing.T, s *site.Site) {
+	simulateSite(t, sideBySide(1), func(t *testing.T, s *site.Site) {
 		streams := beginStreams(t, s.Entries[0], "one")
 		die(s, s.Entries...)
 
@@ -254,7 +254,7 @@
 
 // TestRetriedStreamMixesSoftware guards against an answer that goes on at another version of a target's program after its target failed.
 func TestRetriedStreamMixesSoftware(t *testing.T) {
-	simulateSite(t, sideBySide(4, 2), func(t *testing.T, s *site.Site) {
+	simulateSite(t, sideBySide(2), func(t *testing.T, s *site.Site) {
 		mixed, whole := 0, 0
 
 		for engine := range s.Workers {
