test(soak): an entry that does not serve is reported with the answers before the last

Three known red tests share the words 'does not serve … (status 0)'. That is the request in flight when the 12 s end: a refusal each time before and no answer at all look alike. The report now counts the statuses before it, so the next failure tells which it was.

--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -211,12 +211,15 @@
 // NotServedError reports that an entry did not serve a kind of request in time.
 type NotServedError struct {
 	Entry, Path string
-	Status      int
-	Err         error
+	// Status and Err are the end of the last request; the status is zero if it got no answer.
+	Status int
+	Err    error
+	// Statuses are how often the requests before got each status.
+	Statuses map[int]int
 }
 
 func (e *NotServedError) Error() string {
-	return fmt.Sprintf("%s does not serve %s: status %d, %v", e.Entry, e.Path, e.Status, e.Err)
+	return fmt.Sprintf("%s does not serve %s: status %d, %v; before that %v", e.Entry, e.Path, e.Status, e.Err, e.Statuses)
 }
 
 func (e *NotServedError) Unwrap() error { return e.Err }
@@ -279,6 +282,8 @@
 
 // served sends requests to an entry, each on a new connection, until one is answered.
 func (s *soak) served(ctx context.Context, p *process, k kind) error {
+	statuses := make(map[int]int)
+
 	for n := 0; ; n++ {
 		id := fmt.Sprintf("ready-%s%s-%d-%d", p.name, k.path, n, time.Now().UnixNano())
 
@@ -294,9 +299,11 @@
 		}
 
 		if ctx.Err() != nil {
-			return &NotServedError{Entry: p.name, Path: k.path, Status: r.Status, Err: err}
+			return &NotServedError{Entry: p.name, Path: k.path, Status: r.Status, Err: err, Statuses: statuses}
 		}
 
+		statuses[r.Status]++
+
 		time.Sleep(callPause)
 	}
 }
