--- a/internal/serving/dispatch/acquire.go
+++ b/internal/serving/dispatch/acquire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 )
@@ -63,9 +64,10 @@
 // Entries returns the number of entries, at least 1.
 func (d *Dispatcher) Entries() int { return max(1, d.cfg.Entries()) }
 
-// TargetStates counts the targets that hold a request's model by their state.
-func (d *Dispatcher) TargetStates(req *request.Request) router.StateCounts {
-	return router.CountStates(d.cfg.Table.Targets(req.Model), &router.Query{Origin: req.Origin, Entries: d.cfg.Entries(), Now: time.Now()})
+// TargetStates counts the targets that hold a model by their state for a request of the
+// origin.
+func (d *Dispatcher) TargetStates(model string, from origin.Origin) router.StateCounts {
+	return router.CountStates(d.cfg.Table.Targets(model), &router.Query{Origin: from, Entries: d.cfg.Entries(), Now: time.Now()})
 }
 
 // Release releases a target that Acquire has returned.
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -123,7 +124,8 @@
 	}
 
 	began := time.Now()
-	waitLog := time.AfterFunc(waitLogDelay, func() { d.logWaiting() })
+	from := d.req.Origin
+	waitLog := time.AfterFunc(waitLogDelay, func() { d.logWaiting(from) })
 	t, cold, err := d.Dispatcher.Acquire(ctx, d.req, q)
 
 	waitLog.Stop()
@@ -147,8 +149,8 @@
 
 // logWaiting logs that a request waits and why the targets that hold its model
 // cannot accept it.
-func (d *delivery) logWaiting() {
-	s := d.Dispatcher.TargetStates(d.req)
+func (d *delivery) logWaiting(from origin.Origin) {
+	s := d.Dispatcher.TargetStates(d.req.Model, from)
 	d.Log.Info().Str("id", d.info.ID).Str("key", d.req.Model).Int("holders", s.Targets).Int("full", s.Full).
 		Int("leaving", s.Leaving).Int("dead", s.Dead).Int("otherSoftware", s.OtherSoftware).Int("resting", s.Resting).Int("ejected", s.Ejected).Int("limited", s.Limited).Msg("request waits")
 }
