fix(node): histories of software are written only over those that were read

An entry that recorded software read the histories, and took the version for its write from what it had applied last. A slower read that came back after a newer one, or a read by a resumed stream in between, made the two differ: the write then fitted the newer row and held the older content, and software that another entry had just recorded was lost. Streams begun by it could then be taken for those of the only version. The version now goes with what was read.

--- a/internal/fleet/node/histories.go
+++ b/internal/fleet/node/histories.go
@@ -56,7 +56,9 @@
 type historiesRead struct {
 	done      chan struct{}
 	byService map[string]origin.History
-	err       error
+	// version is that of the row that was read.
+	version uint64
+	err     error
 }
 
 // historyRow is the history of one service in the store.
@@ -156,9 +158,9 @@
 	return until, now.Before(until)
 }
 
-// readHistories returns the histories as of a time after the call. Calls at the same time
+// readHistories reads the histories as of a time after the call. Calls at the same time
 // share a read.
-func (o *origins) readHistories(ctx context.Context) (map[string]origin.History, error) {
+func (o *origins) readHistories(ctx context.Context) (*historiesRead, error) {
 	h := &o.histories
 	h.mu.Lock()
 
@@ -180,7 +182,7 @@
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	case <-r.done:
-		return r.byService, r.err
+		return r, r.err
 	}
 }
 
@@ -199,30 +201,31 @@
 		}
 
 		ctx, cancel := context.WithTimeout(o.node.workCtx, findTimeout)
-		r.byService, r.err = o.readOnce(ctx)
+		r.err = o.readOnce(ctx, r)
 
 		cancel()
 		close(r.done)
 	}
 }
 
-// readOnce reads the histories from the store.
-func (o *origins) readOnce(ctx context.Context) (map[string]origin.History, error) {
+// readOnce reads the histories from the store into r.
+func (o *origins) readOnce(ctx context.Context, r *historiesRead) error {
 	began := time.Now()
 
 	rows, err := o.node.cfg.Table.Read(ctx, historiesKey)
 	if err != nil {
-		return nil, err
+		return err
 	}
 
-	all, err := decodeHistories(rows[0].Value)
-	if err != nil {
-		return nil, err
+	r.version = rows[0].Version
+
+	if r.byService, err = decodeHistories(rows[0].Value); err != nil {
+		return err
 	}
 
-	o.applyHistories(all, rows[0].Version, began)
+	o.applyHistories(r.byService, r.version, began)
 
-	return all, nil
+	return nil
 }
 
 // applyHistories replaces the histories by those of a version of the row.
@@ -320,12 +323,12 @@
 	ctx, cancel := context.WithTimeout(ctx, recordDelay)
 	defer cancel()
 
-	all, err := o.readHistories(ctx)
+	read, err := o.readHistories(ctx)
 	if err != nil || first && !holding {
 		return
 	}
 
-	next, changed := updated(all, listed, holding, time.Now())
+	next, changed := updated(read.byService, listed, holding, time.Now())
 	if !changed {
 		return
 	}
@@ -337,12 +340,8 @@
 		return
 	}
 
-	o.histories.mu.Lock()
-	before := o.histories.version
-	o.histories.mu.Unlock()
-
 	version, err := o.node.cfg.Table.Commit(ctx, table.Transaction{
-		Conditions: []table.Condition{{Key: historiesKey, Version: before}},
+		Conditions: []table.Condition{{Key: historiesKey, Version: read.version}},
 		Writes:     []table.Write{{Key: historiesKey, Value: data}},
 	})
 	if err != nil {
--- a/internal/fleet/node/storedorigins.go
+++ b/internal/fleet/node/storedorigins.go
@@ -46,13 +46,13 @@
 // readStored reads from the store which software began a stream: the only one of its service,
 // or that in the stream's row.
 func (o *origins) readStored(ctx context.Context, service string, k origin.Key) storedOrigin {
-	all, err := o.readHistories(ctx)
+	read, err := o.readHistories(ctx)
 	if err != nil {
 		return storedOrigin{err: err}
 	}
 
-	if only := all[service].Only(); !all[service].Several() {
-		return storedOrigin{origin: only}
+	if history := read.byService[service]; !history.Several() {
+		return storedOrigin{origin: history.Only()}
 	}
 
 	rows, err := o.node.cfg.Table.Read(ctx, streamPrefix+k.String())
