refactor(dispatch): one loop refuses queued requests, one question asks for usable targets

What cannot go on was refused by a loop of its own, beside those for denied models and for a shutdown: modelQueue.refuseEach serves the three. AnyGoesOn was AnyUsable with an origin, and is merged into it; a stream that has not begun is the zero origin.

--- a/internal/serving/dispatch/refuse.go
+++ b/internal/serving/dispatch/refuse.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/queue"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -20,17 +21,32 @@
 
 	at := m.d.cfg.Table.Position(m.d.cfg.CellOf(m.model)).At
 
-	var denied []*queue.Item[*waiter]
+	m.refuseEach(func(w *waiter) *request.Refusal {
+		if at.After(w.since) {
+			return request.Refuse(codeOf(wait.Reason), wait.RetryAfter, wait.Reason)
+		}
+
+		return nil
+	})
+}
+
+// refuseEach refuses the queued requests for which why returns a refusal. The caller holds
+// the lock.
+func (m *modelQueue) refuseEach(why func(*waiter) *request.Refusal) {
+	var (
+		refused  []*queue.Item[*waiter]
+		refusals []*request.Refusal
+	)
 
 	m.q.Each(func(it *queue.Item[*waiter]) {
-		if at.After(it.Value.since) {
-			denied = append(denied, it)
+		if r := why(it.Value); r != nil {
+			refused, refusals = append(refused, it), append(refusals, r)
 		}
 	})
 
-	for _, it := range denied {
+	for i, it := range refused {
 		m.q.Remove(it)
-		it.Value.refuse(request.Refuse(codeOf(wait.Reason), wait.RetryAfter, wait.Reason))
+		it.Value.refuse(refusals[i])
 	}
 }
 
@@ -52,7 +68,7 @@
 func (m *modelQueue) refuseLate(now time.Time) {
 	start, code := now, request.DeadlineUnreachable
 
-	if !router.AnyUsable(m.d.cfg.Table.Targets(m.model)) {
+	if !router.AnyUsable(m.d.cfg.Table.Targets(m.model), origin.Origin{}) {
 		if wait, ok := m.modelWait(); ok && !onlyBacklog(wait) {
 			at := m.d.cfg.Table.Position(m.d.cfg.CellOf(m.model)).At
 			start, code = at.Add(wait.Ready), request.TooCold
@@ -94,16 +110,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	refusals := make(map[*queue.Item[*waiter]]*request.Refusal)
-
-	m.q.Each(func(it *queue.Item[*waiter]) {
-		if r := why(it.Value.req); r != nil {
-			refusals[it] = r
-		}
-	})
-
-	for it, r := range refusals {
-		m.q.Remove(it)
-		it.Value.refuse(r)
-	}
+	m.refuseEach(func(w *waiter) *request.Refusal { return why(w.req) })
 }
--- a/internal/serving/dispatch/unavailable.go
+++ b/internal/serving/dispatch/unavailable.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/queue"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -56,7 +57,7 @@
 
 	targets := m.d.cfg.Table.Targets(m.model)
 
-	return router.AnyUsable(targets) && !router.AnyGoesOn(targets, req.Origin)
+	return router.AnyUsable(targets, origin.Origin{}) && !router.AnyUsable(targets, req.Origin)
 }
 
 // originRefusal refuses a request that resumes a stream. No time is known at which a target
@@ -65,23 +66,6 @@
 	return request.Refuse(request.OtherSoftware, defaultRetryAfter, "only targets of other software than began its stream serve its model")
 }
 
-// refuseThoseThatCannotGoOn refuses the queued requests that resume streams which no target
-// can go on with. The caller holds the lock.
-func (m *modelQueue) refuseThoseThatCannotGoOn() {
-	var stuck []*queue.Item[*waiter]
-
-	m.q.Each(func(it *queue.Item[*waiter]) {
-		if m.cannotGoOn(it.Value.req) {
-			stuck = append(stuck, it)
-		}
-	})
-
-	for _, it := range stuck {
-		m.q.Remove(it)
-		it.Value.refuse(originRefusal())
-	}
-}
-
 // allLeave reports whether all targets of the model leave and no other can load it.
 func (m *modelQueue) allLeave() bool {
 	targets := m.d.cfg.Table.Targets(m.model)
@@ -106,7 +90,13 @@
 		}
 	}
 
-	m.refuseThoseThatCannotGoOn()
+	m.refuseEach(func(w *waiter) *request.Refusal {
+		if m.cannotGoOn(w.req) {
+			return originRefusal()
+		}
+
+		return nil
+	})
 
 	pause, all := m.pause(now)
 	if !all {
--- a/internal/serving/router/decision.go
+++ b/internal/serving/router/decision.go
@@ -116,15 +116,9 @@
 }
 
 // AnyUsable reports whether any of the targets is neither leaving nor recorded as
-// dead. Full, ejected and unreachable (Down) targets, and those without a report,
-// count as usable.
-func AnyUsable(targets []*Target) bool {
-	return slices.ContainsFunc(targets, func(t *Target) bool { return !t.Leaving() && !t.Dead() })
-}
-
-// AnyGoesOn reports whether any of the targets that are neither leaving nor recorded as dead
-// may go on with a stream.
-func AnyGoesOn(targets []*Target, o origin.Origin) bool {
+// dead, and may go on with a stream of the origin. Full, ejected and unreachable (Down)
+// targets, and those without a report, count as usable.
+func AnyUsable(targets []*Target, o origin.Origin) bool {
 	return slices.ContainsFunc(targets, func(t *Target) bool {
 		return !t.Leaving() && !t.Dead() && o.Allows(t.Info().Software)
 	})
