refactor(node): the software on the list is counted once for each change of it

Each stream's first event, and each round of telling others twice a service, went through all targets. The list keeps the software beside its targets now. A search's pending read is local to it, Book.Unstore takes the key that its caller has, and Upgrade of the stand-ins loses models that nobody gives it.

--- a/internal/fleet/node/histories.go
+++ b/internal/fleet/node/histories.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -298,8 +297,6 @@
 	changed := false
 
 	for service, software := range listed {
-		slices.Sort(software)
-
 		h, c := out[service].Update(software, holding, now)
 		out[service] = h
 		changed = changed || c
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -156,6 +156,8 @@
 	// targets are the same with what they have said of themselves since. Both are
 	// replaced, never modified.
 	targetsByID, targets map[instance.ID]inventory.Target
+	// software is that of the targets on the list, by service. It is replaced, never modified.
+	software map[string][]instance.Software
 	// holderState is the latest snapshot of holderHistory, and holderReceived
 	// the time at which it was received.
 	holderState    holder.Snapshot
--- a/internal/fleet/node/origins.go
+++ b/internal/fleet/node/origins.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
@@ -106,19 +107,21 @@
 
 	var inStore storedOrigin
 
+	pending := false
+
 	select {
 	case inStore = <-stored:
 		if _, known := inStore.origin.Known(); known {
 			return inStore.origin, "store"
 		}
 	case <-time.After(askDelay):
-		inStore.pending = true
+		pending = true
 	}
 
 	answers := o.ask(ctx, service, k)
 	alone := aloneEvidence{own: o.histories.alone(service)}
 
-	for answers != nil || inStore.pending {
+	for answers != nil || pending {
 		select {
 		case a, ok := <-answers:
 			if !ok {
@@ -133,6 +136,8 @@
 
 			alone.add(a.Alone)
 		case inStore = <-stored:
+			pending = false
+
 			if _, known := inStore.origin.Known(); known {
 				return inStore.origin, "store"
 			}
@@ -223,11 +228,19 @@
 
 // listed returns the software of the targets on the list, by service.
 func (o *origins) listed() map[string][]instance.Software {
+	o.node.mu.Lock()
+	defer o.node.mu.Unlock()
+
+	return o.node.software
+}
+
+// softwareOf returns the software of targets, in order, by service.
+func softwareOf(targets map[instance.ID]inventory.Target) map[string][]instance.Software {
 	out := make(map[string][]instance.Software)
 
-	for _, t := range o.node.knownTargets() {
-		if !slices.Contains(out[t.Service], t.Software) {
-			out[t.Service] = append(out[t.Service], t.Software)
+	for _, t := range targets {
+		if i, known := slices.BinarySearch(out[t.Service], t.Software); !known {
+			out[t.Service] = slices.Insert(out[t.Service], i, t.Software)
 		}
 	}
 
--- a/internal/fleet/node/statements.go
+++ b/internal/fleet/node/statements.go
@@ -126,6 +126,7 @@
 func (n *Node) updateTargets() {
 	n.targetsByID = n.registry.Targets()
 	n.targets = n.targetsByID
+	n.software = softwareOf(n.targetsByID)
 
 	signal(n.origins.listChanged)
 
--- a/internal/fleet/node/storedorigins.go
+++ b/internal/fleet/node/storedorigins.go
@@ -38,9 +38,8 @@
 
 // storedOrigin is what the store says of a stream.
 type storedOrigin struct {
-	origin  origin.Origin
-	err     error
-	pending bool
+	origin origin.Origin
+	err    error
 }
 
 // readStored reads from the store which software began a stream: the only one of its service,
@@ -137,7 +136,7 @@
 
 	for _, r := range records {
 		if failed[streamPrefix+r.Key.String()] {
-			o.book.Unstore([]origin.Record{r})
+			o.book.Unstore(r.Key)
 		}
 	}
 }
--- a/internal/serving/origin/book.go
+++ b/internal/serving/origin/book.go
@@ -110,12 +110,10 @@
 	return out
 }
 
-// Unstore says that the store has no rows of streams that were to be stored.
-func (b *Book) Unstore(records []Record) {
-	for _, r := range records {
-		if s := b.own[r.Key]; s != nil {
-			s.stored = false
-		}
+// Unstore says that the store has no row of a stream that was to be stored.
+func (b *Book) Unstore(k Key) {
+	if s := b.own[k]; s != nil {
+		s.stored = false
 	}
 }
 
--- a/internal/serving/origin/origin_test.go
+++ b/internal/serving/origin/origin_test.go
@@ -104,7 +104,7 @@
 
 	stored := b.TakeUnstored("s")
 	assert.Equal(t, len(stored), 2)
-	b.Unstore(stored[:1])
+	b.Unstore(stored[0].Key)
 	assert.Equal(t, len(b.TakeUnstored("s")), 1)
 
 	assert.Assert(t, b.End(1))
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -358,10 +358,10 @@
 	s.change(id, func(t *inventory.Target) { t.Leaving, t.StartedMs = false, t.StartedMs+1 })
 }
 
-// Upgrade makes an engine a new process of other software, which holds the models given and
-// accepts requests.
-func (s *Site) Upgrade(id instance.ID, to instance.Software, holding ...string) {
-	s.Workers[id].Upgrade(to, holding...)
+// Upgrade makes an engine a new process of other software, which holds nothing and accepts
+// requests.
+func (s *Site) Upgrade(id instance.ID, to instance.Software) {
+	s.Workers[id].Upgrade(to)
 	s.Restart(id)
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -404,18 +404,14 @@
 	w.held, w.memory = make(map[string]*model), make(map[string]bool)
 }
 
-// Upgrade makes the worker a new process of other software, which holds the models given.
-func (w *Worker) Upgrade(to instance.Software, holding ...string) {
+// Upgrade makes the worker a new process of other software, which holds nothing.
+func (w *Worker) Upgrade(to instance.Software) {
 	w.StartAnew()
 
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.Software = to
-
-	for _, name := range holding {
-		w.held[name] = &model{ready: true, adapters: make(map[string]*adapter)}
-	}
 }
 
 // madeBy returns the software that makes the events of a stream that begins now.
