--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 
 // echo keeps what it gets and answers with what it was given.
 type echo struct {
+	mu       sync.Mutex
 	status   peer.Status
 	report   demand.Report
 	snapshot *router.Snapshot
@@ -43,6 +45,10 @@
 		<-e.silent
 	}
 
+	// A heartbeat that was silent may end while the next one is answered.
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	e.status = s
 
 	return s
