fix(crash): a request that was answered lately is not blocked by two failed links

Cause: an entry counts a target as dead when a request's connection breaks and no new one opens right after. Two links that fail in a row, for 5 to 20 ms each, are two deaths under whatever ran there, and the request was blocked everywhere, although entries had it answered before, after and meanwhile. That a request was answered was only recorded for suspects, and only where they ran.

For such a request four deaths without an answer in between block it. A request that never is answered is blocked after two deaths, as before: who crashes each target that runs it (BUDGET) is never answered.

It needs resets that look as with TCP: the network of the stand-ins reported them as io.ErrClosedPipe, which no code takes for a broken connection, so no simulation of a reset ever tested this.

TestClear's checks stay: a block is still not cleared by an answer of the entry's own.

Not mended: a request that crashes the targets of one software and is answered by another's is not blocked, as before.

--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -9,8 +9,6 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
-	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
-	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
@@ -128,28 +126,6 @@
 	n.hearConfig(k.Config, from)
 }
 
-// Block implements news.Handler.
-func (n *Node) Block(fp request.Fingerprint) { n.dispatcher.Block(fp) }
-
-// broadcastNotice sends the fingerprint of a poison request to all peers that
-// are alive.
-func (n *Node) broadcastNotice(notice dispatch.Notice) {
-	if notice.Poisoned == 0 {
-		return
-	}
-
-	n.cfg.Log.Warn().Uint64("fingerprint", uint64(notice.Poisoned)).Msg("request crashes targets")
-
-	for _, m := range n.peers.alive() {
-		go func() {
-			if q := n.peers.connection(m.ID); q != nil {
-				// A peer that misses it detects the poison request by itself.
-				_ = q.client.Block(n.workCtx, notice.Poisoned)
-			}
-		}()
-	}
-}
-
 const (
 	// reportInterval is the time between two reports when no new requests are
 	// queued.
--- /dev/null
+++ b/internal/fleet/node/popular_test.go
@@ -0,0 +1,109 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/network"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+)
+
+// lookUp sends the popular request, whose content is that of all clients, to an entry.
+func lookUp(t *testing.T, e *site.Entry, id string) (site.Reply, error) {
+	t.Helper()
+
+	return site.Ask(context.WithoutCancel(t.Context()), e, "/look/x", "", relay.RequestInfo{ID: id, Timeout: time.Second})
+}
+
+// lookUpFor sends it by some clients at each entry for a time.
+func lookUpFor(t *testing.T, entries []*site.Entry, d time.Duration) *tries {
+	t.Helper()
+
+	const clients = 4
+
+	var (
+		wg  sync.WaitGroup
+		out tries
+		end = time.Now().Add(d)
+	)
+
+	for i, e := range entries {
+		for c := range clients {
+			wg.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					id := fmt.Sprintf("look-%d-%d-%d-%d", end.UnixNano(), i, c, n)
+					r, err := lookUp(t, e, id)
+					out.add(r, err, id)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+
+	wg.Wait()
+
+	return &out
+}
+
+// cutFromAll partitions all entries from a target.
+func cutFromAll(s *site.Site, id instance.ID, how network.Cut) {
+	for _, e := range s.Entries {
+		s.CutTarget(e, id, how)
+	}
+}
+
+// TestPopularRequestIsNotBlocked guards against a request that all clients send and that is
+// refused for ten minutes because the links of two targets failed under it in a row.
+func TestPopularRequestIsNotBlocked(t *testing.T) {
+	cases := map[string]struct {
+		// length is how long each of the two links is down.
+		length time.Duration
+		// unused is the number of entries that have not served the request before.
+		unused int
+	}{
+		"5 ms":                             {length: 5 * time.Millisecond},
+		"10 ms":                            {length: 10 * time.Millisecond},
+		"20 ms":                            {length: 20 * time.Millisecond},
+		"100 ms":                           {length: 100 * time.Millisecond},
+		"one entry has not served it":      {length: 10 * time.Millisecond, unused: 1},
+		"all but one have not served it":   {length: 10 * time.Millisecond, unused: 3},
+		"two entries have not, for longer": {length: 20 * time.Millisecond, unused: 2},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			simulateSite(t, site.Options{Entries: 4, Network: delayed()}, func(t *testing.T, s *site.Site) {
+				before := lookUpFor(t, s.Entries[tc.unused:], time.Second)
+				assert.Equal(t, before.served, before.sent, "%v", before.errs)
+
+				var wg sync.WaitGroup
+
+				wg.Go(func() { lookUpFor(t, s.Entries, 2*tc.length) })
+				time.Sleep(5 * time.Millisecond)
+
+				for _, id := range []instance.ID{"desk-0", "desk-1"} {
+					cutFromAll(s, id, network.Reset)
+					time.Sleep(tc.length)
+					cutFromAll(s, id, network.Whole)
+				}
+
+				wg.Wait()
+				time.Sleep(contactTime)
+
+				for _, e := range s.Entries {
+					r, err := lookUp(t, e, "after-"+string(e.Name))
+					assert.NilError(t, err)
+					assert.Equal(t, r.Status, http.StatusOK, "%s: %s", e.Name, r.Body)
+				}
+			})
+		})
+	}
+}
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -12,6 +12,9 @@
 const (
 	// deathsToBlock is the number of deaths after which a request is blocked.
 	deathsToBlock = 2
+	// answeredDeathsToBlock is the same for a request that was answered whole
+	// lately. Links of targets that fail in a row look like deaths.
+	answeredDeathsToBlock = 4
 	// retention is how long a request stays a suspect after a death, and how
 	// long a block lasts.
 	retention = 10 * time.Minute
@@ -27,9 +30,10 @@
 // targets one after another. A request is therefore blocked after two targets
 // died while they ran it. After the first death, all requests that ran on that
 // target are suspects. Each suspect is then run on a target without other
-// suspects, so that a harmless one completes and Clear removes its record.
+// suspects, so that a harmless one completes and RecordAnswer removes its record.
 type Registry struct {
-	records map[request.Fingerprint]*record
+	records  map[request.Fingerprint]*record
+	answered answeredRequests
 }
 
 type record struct {
@@ -52,7 +56,7 @@
 	rec.deaths[d] = true
 	rec.until = now.Add(retention)
 
-	if rec.blocked || len(rec.deaths) < deathsToBlock {
+	if rec.blocked || len(rec.deaths) < r.deathsToBlock(fp, now) {
 		return false
 	}
 
@@ -61,16 +65,49 @@
 	return true
 }
 
-// Block blocks a request that a peer has blocked.
-func (r *Registry) Block(fp request.Fingerprint, now time.Time) {
+func (r *Registry) deathsToBlock(fp request.Fingerprint, now time.Time) int {
+	if r.answered.has(fp, now) {
+		return answeredDeathsToBlock
+	}
+
+	return deathsToBlock
+}
+
+// Block blocks a request that a peer has blocked. It reports false, and does not
+// block the request, if it was answered whole lately.
+func (r *Registry) Block(fp request.Fingerprint, now time.Time) bool {
+	if r.answered.has(fp, now) {
+		return false
+	}
+
 	rec := r.get(fp, now)
 	rec.blocked = true
 	rec.until = now.Add(retention)
+
+	return true
 }
 
-// Clear removes the record of a request that has completed, unless the request
-// is blocked.
-func (r *Registry) Clear(fp request.Fingerprint) {
+// Unblock records that a peer has had a blocked request answered whole. It reports
+// whether this ended the block, which it does unless too many targets have died
+// for a request that was answered.
+func (r *Registry) Unblock(fp request.Fingerprint, now time.Time) bool {
+	r.answered.add(fp, now)
+
+	rec := r.records[fp]
+	if rec == nil || !rec.blocked || len(rec.deaths) >= answeredDeathsToBlock {
+		return false
+	}
+
+	rec.blocked = false
+
+	return true
+}
+
+// RecordAnswer records that a target has answered the request whole, and removes
+// its record unless it is blocked.
+func (r *Registry) RecordAnswer(fp request.Fingerprint, now time.Time) {
+	r.answered.add(fp, now)
+
 	if rec := r.records[fp]; rec != nil && !rec.blocked {
 		delete(r.records, fp)
 	}
--- a/internal/serving/dispatch/acquire.go
+++ b/internal/serving/dispatch/acquire.go
@@ -98,5 +98,5 @@
 	return d.recordDeath(fp, death)
 }
 
-// ClearSuspect removes a suspect's record, because the request has completed.
-func (d *Dispatcher) ClearSuspect(fp request.Fingerprint) { d.clearSuspect(fp) }
+// RecordAnswer records that a target has answered the request whole.
+func (d *Dispatcher) RecordAnswer(fp request.Fingerprint) { d.recordAnswer(fp) }
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -275,13 +275,25 @@
 	return n
 }
 
-// Block blocks a request that a peer found to crash targets.
-func (d *Dispatcher) Block(fp request.Fingerprint) {
+// Block blocks a request that a peer found to crash targets. It reports false if
+// the request was answered whole here lately and is therefore not blocked.
+func (d *Dispatcher) Block(fp request.Fingerprint) bool {
 	d.crashMu.Lock()
 	defer d.crashMu.Unlock()
 
-	d.crashes.Block(fp, time.Now())
+	blocked := d.crashes.Block(fp, time.Now())
 	d.crashRecords.Store(int64(d.crashes.Len()))
+
+	return blocked
+}
+
+// Unblock ends the block of a request that a peer has had answered whole. It
+// reports whether the request is no longer blocked because of that.
+func (d *Dispatcher) Unblock(fp request.Fingerprint) bool {
+	d.crashMu.Lock()
+	defer d.crashMu.Unlock()
+
+	return d.crashes.Unblock(fp, time.Now())
 }
 
 // BlockedFingerprints returns the blocked fingerprints.
@@ -337,11 +349,11 @@
 	return blocked
 }
 
-func (d *Dispatcher) clearSuspect(fp request.Fingerprint) {
+func (d *Dispatcher) recordAnswer(fp request.Fingerprint) {
 	d.crashMu.Lock()
 	defer d.crashMu.Unlock()
 
-	d.crashes.Clear(fp)
+	d.crashes.RecordAnswer(fp, time.Now())
 	d.crashRecords.Store(int64(d.crashes.Len()))
 }
 
--- a/internal/serving/dispatch/forwarder.go
+++ b/internal/serving/dispatch/forwarder.go
@@ -284,10 +284,7 @@
 }
 
 func (f *forwarder) succeed() Result {
-	if f.suspect {
-		f.clearSuspect(f.req.Fingerprint())
-	}
-
+	f.recordAnswer(f.req.Fingerprint())
 	f.cfg.Log.Add(timeline.Event{Kind: timeline.Answered, Request: f.req.ID, Model: f.req.Model, Customer: f.req.Customer})
 
 	return Result{Tokens: f.checker.Next(), FirstToken: f.firstToken, Cold: f.cold}
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -81,9 +81,7 @@
 		d.Dispatcher.Release(t, d.req, d.suspect)
 
 		if err == nil {
-			if d.suspect {
-				d.Dispatcher.ClearSuspect(d.req.Fingerprint())
-			}
+			d.Dispatcher.RecordAnswer(d.req.Fingerprint())
 
 			return nil
 		}
--- a/internal/standin/network/cut.go
+++ b/internal/standin/network/cut.go
@@ -46,6 +46,10 @@
 	}
 	n.mu.Unlock()
 
+	for _, d := range broken {
+		d.reset.Store(true)
+	}
+
 	for _, d := range broken {
 		_ = d.Conn.Close() // Both ends then fail.
 	}
--- a/internal/standin/network/faults.go
+++ b/internal/standin/network/faults.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -127,6 +129,8 @@
 	closed   chan struct{}
 	// ended and otherEnded are closed when this end and the other deliver nothing more.
 	ended, otherEnded chan struct{}
+	// reset is set when a partition resets the connection.
+	reset atomic.Bool
 }
 
 // delay makes the two ends of a connection subject to the network's delay.
@@ -153,6 +157,16 @@
 	return &delayed{Conn: c, network: n, from: from, to: to, queue: make(chan []byte, maxQueued), closed: make(chan struct{}), ended: make(chan struct{})}
 }
 
+// Read fails after a reset as it does with TCP.
+func (d *delayed) Read(p []byte) (int, error) {
+	n, err := d.Conn.Read(p)
+	if err != nil && d.reset.Load() {
+		err = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+
+	return n, err
+}
+
 func (d *delayed) Write(p []byte) (int, error) {
 	select {
 	case <-d.closed:
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -50,8 +50,11 @@
 	Reaches() bool
 	// View returns what is newer here than what the peer has.
 	View(have Versions) View
-	// Block blocks a request that crashes the targets that run it.
-	Block(fp request.Fingerprint)
+	// Block blocks a request that crashes the targets that run it. It reports
+	// false, and does not block it, if the request was answered whole there lately.
+	Block(fp request.Fingerprint) bool
+	// Unblock ends the block of a request that some entry has had answered whole.
+	Unblock(fp request.Fingerprint)
 	// Lend accepts a delegation of a peer's shares of limits.
 	Lend(l Lending) Receipt
 	// Draw decides whether a peer's request is within its team's limit.
@@ -139,13 +142,6 @@
 	return nil
 }
 
-// Block is the remote call.
-func (s service) Block(in uint64, _ *Empty) error {
-	s.h.Block(request.Fingerprint(in))
-
-	return nil
-}
-
 // Serve answers peers on l until l is closed.
 func Serve(ctx context.Context, l net.Listener, h Handler) error {
 	return frame.Serve(ctx, l, serviceName, service{h})
@@ -210,11 +206,6 @@
 	return toView(out)
 }
 
-// Block sends the fingerprint of a request that crashes targets.
-func (c *Client) Block(ctx context.Context, fp request.Fingerprint) error {
-	return c.Call(ctx, serviceName+".Block", uint64(fp), &Empty{})
-}
-
 // Message is a holder.Delta on the wire.
 type Message struct {
 	_ struct{} `cbor:",toarray"`
