test(soak): a missing program is one clear error

soak panicked at its end where the entry's program could not be started (seen by hand: the default path without a build).

--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -109,6 +109,14 @@
 	return nil
 }
 
+// started reports whether the process has ever been started.
+func (p *process) started() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.cmd != nil
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -162,6 +170,12 @@
 
 // end ends the process for good.
 func (p *process) end() {
+	if !p.started() {
+		_ = p.log.Close()
+
+		return
+	}
+
 	if ended, inTime := p.stop(syscall.SIGTERM, grace+time.Second); !inTime {
 		p.signal(syscall.SIGKILL)
 		<-ended
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -52,6 +52,12 @@
 	assert.Assert(t, r.Answered > 0)
 }
 
+// TestMissingProgram guards against a panic where one clear error is due.
+func TestMissingProgram(t *testing.T) {
+	_, err := Run(t.Context(), Options{Seed: 1, Entries: 2, Dir: t.TempDir(), Command: []string{"missing"}})
+	assert.ErrorIs(t, err, exec.ErrNotFound)
+}
+
 // TestStacks guards against a process that hangs without a trace of where.
 func TestStacks(t *testing.T) {
 	self, err := os.Executable()
