test(node): streams of a rare model that are taken up have no target, known red

A model lies on one target of the older software and on one of the newer.

TestStreamOfGoneSoftwareIsRefusedAtOnce keeps the other side: without a target of the older software its streams are refused within 300 ms.

--- a/internal/fleet/node/software_test.go
+++ b/internal/fleet/node/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -56,7 +57,13 @@
 func beginStreams(t *testing.T, e *site.Entry, name string) []takenStream {
 	t.Helper()
 
-	out := make([]takenStream, streamsTaken)
+	return beginSome(t, e, name, streamsTaken)
+}
+
+func beginSome(t *testing.T, e *site.Entry, name string, n int) []takenStream {
+	t.Helper()
+
+	out := make([]takenStream, n)
 
 	var wg sync.WaitGroup
 
@@ -301,3 +308,56 @@
 
 	return out
 }
+
+// rareOnOlder returns a site where one engine of the older software and one of the newer hold
+// the same two models, and two others of the older software could load them.
+func rareOnOlder() site.Options {
+	return site.Options{Entries: 4, Network: delayed(), Engine: func(i int) site.EngineOptions {
+		if i == 1 {
+			return site.EngineOptions{Software: "v1.1", Holding: []string{site.Model(0), site.Model(1)}}
+		}
+
+		return site.EngineOptions{Software: "v1.0", Holding: []string{site.Model(2 * i), site.Model(2*i + 1)}}
+	}}
+}
+
+// TestTakenUpStreamsOfRareModelGoOn guards against streams that are refused because the only target of the older software with their model has left.
+func TestTakenUpStreamsOfRareModelGoOn(t *testing.T) {
+	var older []takenStream
+
+	// So few streams at a time that the model is not crowded and stays rare.
+	const atATime = 4
+
+	for len(older) < streamsTaken/2 {
+		simulateSite(t, rareOnOlder(), func(t *testing.T, s *site.Site) {
+			streams := beginSome(t, s.Entries[0], fmt.Sprintf("rare-%d", len(older)), atATime)
+			streams = slices.DeleteFunc(streams, func(s takenStream) bool { return s.before[0].By != "v1.0" })
+
+			s.Leave("engine-0")
+			time.Sleep(settled)
+			takeUp(t, s.Entries[1], streams)
+
+			older = append(older, streams...)
+		})
+	}
+
+	checkTaken(t, older)
+}
+
+// TestStreamOfGoneSoftwareIsRefusedAtOnce guards against a client that waits for targets of the older software when the last of them has left.
+func TestStreamOfGoneSoftwareIsRefusedAtOnce(t *testing.T) {
+	simulateSite(t, sideBySide(2), func(t *testing.T, s *site.Site) {
+		streams := beginStreams(t, s.Entries[0], "gone")
+		older := slices.DeleteFunc(streams, func(s takenStream) bool { return len(s.before) == 0 || s.before[0].By != "v1.0" })
+
+		s.Leave("engine-0")
+		s.Leave("engine-2")
+		time.Sleep(settled)
+		takeUp(t, s.Entries[1], older)
+
+		for _, stream := range older {
+			assert.Equal(t, stream.status, http.StatusServiceUnavailable)
+			assert.Assert(t, stream.took < 300*time.Millisecond, "%v", stream.took)
+		}
+	})
+}
