test(node): the end of a popular request's block is told to those that took it

A mutant that told nobody was not missed: all entries whose links fail see the deaths themselves. One case now has links of a single entry fail, and another that has served nothing takes its block.

--- a/internal/fleet/node/popular_test.go
+++ b/internal/fleet/node/popular_test.go
@@ -53,10 +53,39 @@
 	return &out
 }
 
-// cutFromAll partitions all entries from a target.
-func cutFromAll(s *site.Site, id instance.ID, how network.Cut) {
+// failInTurn breaks the links of some entries to each target of the popular request in turn,
+// while clients send it to these entries.
+func failInTurn(t *testing.T, s *site.Site, entries []*site.Entry, length time.Duration) {
+	t.Helper()
+
+	var wg sync.WaitGroup
+
+	wg.Go(func() { lookUpFor(t, entries, 2*length) })
+	time.Sleep(5 * time.Millisecond)
+
+	for _, id := range []instance.ID{"desk-0", "desk-1"} {
+		for _, how := range []network.Cut{network.Reset, network.Whole} {
+			for _, e := range entries {
+				s.CutTarget(e, id, how)
+			}
+
+			if how == network.Reset {
+				time.Sleep(length)
+			}
+		}
+	}
+
+	wg.Wait()
+}
+
+// checkPopular checks that all entries serve the popular request.
+func checkPopular(t *testing.T, s *site.Site) {
+	t.Helper()
+
 	for _, e := range s.Entries {
-		s.CutTarget(e, id, how)
+		r, err := lookUp(t, e, "after-"+string(e.Name))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Status, http.StatusOK, "%s: %s", e.Name, r.Body)
 	}
 }
 
@@ -66,16 +95,18 @@
 	cases := map[string]struct {
 		// length is how long each of the two links is down.
 		length time.Duration
-		// unused is the number of entries that have not served the request before.
-		unused int
+		// unused is the number of entries that have not served the request before, and
+		// failing the number of those whose links fail.
+		unused, failing int
 	}{
-		"5 ms":                             {length: 5 * time.Millisecond},
-		"10 ms":                            {length: 10 * time.Millisecond},
-		"20 ms":                            {length: 20 * time.Millisecond},
-		"100 ms":                           {length: 100 * time.Millisecond},
-		"one entry has not served it":      {length: 10 * time.Millisecond, unused: 1},
-		"all but one have not served it":   {length: 10 * time.Millisecond, unused: 3},
-		"two entries have not, for longer": {length: 20 * time.Millisecond, unused: 2},
+		"5 ms":                             {5 * time.Millisecond, 0, 4},
+		"10 ms":                            {10 * time.Millisecond, 0, 4},
+		"20 ms":                            {20 * time.Millisecond, 0, 4},
+		"100 ms":                           {100 * time.Millisecond, 0, 4},
+		"one entry has not served it":      {10 * time.Millisecond, 1, 4},
+		"all but one have not served it":   {10 * time.Millisecond, 3, 4},
+		"two entries have not, for longer": {20 * time.Millisecond, 2, 4},
+		"links of one entry that has not":  {10 * time.Millisecond, 2, 1},
 	}
 
 	for name, tc := range cases {
@@ -84,25 +115,9 @@
 				before := lookUpFor(t, s.Entries[tc.unused:], time.Second)
 				assert.Equal(t, before.served, before.sent, "%v", before.errs)
 
-				var wg sync.WaitGroup
-
-				wg.Go(func() { lookUpFor(t, s.Entries, 2*tc.length) })
-				time.Sleep(5 * time.Millisecond)
-
-				for _, id := range []instance.ID{"desk-0", "desk-1"} {
-					cutFromAll(s, id, network.Reset)
-					time.Sleep(tc.length)
-					cutFromAll(s, id, network.Whole)
-				}
-
-				wg.Wait()
+				failInTurn(t, s, s.Entries[:tc.failing], tc.length)
 				time.Sleep(contactTime)
-
-				for _, e := range s.Entries {
-					r, err := lookUp(t, e, "after-"+string(e.Name))
-					assert.NilError(t, err)
-					assert.Equal(t, r.Status, http.StatusOK, "%s: %s", e.Name, r.Body)
-				}
+				checkPopular(t, s)
 			})
 		})
 	}
