fix(swap): a model is loaded where its resumed streams may go on

Cause: a model's demand does not say which software its requests can use. The lease holder counts replicas of any software and loads no other, and an entry refused at once what none of the replicas' software serves.

Now an entry tells the holder for which models and software its resumed streams wait (a call of its own beside the report, so that holders of the version before still read reports). The holder loads the model at a target of that software, from its memory or disk; never from the weight store, whose loads outlast most clients. An entry lets such a stream wait only where the list names a target that can load the model before the deadline, and refuses it a second after the load's time if it did not come.

With one software on the list nothing changes: no stream then lacks it. Not covered: adapters, whose streams are refused as before.

--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -169,6 +169,8 @@
 }
 
 func (n *Node) reportOnce(ctx context.Context) {
+	n.reportResumed(ctx)
+
 	waiting, uses := n.dispatcher.Report(0)
 	r := demand.Report{Entry: n.cfg.Self, Process: n.process, Waiting: waiting, Uses: uses}
 
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -217,7 +217,7 @@
 	n.calls.metrics, n.traffic.metrics = n.metrics, n.metrics
 	n.cfg.Table = countedTable{cfg.Table, n.countTableCall}
 	n.dispatcher = dispatch.New(dispatch.Config{
-		Table: &n.routing, Permit: n.quotas.permit, Placeable: n.placeable, Entries: n.aliveEntries, CellOf: func(string) int { return 0 },
+		Table: &n.routing, Permit: n.quotas.permit, Placeable: n.placeable, ReloadTime: n.reloadTime, Entries: n.aliveEntries, CellOf: func(string) int { return 0 },
 		Prerequisite: holder.ModelOf, Predictive: n.predictive,
 		OnQueued: func(string) { signal(n.reportSoon) }, OnReplicaIdle: func() { signal(n.reportIdle) }, OnNotice: n.broadcastNotice, MaxWaiting: maxWaiting,
 	})
--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -169,6 +169,7 @@
 	input := &swap.Snapshot{
 		Now: now, Engine: e, Demands: sumByModel(service, demands), Rate: h.shortRates.perSecond, LongTermRate: h.longRates.perSecond, PredictedSince: h.predictedSince(service), FreeStoreLoads: int(h.storeCapacity(service).fullSpeed()),
 	}
+	input.Resumed = h.resumedModels(service, now)
 	speeds := h.speedsByService(now)
 
 	for id, eng := range h.engines {
@@ -205,6 +206,20 @@
 	}
 }
 
+// resumedModels returns the software that each model of the service is wanted at by resumed
+// streams. The caller holds the lock.
+func (h *Holder) resumedModels(service string, now time.Time) map[string][]instance.Software {
+	out := make(map[string][]instance.Software)
+
+	for key, software := range h.resumed.Software(now) {
+		if s, model, adapter := splitKey(key); s == service && adapter == "" {
+			out[model] = software
+		}
+	}
+
+	return out
+}
+
 // reserve records a swap before its orders are sent, so that the next round
 // includes it and entries stop sending requests for the models to be unloaded.
 func (h *Holder) reserve(eng *trackedEngine, s swap.Swap, now time.Time) {
@@ -328,7 +343,7 @@
 // swapTarget returns the engine as an input of swap.Decide.
 func (eng *trackedEngine) swapTarget(now time.Time, running int, uses map[string]int) swap.Target {
 	t := swap.Target{
-		ID: eng.target.ID, AcceptsOrders: eng.synced && !eng.inFlight && !now.Before(eng.loadEnds) && !now.Before(eng.restUntil),
+		ID: eng.target.ID, Software: eng.target.Software, AcceptsOrders: eng.synced && !eng.inFlight && !now.Before(eng.loadEnds) && !now.Before(eng.restUntil),
 		Serving: eng.serves(), Cached: eng.localTiers, Running: running, UnloadFailed: now.Sub(eng.swapFailedAt) < swapRetryDelay, RestEndsIn: max(0, eng.restUntil.Sub(now)),
 	}
 
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -81,6 +81,7 @@
 	// they hold.
 	ordersFrom, inventoryBy time.Time
 	demand                  demand.Reports
+	resumed                 demand.ResumedModels
 	// shortRates and longRates are the request rates by model, smoothed over
 	// shortRateSpan and longRateSpan.
 	shortRates, longRates rates
@@ -282,6 +283,22 @@
 	return nil
 }
 
+// Resume records the models that an entry's resumed streams wait for. It returns a
+// NotHolderError on an entry without the lease.
+func (h *Holder) Resume(resumed []demand.Resumed) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if h.lease.Token == 0 {
+		return &NotHolderError{Hint: h.snapshot.Holder}
+	}
+
+	h.resumed.Record(resumed, clock.Now())
+	h.Wake()
+
+	return nil
+}
+
 // Receive applies a snapshot of another holder. It reports whether the snapshot
 // is newer than the last one.
 func (h *Holder) Receive(next Snapshot) bool {
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -39,6 +39,8 @@
 // Target is the lease holder's state of a target.
 type Target struct {
 	ID instance.ID
+	// Software is the version of the target's program.
+	Software instance.Software
 	// AcceptsOrders reports that no order is in flight there and that the target
 	// accepts new ones.
 	AcceptsOrders bool
@@ -90,6 +92,9 @@
 	// Targets are sorted by id.
 	Targets []Target
 	Demands []Demand
+	// Resumed is, for each model, the software of the streams that requests resume and that
+	// no target which holds the model may go on with.
+	Resumed map[string][]instance.Software
 	// Rate is the recent arrival rate of each model in requests per second,
 	// refused requests included.
 	Rate map[string]float64
@@ -157,6 +162,9 @@
 	ReasonWaiting Reason = "waiting"
 	// ReasonCrowded means that the model's replicas are crowded.
 	ReasonCrowded Reason = "crowded"
+	// ReasonResumed means that streams are resumed that only targets of the software
+	// which began them may go on with, and none of these holds the model.
+	ReasonResumed Reason = "resumed"
 	// ReasonAhead means that the model is loaded ahead of demand: into free
 	// memory or, if the load is worth highWorth or more, possibly in place of
 	// models that together are worth at most half as much.
@@ -234,6 +242,7 @@
 	d.countSiteLoad()
 
 	for _, dem := range d.byUrgency() {
+		d.placeResumed(dem)
 		d.placeDemanded(dem)
 	}
 
@@ -320,7 +329,11 @@
 // After a few such loads, the targets that have the next models' weights on
 // disk are blocked, and these models must be loaded from the store as well.
 func (d *decider) place(m route.Model, dem Demand, reason Reason, limits evictionLimits) {
-	best := d.best(m, dem, reason, limits)
+	d.start(d.best(m, dem, reason, limits))
+}
+
+// start starts the load on the best target, which may be nil, or reserves its time.
+func (d *decider) start(best *candidate) {
 	if best == nil {
 		return
 	}
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/stream"
@@ -44,6 +45,10 @@
 	// Placeable reports whether the model can be loaded on a target without a rate
 	// limit. Nil means that no model can.
 	Placeable func(model string) bool
+	// ReloadTime returns how long a load of the model takes at a target that may go on
+	// with streams of the origin and needs no weight store for it. It returns false if there
+	// is none. It may be nil if there never is.
+	ReloadTime func(model string, from origin.Origin) (time.Duration, bool)
 	// Entries returns the number of entries.
 	Entries func() int
 	// CellOf returns the cell whose lease holder decides on the model.
@@ -262,6 +267,20 @@
 	return waiting, uses
 }
 
+// Resumed returns the models that this entry's resumed streams wait for and that no target
+// holds which may go on with them.
+func (d *Dispatcher) Resumed() []demand.Resumed {
+	var out []demand.Resumed
+
+	d.queues.Range(func(_, value any) bool {
+		out = append(out, value.(*modelQueue).resumed()...) //nolint:forcetypeassert // The map holds nothing else.
+
+		return true
+	})
+
+	return out
+}
+
 // QueuedByPlan returns the number of queued requests of each plan.
 func (d *Dispatcher) QueuedByPlan() map[string]int {
 	n := make(map[string]int)
--- a/internal/serving/dispatch/unavailable.go
+++ b/internal/serving/dispatch/unavailable.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
-	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/queue"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -19,7 +18,7 @@
 		return leavingRefusal()
 	}
 
-	if m.cannotGoOn(it.Value.req) {
+	if m.cannotGoOn(it.Value, now) {
 		return originRefusal()
 	}
 
@@ -44,26 +43,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.refuseUnavailable(m.newItem(req, &waiter{req: req}), time.Now())
-}
-
-// cannotGoOn reports whether the request resumes a stream and its model is served only by
-// targets of other software than began it. While no target serves the model, it may be loaded
-// again where the stream can go on.
-func (m *modelQueue) cannotGoOn(req *request.Request) bool {
-	if !req.Origin.Begun() {
-		return false
-	}
-
-	targets := m.d.cfg.Table.Targets(m.model)
-
-	return router.AnyUsable(targets, origin.Origin{}) && !router.AnyUsable(targets, req.Origin)
-}
+	now := time.Now()
 
-// originRefusal refuses a request that resumes a stream. No time is known at which a target
-// could go on with it.
-func originRefusal() *request.Refusal {
-	return request.Refuse(request.OtherSoftware, defaultRetryAfter, "only targets of other software than began its stream serve its model")
+	return m.refuseUnavailable(m.newItem(req, &waiter{req: req, since: now}), now)
 }
 
 // allLeave reports whether all targets of the model leave and no other can load it.
@@ -91,7 +73,7 @@
 	}
 
 	m.refuseEach(func(w *waiter) *request.Refusal {
-		if m.cannotGoOn(w.req) {
+		if m.cannotGoOn(w, now) {
 			return originRefusal()
 		}
 
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -50,6 +50,8 @@
 	Reaches() bool
 	// View returns what is newer here than what the peer has.
 	View(have Versions) View
+	// Resume tells the lease holder which models resumed streams wait for.
+	Resume(resumed []demand.Resumed) error
 	// Block blocks a request that crashes the targets that run it. It reports
 	// false, and does not block it, if the request was answered whole there lately.
 	Block(fp request.Fingerprint) bool
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -48,6 +48,7 @@
 	missing    []holder.Missing
 	blocked    request.Fingerprint
 	unblocked  request.Fingerprint
+	resumed    []demand.Resumed
 	lending    Lending
 	drawing    Drawing
 	permit     ratelimit.Observation
@@ -150,6 +151,12 @@
 	return true
 }
 
+func (e *echo) Resume(resumed []demand.Resumed) error {
+	e.resumed = resumed
+
+	return nil
+}
+
 func (e *echo) Unblock(fp request.Fingerprint) { e.unblocked = fp }
 
 // connect serves e on loopback and returns a client of it.
@@ -262,6 +269,9 @@
 	blocked, err = c.Block(t.Context(), 8)
 	assert.NilError(t, err)
 	assert.Assert(t, !blocked)
+	resumed := []demand.Resumed{{Model: "s/m", Software: "v1"}, {Model: "s/m"}}
+	assert.NilError(t, c.Resume(t.Context(), resumed))
+	assert.DeepEqual(t, got.resumed, resumed)
 	assert.NilError(t, c.Unblock(t.Context(), 9))
 	assert.Equal(t, got.unblocked, request.Fingerprint(9))
 
