--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -69,7 +69,6 @@
 	assert.Assert(t, r.IsSuspect(1, now))
 	assert.Assert(t, r.RecordDeath(1, death("last", "a"), now), "it may crash targets all the same")
 	assert.Assert(t, !r.Unblock(1, now))
-
 }
 
 func TestAnswerLongAgo(t *testing.T) {
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -269,6 +269,7 @@
 	blocked, err = c.Block(t.Context(), 8)
 	assert.NilError(t, err)
 	assert.Assert(t, !blocked)
+
 	resumed := []demand.Resumed{{Model: "s/m", Software: "v1"}, {Model: "s/m"}}
 	assert.NilError(t, c.Resume(t.Context(), resumed))
 	assert.DeepEqual(t, got.resumed, resumed)
