feat(relay): the log says how it was known which software began a stream

'stream resumed' now has 'source', with the names of streams_resumed{how} and 'neighbour' for a request that another entry passed on.

--- a/internal/fleet/node/origins.go
+++ b/internal/fleet/node/origins.go
@@ -83,25 +83,26 @@
 }
 
 // Find implements relay.Origins.
-func (o *origins) Find(ctx context.Context, service string, k origin.Key) origin.Origin {
+func (o *origins) Find(ctx context.Context, service string, k origin.Key) origin.Finding {
+	found := origin.Finding{Source: origin.SourceOwn}
+
 	if s, ok := o.local(k); ok {
-		o.count("own")
+		found.Origin = origin.Of(s)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, findTimeout)
+		defer cancel()
 
-		return origin.Of(s)
+		found = o.search(ctx, service, k)
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-
-	found, how := o.search(ctx, service, k)
-	o.count(how)
+	o.node.metrics.Tagged(map[string]string{"how": string(found.Source)}).Counter("streams_resumed").Inc(1)
 
 	return found
 }
 
 // search asks the store and, unless it says at once that only one software can have begun the
 // stream, other entries.
-func (o *origins) search(ctx context.Context, service string, k origin.Key) (found origin.Origin, how string) {
+func (o *origins) search(ctx context.Context, service string, k origin.Key) origin.Finding {
 	stored := make(chan storedOrigin, 1)
 	go func() { stored <- o.readStored(ctx, service, k) }()
 
@@ -112,7 +113,7 @@
 	select {
 	case inStore = <-stored:
 		if _, known := inStore.origin.Known(); known {
-			return inStore.origin, "store"
+			return origin.Finding{Origin: inStore.origin, Source: origin.SourceStore}
 		}
 	case <-time.After(askDelay):
 		pending = true
@@ -131,7 +132,7 @@
 			}
 
 			if _, known := a.Stream.Known(); known {
-				return a.Stream, "entry"
+				return origin.Finding{Origin: a.Stream, Source: origin.SourceEntry}
 			}
 
 			alone.add(a.Alone)
@@ -139,16 +140,16 @@
 			pending = false
 
 			if _, known := inStore.origin.Known(); known {
-				return inStore.origin, "store"
+				return origin.Finding{Origin: inStore.origin, Source: origin.SourceStore}
 			}
 		}
 	}
 
 	if inStore.err != nil {
-		return alone.origin(), "alone"
+		return origin.Finding{Origin: alone.origin(), Source: origin.SourceAlone}
 	}
 
-	return origin.Unknown(), "unknown"
+	return origin.Finding{Origin: origin.Unknown(), Source: origin.SourceNone}
 }
 
 // aloneEvidence judges, without the store, whether only one software can have begun a stream.
@@ -297,10 +298,6 @@
 	return out
 }
 
-func (o *origins) count(how string) {
-	o.node.metrics.Tagged(map[string]string{"how": how}).Counter("streams_resumed").Inc(1)
-}
-
 // RecordOrigins implements news.Handler.
 func (n *Node) RecordOrigins(records []origin.Record) {
 	n.origins.mu.Lock()
--- a/internal/serving/relay/origin.go
+++ b/internal/serving/relay/origin.go
@@ -15,7 +15,7 @@
 type Origins interface {
 	// Find returns what is known of a stream that its client resumes. It takes a short time
 	// at most.
-	Find(ctx context.Context, service string, k origin.Key) origin.Origin
+	Find(ctx context.Context, service string, k origin.Key) origin.Finding
 	// Begin records that software has begun a stream, or goes on with it.
 	Begin(service string, r origin.Record)
 	// End records that the client has received the whole stream.
@@ -35,16 +35,19 @@
 
 	d.stream = origin.KeyOf(d.teamName(), d.req.Model, cmp.Or(d.info.FirstAttempt, d.info.ID))
 
+	var found origin.Finding
+
 	switch {
 	case d.passed.origin.Begun():
-		d.req.Origin = d.passed.origin
+		found = origin.Finding{Origin: d.passed.origin, Source: origin.SourceNeighbour}
 	case d.info.LastEvent == "" && d.info.FirstAttempt == "", d.passing:
 		return nil // The entry to which the request is passed on finds out.
 	default:
-		d.req.Origin = d.Origins.Find(ctx, d.service, d.stream)
+		found = d.Origins.Find(ctx, d.service, d.stream)
 	}
 
-	d.Log.Info().Str("id", d.info.ID).Str("firstAttempt", d.info.FirstAttempt).Str("after", d.info.LastEvent).Stringer("software", d.req.Origin).Msg("stream resumed")
+	d.req.Origin = found.Origin
+	d.Log.Info().Str("id", d.info.ID).Str("firstAttempt", d.info.FirstAttempt).Str("after", d.info.LastEvent).Stringer("software", d.req.Origin).Str("source", string(found.Source)).Msg("stream resumed")
 
 	if _, known := d.req.Origin.Known(); !known {
 		return request.Refuse(request.UnknownOrigin, defaultRetryAfter, "it is not known which software began the stream")
--- a/internal/serving/relay/origin_test.go
+++ b/internal/serving/relay/origin_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -24,12 +26,12 @@
 	ended []origin.Key
 }
 
-func (o *fakeOrigins) Find(_ context.Context, _ string, k origin.Key) origin.Origin {
+func (o *fakeOrigins) Find(_ context.Context, _ string, k origin.Key) origin.Finding {
 	if s, ok := o.known[k]; ok {
-		return origin.Of(s)
+		return origin.Finding{Origin: origin.Of(s), Source: origin.SourceEntry}
 	}
 
-	return origin.Unknown()
+	return origin.Finding{Origin: origin.Unknown(), Source: origin.SourceNone}
 }
 
 func (o *fakeOrigins) Begin(_ string, r origin.Record) { o.begun = append(o.begun, r) }
@@ -94,6 +96,49 @@
 	}
 }
 
+// TestResumedStreamInLog guards against a resumed stream of which nobody can say how its software was known.
+func TestResumedStreamInLog(t *testing.T) {
+	for first, want := range map[string]string{"zero": `"software":"v2","source":"entry"`, "never": `"software":"unknown","source":"unknown"`} {
+		t.Run(first, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _ := softwareFixture(t, func(_ int, _ call, w io.Writer, _ net.Conn) { stream(w, 4, 6, true) })
+				defer f.close()
+
+				var log logBuffer
+
+				f.server.Log = zerolog.New(&log)
+				_, _ = f.do(t.Context(), "body", "After", "3", "First", first)
+
+				assert.Assert(t, strings.Contains(log.String(), want), log.String())
+			})
+		})
+	}
+}
+
+// TestResumedStreamOfOtherRoute guards against a stream of a route without resuming that goes on at other software all the same.
+func TestResumedStreamOfOtherRoute(t *testing.T) {
+	for first, status := range map[string]int{"zero": http.StatusOK, "never": http.StatusServiceUnavailable} {
+		t.Run(first, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, o := softwareFixture(t, func(_ int, _ call, w io.Writer, _ net.Conn) { stream(w, 4, 6, true) })
+				defer f.close()
+
+				other := newFixture(t, nil, route.Route{Kind: route.Stream, Timeout: resumableRoute.Timeout, Attempts: 1})
+				defer other.close()
+
+				f.server.Table = other.server.Table
+				rec, _ := f.do(t.Context(), "body", "After", "3", "First", first)
+
+				assert.Equal(t, rec.Code, status)
+
+				for _, r := range o.begun {
+					assert.Equal(t, r.Software, instance.Software("v2"))
+				}
+			})
+		})
+	}
+}
+
 // TestUnknownStreamIsRefusedAtOnce guards against a client that waits for a target although it is not known which one may go on with its stream.
 func TestUnknownStreamIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
