fix(relay): one caller's answers say nothing of another's request

Callers would see targets crash one after another: a request that crashes targets is the same path, caller and body, but its fingerprint left out the caller. Another team's request of the same content, which is answered, cleared the deaths: 8 crashes in four tries where two are allowed (TestCrashingRequestOfOneCaller, red before).

The digest now begins with the team's name. Clients of one team still share a fingerprint.

--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -196,11 +196,11 @@
 // lowers it by one, but not below zero. The weight in the queue is one more.
 const maxPriority = 9
 
-// contentDigest returns a digest of the request's content. A client that sends
+// contentDigest returns a digest of the request's content and caller. A client that sends
 // the same content again under another id gets the same digest.
 func (d *delivery) contentDigest() string {
 	h := xxhash.New()
-	for _, s := range []string{d.r.Method, d.r.Host, d.r.RequestURI, d.info.Prompt} {
+	for _, s := range []string{d.teamName(), d.r.Method, d.r.Host, d.r.RequestURI, d.info.Prompt} {
 		_, _ = h.WriteString(s)
 		_, _ = h.WriteString("\x00")
 	}
--- a/internal/serving/relay/identify_test.go
+++ b/internal/serving/relay/identify_test.go
@@ -272,3 +272,49 @@
 		assert.Assert(t, !strings.Contains(log.String(), "ka") && !strings.Contains(log.String(), "unknown-secret"), log.String())
 	})
 }
+
+// TestCrashingRequestOfOneCaller guards against a request that crashes targets and is not blocked because another caller's with the same content is answered.
+func TestCrashingRequestOfOneCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newKeyedFixture(t, false)
+		f.config.Teams = newTeams(t, teamWithKey("a", "ka"), teamWithKey("b", "kb"))
+		answered, crashed, harmless := 0, 0, false
+		f.act = func(_ int, c call, out io.Writer, conn net.Conn) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+
+			if harmless {
+				answered++
+
+				writeAnswer(out, "200 OK", "", "done")
+
+				return
+			}
+
+			crashed++
+			f.down[c.target] = true
+
+			conn.Close()
+		}
+
+		for i := range 4 {
+			harmless = true
+			rec, _ := f.do(t.Context(), "same", "Authorization", "Bearer kb")
+			assert.Equal(t, rec.Code, http.StatusOK)
+
+			harmless = false
+			rec, _ = f.do(t.Context(), "same", "Authorization", "Bearer ka")
+			assert.Assert(t, rec.Code >= 500)
+
+			// The targets restart as new processes.
+			synctest.Wait()
+			clear(f.down)
+			f.listTargets(uint64(2 + i))
+			time.Sleep(time.Second)
+		}
+
+		assert.Equal(t, answered, 4)
+		assert.Equal(t, crashed, 2)
+		f.close()
+	})
+}
