test(soak): what is not served is reported with its log lines

Its stacks say that nine of eleven requests wait for the retry budget after rejections, not who rejected them and why: the logs are gone with the test. The report now has the log's lines on the requests that were not served.

--- a/internal/cli/command/soakcmd.go
+++ b/internal/cli/command/soakcmd.go
@@ -45,7 +45,7 @@
 
 	for seed := c.Seed; seed < c.Seed+uint64(max(1, c.Seeds)); seed++ { //nolint:gosec // Small.
 		opt := soak.Options{
-			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Stacks: s.err,
+			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Traces: s.err,
 		}
 		if c.Verbose {
 			opt.Progress = s.err
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -257,35 +257,43 @@
 	return errors.Join(errs...)
 }
 
-// writeStacks writes the stacks of the processes that err names, each once.
-func (s *soak) writeStacks(err error) {
+// writeTraces writes, of the processes that err names, what their logs say of the requests
+// that were not served, and their stacks.
+func (s *soak) writeTraces(err error) {
 	joined, ok := err.(interface{ Unwrap() []error })
-	if !ok || s.Stacks == nil {
+	if !ok || s.Traces == nil {
 		return
 	}
 
-	hung := make(map[string]bool)
+	unserved := make(map[string][]string)
 
 	for _, one := range joined.Unwrap() {
 		var notServed *NotServedError
 		if errors.As(one, &notServed) {
-			hung[notServed.Entry] = true
+			unserved[notServed.Entry] = append(unserved[notServed.Entry], readyID(notServed.Entry, notServed.Path))
 		}
 	}
 
 	for _, p := range s.processes {
-		if hung[p.name] {
-			_, _ = fmt.Fprintf(s.Stacks, "%s does not serve:\n%s\n", p.name, p.stacks())
+		for _, id := range unserved[p.name] {
+			_, _ = fmt.Fprintf(s.Traces, "log of %s*:\n%s\n", id, p.lines(id))
+		}
+
+		if unserved[p.name] != nil {
+			_, _ = fmt.Fprintf(s.Traces, "%s does not serve:\n%s\n", p.name, p.stacks())
 		}
 	}
 }
 
+// readyID returns the beginning of the ids of requests that check whether an entry serves.
+func readyID(entry, path string) string { return "ready-" + entry + path }
+
 // served sends requests to an entry, each on a new connection, until one is answered.
 func (s *soak) served(ctx context.Context, p *process, k kind) error {
 	statuses := make(map[int]int)
 
 	for n := 0; ; n++ {
-		id := fmt.Sprintf("ready-%s%s-%d-%d", p.name, k.path, n, time.Now().UnixNano())
+		id := fmt.Sprintf("%s-%d-%d", readyID(p.name, k.path), n, time.Now().UnixNano())
 
 		s.book.send(id)
 
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -145,6 +145,26 @@
 	return string(text[max(0, len(text)-logTail):])
 }
 
+// lines returns the last lines of the process's log that contain the text.
+func (p *process) lines(text string) string {
+	const most = 60
+
+	all, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+
+	var out []string
+
+	for line := range strings.Lines(string(all)) {
+		if strings.Contains(line, text) {
+			out = append(out, line)
+		}
+	}
+
+	return strings.Join(out[max(0, len(out)-most):], "")
+}
+
 // logTail is the number of bytes of a process's log that are shown if the process wrote
 // no stacks, for example because it cannot start.
 const logTail = 2000
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -69,9 +69,9 @@
 	Dir string
 	// Progress receives a line for each fault. It may be nil.
 	Progress io.Writer
-	// Stacks receives the stacks of all goroutines of the processes that do not serve
+	// Traces receives, of the processes that do not serve, log lines and the stacks of all goroutines
 	// after the last fault. It may be nil.
-	Stacks io.Writer
+	Traces io.Writer
 }
 
 // soak is a running soak.
@@ -146,7 +146,7 @@
 	s.withdrawLimits()
 
 	recovered := s.ready(ctx, recovery)
-	s.writeStacks(recovered)
+	s.writeTraces(recovered)
 
 	stop()
 	callers.Wait()
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -37,7 +37,7 @@
 	self, err := os.Executable()
 	assert.NilError(t, err)
 
-	opt.Command, opt.Env, opt.Dir, opt.Stacks = []string{self}, []string{asEntry + "=1"}, t.TempDir(), t.Output()
+	opt.Command, opt.Env, opt.Dir, opt.Traces = []string{self}, []string{asEntry + "=1"}, t.TempDir(), t.Output()
 
 	r, err := Run(t.Context(), opt)
 	assert.NilError(t, err)
@@ -58,8 +58,8 @@
 	assert.ErrorIs(t, err, exec.ErrNotFound)
 }
 
-// TestStacks guards against a process that hangs without a trace of where.
-func TestStacks(t *testing.T) {
+// TestTraces guards against a process that hangs without a trace of where.
+func TestTraces(t *testing.T) {
 	self, err := os.Executable()
 	assert.NilError(t, err)
 
@@ -81,6 +81,7 @@
 		}
 	}
 
+	assert.Assert(t, strings.Contains(p.lines(`"started"`), p.name))
 	assert.Assert(t, strings.Contains(p.stacks(), "goroutine "))
 }
 
