--- a/internal/serving/crash/answered.go
+++ b/internal/serving/crash/answered.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// answeredPeriod is the least time for which an answer counts.
+	// answeredPeriod is the least time for which an answer counts, unless more than
+	// maxAnswered others are recorded in it.
 	answeredPeriod = time.Minute
 	// maxAnswered bounds the requests of each of the two periods.
 	maxAnswered = 4096
