fix(node): a new lease holder that has not read the store yet is no outage

Cause: the lease holder was frozen while 13 in 100 targets were removed. Another entry took the lease 2.1 s later. It had been led until then, so what it announced for the first 0.7 s was as old as its last reads. More than 1.3 s count as a store that fails, less after that as its recovery, and after an outage entries keep targets whose rows have vanished for 1.7 s: two of them read that a target was gone, kept it and sent to it.

Now an old read counts as a failure only from 1.3 s after the entry first heard of the term: who takes the lease has just been answered by the store.

--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -33,11 +33,13 @@
 
 func (n *Node) applyHolderState(latest holder.Snapshot) {
 	n.mu.Lock()
+
+	n.holderReceived = time.Now()
 	if n.holderState.Token != latest.Token {
+		n.termHeardAt = n.holderReceived
 		n.cfg.Log.Info().Str("holder", string(latest.Holder)).Uint64("token", latest.Token).Msg("new lease term")
 	}
 
-	n.holderReceived = time.Now()
 	if latest.Holder == n.cfg.Self {
 		n.holderHistory.Publish(latest, n.holderReceived)
 	} else {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -163,6 +163,8 @@
 	holderState    holder.Snapshot
 	holderHistory  holder.History
 	holderReceived time.Time
+	// termHeardAt is when this entry first heard of the lease term of holderState.
+	termHeardAt time.Time
 	// configAsOf and targetsAsOf are times at which this entry had missed no change of the
 	// configuration and of the list in the store.
 	configAsOf, targetsAsOf time.Time
--- a/internal/fleet/node/pace.go
+++ b/internal/fleet/node/pace.go
@@ -90,14 +90,16 @@
 //
 // It guards against a fault at the end of a store outage: the list that the
 // holder then announces lacks targets whose rows expired meanwhile, and only an
-// entry that has recorded the outage retains them for a while. The caller holds
-// the lock.
+// entry that has recorded the outage retains them for a while.
+//
+// A new holder may have read the store long ago, while it was led. What it then
+// says is no failure: it took the lease from the store. The caller holds the lock.
 func (n *Node) recordHolderStoreAge(age time.Duration, now time.Time) {
 	if n.peers.listed() < fullRateEntries {
 		return
 	}
 
-	if age >= maxHolderStoreAge {
+	if min(age, now.Sub(n.termHeardAt)) >= maxHolderStoreAge {
 		n.registry.StoreFailed(now)
 	} else {
 		n.registry.StoreAnswered(now)
