fix(node): an entry that was stopped during a rebuild routes by new state soon

Cause: after a rebuild of the routing an entry pauses for nine times as long as it took, so that rebuilds use a tenth of a core. Time is counted, not processor time: a process that stood still for 1.3 s in a rebuild (a freeze, a paused virtual machine, a busy host) went on with the routing of before for 11.7 s, although it received the holder's announcements all the time.

The pause is at most 0.5 s now. The lease holder's, of the same kind, was bounded already; there is no third.

--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -30,6 +30,9 @@
 	// multiple of the time it took, so that rebuilds use at most a tenth of a
 	// core.
 	rebuildPauseFactor = 9
+	// maxRebuildPause bounds that pause. A process that was stopped during a rebuild
+	// would otherwise route by outdated state for nine times as long as it was stopped.
+	maxRebuildPause = 500 * time.Millisecond
 )
 
 // maintainRouting rebuilds the routing whenever its inputs change, and when a
@@ -51,12 +54,17 @@
 
 		// Changes of hundreds of engines arrive faster than they can be applied
 		// one by one.
-		_ = clock.Sleep(ctx, rebuildPauseFactor*time.Since(began)) // The loop checks ctx.
+		_ = clock.Sleep(ctx, rebuildPause(time.Since(began))) // The loop checks ctx.
 
 		next.Reset(again)
 	}
 }
 
+// rebuildPause returns the pause after a rebuild that took so long.
+func rebuildPause(took time.Duration) time.Duration {
+	return min(rebuildPauseFactor*took, maxRebuildPause)
+}
+
 // rebuild updates the routing and returns how long it stays valid without a
 // change of its inputs.
 func (n *Node) rebuild(now time.Time) time.Duration {
--- a/internal/fleet/node/routing_test.go
+++ b/internal/fleet/node/routing_test.go
@@ -128,3 +128,18 @@
 
 	return out
 }
+
+// TestRebuildPause guards against an entry that was stopped for a second during a rebuild and then routes by outdated state for nine.
+func TestRebuildPause(t *testing.T) {
+	for took, want := range map[time.Duration]time.Duration{
+		0:                       0,
+		2 * time.Millisecond:    18 * time.Millisecond,
+		50 * time.Millisecond:   450 * time.Millisecond,
+		1300 * time.Millisecond: maxRebuildPause,
+		5 * time.Second:         maxRebuildPause,
+	} {
+		assert.Equal(t, rebuildPause(took), want, "%s", took)
+	}
+
+	assert.Assert(t, maxRebuildPause+reportInterval < holderStateTTL/2, "a holder's announcement is used in time")
+}
