refactor(dispatch): targets are looked up only for streams that have begun

Since the queue lets resumed streams wait for a load, it looked up the model's targets for each queued request in each round of 20 ms, and for each queue in each report, also where nobody resumes a stream. Whether the stream has begun, or its software is known, is asked first again; lacksSoftware, which asked that a second time, is gone. Behaviour is unchanged.

--- a/internal/serving/dispatch/resumed.go
+++ b/internal/serving/dispatch/resumed.go
@@ -19,8 +19,12 @@
 // targets of other software than began it, and none is likely to load it where the stream can
 // go on.
 func (m *modelQueue) cannotGoOn(w *waiter, now time.Time) bool {
+	if !w.req.Origin.Begun() {
+		return false
+	}
+
 	targets := m.d.cfg.Table.Targets(m.model)
-	if !lacksSoftware(targets, w.req.Origin) || !router.AnyUsable(targets, origin.Origin{}) {
+	if router.AnyUsable(targets, w.req.Origin) || !router.AnyUsable(targets, origin.Origin{}) {
 		return false
 	}
 
@@ -33,12 +37,6 @@
 	return !possible || !now.Add(load).Before(w.req.Deadline) || now.Sub(w.since) > load+reloadGrace
 }
 
-// lacksSoftware reports whether the stream has begun and none of the targets may go on with
-// it.
-func lacksSoftware(targets []*router.Target, from origin.Origin) bool {
-	return from.Begun() && !router.AnyUsable(targets, from)
-}
-
 // resumed returns the software that queued requests wait for the model at.
 func (m *modelQueue) resumed() []demand.Resumed {
 	m.mu.Lock()
@@ -46,13 +44,16 @@
 
 	var out []demand.Resumed
 
-	targets := m.d.cfg.Table.Targets(m.model)
-
 	m.q.Each(func(it *queue.Item[*waiter]) {
-		software, known := it.Value.req.Origin.Known()
-		r := demand.Resumed{Model: m.model, Software: software}
+		from := it.Value.req.Origin
 
-		if known && lacksSoftware(targets, it.Value.req.Origin) && !slices.Contains(out, r) {
+		software, known := from.Known()
+		if !known {
+			return
+		}
+
+		r := demand.Resumed{Model: m.model, Software: software}
+		if !slices.Contains(out, r) && !router.AnyUsable(m.d.cfg.Table.Targets(m.model), from) {
 			out = append(out, r)
 		}
 	})
