refactor(node): one way to tell the lease holder, one to inform a peer

reportResumed repeated how reportOnce finds the lease holder and calls it in the background, and callEach how callPeer finds a peer and logs a failure. tellHolder and informPeer serve both. Blocks keep their time limit, which is the connection's and not callPeer's.

--- a/internal/fleet/node/blocks.go
+++ b/internal/fleet/node/blocks.go
@@ -1,13 +1,13 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/membership"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
-	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
 // Block implements news.Handler.
@@ -35,8 +35,8 @@
 
 	var unblocked atomic.Bool
 
-	n.callEach(told, func(c *news.Client) error {
-		blocked, err := c.Block(n.workCtx, fp)
+	n.informAll(told, func(ctx context.Context, p *peer) error {
+		blocked, err := p.client.Block(ctx, fp)
 		if err == nil && !blocked && n.dispatcher.Unblock(fp) {
 			unblocked.Store(true)
 		}
@@ -50,24 +50,15 @@
 	}
 
 	n.cfg.Log.Info().Uint64("fingerprint", uint64(fp)).Msg("request no longer blocked, another entry has had it answered")
-	n.callEach(told, func(c *news.Client) error { return c.Unblock(n.workCtx, fp) })
+	n.informAll(told, func(ctx context.Context, p *peer) error { return p.client.Unblock(ctx, fp) })
 }
 
-// callEach calls peers at once and waits for all.
-func (n *Node) callEach(to []membership.Member, call func(*news.Client) error) {
+// informAll informs peers of a block or its end, all at once, and waits for them.
+func (n *Node) informAll(peers []membership.Member, call func(context.Context, *peer) error) {
 	var wg sync.WaitGroup
 
-	for _, m := range to {
-		wg.Go(func() {
-			q := n.peers.connection(m.ID)
-			if q == nil {
-				return
-			}
-
-			if err := call(q.client); err != nil {
-				n.cfg.Log.Debug().Err(err).Str("peer", string(m.ID)).Msg("peer not told of a block")
-			}
-		})
+	for _, m := range peers {
+		wg.Go(func() { n.informPeer(n.workCtx, m.ID, "block", call) })
 	}
 
 	wg.Wait()
--- a/internal/fleet/node/handler.go
+++ b/internal/fleet/node/handler.go
@@ -185,18 +185,7 @@
 	n.unreportedMissing = nil
 	n.mu.Unlock()
 
-	if n.holder.Holding() {
-		_ = n.holder.Report(r, missing) // If it just lost the lease, the next report goes to the new holder.
-
-		return
-	}
-
-	q := n.peers.connection(n.holder.LastHolder())
-	if q == nil {
-		return
-	}
-
-	go func() {
+	n.tellHolder(func() error { return n.holder.Report(r, missing) }, func(q *peer) {
 		k, err := q.client.Report(ctx, r, missing)
 
 		switch {
@@ -205,5 +194,19 @@
 		case ctx.Err() == nil:
 			n.cfg.Log.Debug().Err(err).Str("holder", string(q.ID)).Msg("cannot send report to holder")
 		}
-	}()
+	})
+}
+
+// tellHolder calls here if this entry holds the lease. Otherwise it calls there, which may
+// take a while, in the background for the lease holder, if one is known.
+func (n *Node) tellHolder(here func() error, there func(*peer)) {
+	if n.holder.Holding() {
+		_ = here() // If it just lost the lease, the next report goes to the new holder.
+
+		return
+	}
+
+	if q := n.peers.connection(n.holder.LastHolder()); q != nil {
+		go there(q)
+	}
 }
--- a/internal/fleet/node/resumed.go
+++ b/internal/fleet/node/resumed.go
@@ -54,20 +54,9 @@
 		return
 	}
 
-	if n.holder.Holding() {
-		_ = n.holder.Resume(resumed) // If it just lost the lease, the next report goes to the new holder.
-
-		return
-	}
-
-	q := n.peers.connection(n.holder.LastHolder())
-	if q == nil {
-		return
-	}
-
-	go func() {
+	n.tellHolder(func() error { return n.holder.Resume(resumed) }, func(q *peer) {
 		if err := q.client.Resume(ctx, resumed); err != nil && ctx.Err() == nil {
 			n.cfg.Log.Debug().Err(err).Str("holder", string(q.ID)).Msg("cannot tell the holder of resumed streams")
 		}
-	}()
+	})
 }
--- a/internal/fleet/node/statements.go
+++ b/internal/fleet/node/statements.go
@@ -239,14 +239,19 @@
 // callPeer calls a peer for a limited time. A peer that does not answer learns from
 // others.
 func (n *Node) callPeer(ctx context.Context, id instance.ID, subject string, call func(context.Context, *peer) error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+
+	n.informPeer(ctx, id, subject, call)
+}
+
+// informPeer does the same for as long as ctx and the call last.
+func (n *Node) informPeer(ctx context.Context, id instance.ID, subject string, call func(context.Context, *peer) error) {
 	p := n.peers.connection(id)
 	if p == nil {
 		return
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-
 	if err := call(ctx, p); err != nil {
 		n.cfg.Log.Debug().Err(err).Str("peer", string(id)).Str("what", subject).Msg("cannot inform peer")
 	}
