test(node): requests that crash targets for long, known red

Callers of one request crashed target after target (BUDGET): after the third death and three seconds only three more may reach targets.

The stand-ins of targets crash on a request when they begin to write, refuse connections or fall silent, and come back as new processes.

--- /dev/null
+++ b/internal/fleet/node/crash_test.go
@@ -0,0 +1,126 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+	"github.com/fulmarcross/fulmarcross/platform"
+)
+
+// requestRule bounds a request that crashes targets, as the users do.
+var requestRule = site.CrashRule{Deaths: 3, Contact: contactTime, Most: 3}
+
+// crashing is the body of requests that crash their targets.
+const crashing = "crashing"
+
+func crashesTarget(r platform.Request) bool { return string(r.Body) == crashing }
+
+// holdingSame makes all engines hold the same two models.
+func holdingSame(int) site.EngineOptions {
+	return site.EngineOptions{Software: "v1", Holding: []string{site.Model(0), site.Model(1)}}
+}
+
+// sendCrashing sends requests at the entries in turn for a time, at a distance of spacing. The
+// client leaves after patience.
+func sendCrashing(t *testing.T, s *site.Site, length, spacing, patience time.Duration, path string, prompt func(i int) string) {
+	t.Helper()
+
+	for i := range int(length / spacing) {
+		e := s.Entries[i%len(s.Entries)]
+
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(t.Context()), patience)
+			defer cancel()
+
+			_, _ = site.Ask(ctx, e, path, crashing, relay.RequestInfo{
+				ID: fmt.Sprintf("crashing-%d", i), Timeout: 4 * time.Second, Model: site.Model(0), Prompt: prompt(i), TokensIn: 10, TokensOut: 12,
+			})
+		}()
+
+		time.Sleep(spacing)
+	}
+}
+
+// TestRequestCrashesTargetsForLong guards against a request that crashes one target after the other although three deaths should have been enough.
+func TestRequestCrashesTargetsForLong(t *testing.T) {
+	const (
+		down   = 2 * time.Second
+		stays  = 5 * time.Second
+		length = 30 * time.Second
+	)
+
+	same := func(int) string { return "p:10" }
+	lastPartNew := func(i int) string { return fmt.Sprintf("p:10,%x:5", i) }
+
+	cases := map[string]struct {
+		entries        int
+		path           string
+		crash          site.Crash
+		prompt         func(int) string
+		patience       time.Duration
+		answeredBefore bool
+	}{
+		"retried":                    {entries: 7, path: "/note/x", crash: site.Crash{Down: down}, prompt: same, patience: stays},
+		"not retried":                {entries: 7, path: "/dossier/x", crash: site.Crash{Down: down}, prompt: same, patience: stays},
+		"not retried, many entries":  {entries: 30, path: "/dossier/x", crash: site.Crash{Down: down}, prompt: same, patience: stays},
+		"answered before":            {entries: 7, path: "/dossier/x", crash: site.Crash{Down: down}, prompt: same, patience: stays, answeredBefore: true},
+		"target silent":              {entries: 7, path: "/dossier/x", crash: site.Crash{Down: down, Silent: true}, prompt: same, patience: stays},
+		"target silent, retried":     {entries: 7, path: "/note/x", crash: site.Crash{Down: down, Silent: true}, prompt: same, patience: stays},
+		"target back at once":        {entries: 7, path: "/dossier/x", prompt: same, patience: stays},
+		"client leaves at once":      {entries: 7, path: "/dossier/x", crash: site.Crash{Down: down}, prompt: same, patience: 8 * time.Millisecond},
+		"last part of prompt is new": {entries: 7, path: "/dossier/x", crash: site.Crash{Down: down}, prompt: lastPartNew, patience: stays},
+	}
+
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			simulateSite(t, site.Options{Entries: tc.entries, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
+				if tc.answeredBefore {
+					sendCrashing(t, s, time.Duration(tc.entries)*time.Second, time.Second, stays, tc.path, tc.prompt)
+				}
+
+				tc.crash.On = crashesTarget
+				s.CrashOn(tc.crash)
+				sendCrashing(t, s, length, 300*time.Millisecond, tc.patience, tc.path, tc.prompt)
+				time.Sleep(stays)
+
+				deaths, broken := s.Crashes(requestRule)
+				assert.Equal(t, broken, "")
+				t.Logf("%d deaths", deaths)
+			})
+		})
+	}
+}
+
+// TestSoundRequestsAreServedBesideCrashingOne guards against sound requests that are blocked because they ran on targets that another request crashed.
+func TestSoundRequestsAreServedBesideCrashingOne(t *testing.T) {
+	simulateSite(t, site.Options{Entries: 7, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
+		s.CrashOn(site.Crash{On: crashesTarget, Down: 2 * time.Second})
+
+		go sendCrashing(t, s, 20*time.Second, 300*time.Millisecond, 5*time.Second, "/dossier/x", func(int) string { return "p:10,q:5" })
+
+		time.Sleep(8 * time.Second)
+
+		served := 0
+
+		for i := range 40 {
+			r, err := site.Ask(t.Context(), s.Entries[i%len(s.Entries)], "/dossier/x", "sound", relay.RequestInfo{
+				ID: fmt.Sprintf("sound-%d", i), Timeout: 4 * time.Second, Model: site.Model(0), Prompt: "p:10,q:5", TokensIn: 10, TokensOut: 12,
+			})
+			if err == nil && r.Status == http.StatusOK && r.Whole && strings.Contains(r.Body, "data: ") {
+				served++
+			}
+
+			time.Sleep(200 * time.Millisecond)
+		}
+
+		assert.Assert(t, served >= 38, "%d of 40", served)
+	})
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -99,15 +99,16 @@
 	// keys are the keys of each team.
 	keys    map[string][]string
 	targets map[instance.ID]inventory.Target
-	// unlisted are the targets whose rows are not written.
-	unlisted map[instance.ID]bool
-	handler  map[instance.ID]platform.Worker
-	front    func(instance.ID, netip.AddrPort) (netip.AddrPort, error)
-	network  *network.Network
-	memoryMB float64
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	closers  []io.Closer
+	// unlisted are the targets whose rows are not written, and down those that have crashed,
+	// whose rows stay as they are.
+	unlisted, down map[instance.ID]bool
+	handler        map[instance.ID]platform.Worker
+	front          func(instance.ID, netip.AddrPort) (netip.AddrPort, error)
+	network        *network.Network
+	memoryMB       float64
+	cancel         context.CancelFunc
+	wg             sync.WaitGroup
+	closers        []io.Closer
 }
 
 // Entry is one entry of a site.
@@ -136,7 +137,7 @@
 	s := &Site{
 		Store: &rows.Store{}, Workers: make(map[instance.ID]*worker.Worker), Desks: make(map[instance.ID]*worker.Plain),
 		targets: make(map[instance.ID]inventory.Target), handler: make(map[instance.ID]platform.Worker), cancel: cancel,
-		front: opt.Front, network: opt.Network, memoryMB: opt.MemoryMB, unlisted: make(map[instance.ID]bool),
+		front: opt.Front, network: opt.Network, memoryMB: opt.MemoryMB, unlisted: make(map[instance.ID]bool), down: make(map[instance.ID]bool),
 	}
 	s.config = demo()
 
@@ -318,6 +319,10 @@
 			continue
 		}
 
+		if s.down[id] {
+			continue
+		}
+
 		if w, ok := s.handler[id].(*worker.Worker); ok {
 			t = w.Describe(t)
 		}
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -20,6 +20,8 @@
 func (w *Worker) Serve(r platform.Request, a *platform.Answer) {
 	arrived := w.arrive(r.ID, a)
 
+	w.arriveCrashing(r)
+
 	if w.turnAway(arrived, a) || !w.enter(a) {
 		return
 	}
@@ -36,6 +38,8 @@
 		a.Lose()
 	}
 
+	w.crashOn(r, a, step)
+
 	first, _ := strconv.Atoi(r.LastEvent) // A stream that is not resumed begins at the first event.
 
 	last := events
@@ -92,6 +96,8 @@
 func (p *Plain) Serve(r platform.Request, a *platform.Answer) {
 	arrived := p.arrive(r.ID, a)
 
+	p.arriveCrashing(r)
+
 	if p.turnAway(arrived, a) || !p.enter(a) {
 		return
 	}
@@ -103,6 +109,7 @@
 	p.ran = append(p.ran, Run{ID: r.ID, Team: r.Team, Keyed: len(r.Credentials) > 0, At: time.Now()})
 	p.mu.Unlock()
 
+	p.crashOn(r, a, plainWork)
 	time.Sleep(plainWork)
 
 	if p.TakeFault() {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -40,6 +40,7 @@
 	limits  limitRecord
 	states  statements
 	brittle brittleState
+	crash   crashState
 }
 
 // model is a model that is loaded or being loaded.
