--- a/internal/fleet/entry/members.go
+++ b/internal/fleet/entry/members.go
@@ -152,7 +152,7 @@
 		Draining:            e.draining.Load(),
 		Ready:               e.Ready(),
 		ListVersion:         e.lists.Current().Version(),
-		BlockedFingerprints: e.dispatch.BlockedFingerprints(),
+		BlockedFingerprints: e.dispatch.Crashes.Convicted(),
 		Plans:               e.gateway.Counts(),
 		Clock:               e.log.Clock.Now(),
 	}
@@ -211,7 +211,7 @@
 	}
 
 	for _, fp := range n.Poisoned {
-		e.dispatch.Block(fp)
+		e.dispatch.Crashes.BlockNow(fp)
 	}
 
 	for _, d := range n.Dead {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/memory"
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/statement"
@@ -108,6 +109,7 @@
 	traffic     traffic
 	quotas      quotas
 	origins     origins
+	crashes     crashes
 	// rateLimits are the limits that targets state, departures the targets that have said
 	// that they leave, and rests those that have asked this entry for rest. statementNews signals that one of them has begun or
 	// ceased to say so.
@@ -211,6 +213,7 @@
 	n.reach.node = n
 	n.origins.node = n
 	n.origins.shareSoon, n.origins.storeSoon, n.origins.listChanged = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+	n.crashes.node, n.crashes.untold = n, make(chan struct{}, 1)
 	n.quotas.node, n.quotas.roundSoon = n, make(chan struct{}, 1)
 	n.quotas.owner.Slack, n.quotas.delegator.Started = cfg.Slack, clock.Now()
 	n.peers.members.Self = membership.Member{ID: cfg.Self, Address: cfg.Peers, Process: n.process, Started: time.Now(), Strength: cfg.Strength}
@@ -223,6 +226,8 @@
 		Prerequisite: holder.ModelOf, Predictive: n.predictive,
 		OnQueued: func(string) { signal(n.reportSoon) }, OnReplicaIdle: func() { signal(n.reportIdle) }, OnNotice: n.broadcastNotice, MaxWaiting: maxWaiting,
 	})
+	n.dispatcher.Crashes.OnDeath = n.crashes.observe
+	n.dispatcher.Crashes.OnAcquittal = func(fp request.Fingerprint, at time.Time) { go n.crashes.acquit(fp, at) }
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Dispatcher: n.dispatcher, Pool: &n.pool, Budgets: &n.budgets,
 		Table: n.routes.Load, TableKnown: n.configKnown, TableTooOld: n.configTooOld, RefreshTable: n.confirm, Limits: &n.quotas, Origins: &n.origins, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, OnStatement: n.hear, Reach: &n.reach, Log: cfg.Log, Metrics: n.metrics, BoundTokens: cfg.BoundedMemory,
--- a/internal/fleet/node/popular_test.go
+++ b/internal/fleet/node/popular_test.go
@@ -107,6 +107,8 @@
 		"all but one have not served it":   {10 * time.Millisecond, 3, 4},
 		"two entries have not, for longer": {20 * time.Millisecond, 2, 4},
 		"links of one entry that has not":  {10 * time.Millisecond, 2, 1},
+		"1 s":                              {time.Second, 0, 4},
+		"1 s, one entry that has not":      {time.Second, 2, 1},
 	}
 
 	for name, tc := range cases {
--- a/internal/fleet/node/routing.go
+++ b/internal/fleet/node/routing.go
@@ -10,6 +10,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -416,5 +417,6 @@
 func (n *Node) markMoved(t *router.Target) {
 	if t.MarkLeaving() {
 		n.cfg.Log.Warn().Str("target", string(t.ID)).Stringer("address", t.Address).Msg("address belongs to another target")
+		n.dispatcher.Crashes.Prove(crash.Death{Target: t.ID, Incarnation: t.Info().Incarnation})
 	}
 }
--- a/internal/fleet/node/run.go
+++ b/internal/fleet/node/run.go
@@ -75,7 +75,7 @@
 	wg.Go(func() { n.logServeError("peers", news.Serve(work, framed, n)) })
 	wg.Go(func() { n.logServeError("passed on", passedOn.Serve(neighbours)) })
 
-	for _, loop := range []func(context.Context){n.watchConfig, n.fetchAnnouncedConfig, n.watchTargets, n.fetchAnnouncedList, n.pollPeers, n.maintainRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.origins.run, n.shareStatements, n.handOverIfCutOff, n.sweep, n.logCalls} {
+	for _, loop := range []func(context.Context){n.watchConfig, n.fetchAnnouncedConfig, n.watchTargets, n.fetchAnnouncedList, n.pollPeers, n.maintainRouting, n.report, n.holder.Run, n.peers.run, n.quotas.run, n.origins.run, n.crashes.run, n.shareStatements, n.handOverIfCutOff, n.sweep, n.logCalls} {
 		wg.Go(func() { loop(work) })
 	}
 
--- a/internal/fleet/node/statements.go
+++ b/internal/fleet/node/statements.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/statement"
 )
@@ -124,8 +125,12 @@
 // updateTargets replaces the known targets by those on the list, with what they have
 // said of themselves. The caller holds the lock.
 func (n *Node) updateTargets() {
+	before := n.targetsByID
 	n.targetsByID = n.registry.Targets()
 	n.targets = n.targetsByID
+
+	go n.crashes.proveReplaced(before, n.targetsByID)
+
 	n.software = softwareOf(n.targetsByID)
 
 	signal(n.origins.listChanged)
@@ -273,6 +278,7 @@
 // dropOldStatements deletes what targets that are not listed any more have stated.
 func (n *Node) dropOldStatements() {
 	n.dropOldRateLimits()
+	n.dispatcher.Crashes.Forget(func(d crash.Death) bool { return n.isListed(statement.Process(d)) })
 
 	if n.departures.Len() > 0 {
 		n.departures.Retain(n.isListed, clock.Now())
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -1,5 +1,6 @@
-// Package crash detects poison requests, which crash the targets that run them.
-// It does no I/O and reads no clock.
+// Package crash finds what crashes targets: a request that is sent again and again, or
+// something that many requests have in common. Entries observe their own runs with Runs;
+// a Judge weighs what all of them have observed. It does no I/O and reads no clock.
 package crash
 
 import (
@@ -10,183 +11,53 @@
 )
 
 const (
-	// deathsToBlock is the number of deaths after which a request is blocked.
-	deathsToBlock = 2
-	// answeredDeathsToBlock is the same for a request that was answered whole
-	// lately. Links of targets that fail in a row look like deaths.
-	answeredDeathsToBlock = 4
-	// retention is how long a request stays a suspect after a death, and how
-	// long a block lasts.
-	retention = 10 * time.Minute
-	// maxRecords bounds the registry. Records of blocked requests are evicted
-	// last.
-	maxRecords = 4096
+	// Settle is how long a target that crashes has ended by after it has begun to write.
+	// A run that has written for longer did not crash its target.
+	Settle = 200 * time.Millisecond
+	// observation is how far apart entries may see the same death.
+	observation = 500 * time.Millisecond
+	// retention is how long deaths count.
+	retention = 20 * time.Minute
+	// blockPeriod is how long a block lasts after the last death that counts for it.
+	blockPeriod = 10 * time.Minute
+	// soundPeriod is the least time for which a sound run is remembered, unless more
+	// than maxSound others are recorded in it.
+	soundPeriod = time.Minute
+	// maxSound bounds the fingerprints of each of the two periods.
+	maxSound = 4096
+	// maxDeaths bounds the deaths that are remembered.
+	maxDeaths = 256
+	// maxExposures bounds the fingerprints of one death, and maxBlocks the blocks of peers.
+	maxExposures = 1024
+	maxBlocks    = 1024
 )
 
-// Registry records which requests ran on targets that died. The zero value is
-// empty. It is not safe for concurrent use.
-//
-// Retries of a poison request, by its client or by entries, would crash all
-// targets one after another. A request is therefore blocked after two targets
-// died while they ran it. After the first death, all requests that ran on that
-// target are suspects. Each suspect is then run on a target without other
-// suspects, so that a harmless one completes and RecordAnswer removes its record.
-type Registry struct {
-	records  map[request.Fingerprint]*record
-	answered answeredRequests
-}
-
-type record struct {
-	deaths  map[Death]bool
-	blocked bool
-	until   time.Time
-}
-
 // Death identifies the death of one incarnation of a target.
 type Death struct {
 	Target      instance.ID
 	Incarnation string
 }
 
-// RecordDeath records that a target died while it ran the request. It reports
-// whether this blocked the request. A death counts once, however often the
-// request was sent to the target before the death was detected.
-func (r *Registry) RecordDeath(fp request.Fingerprint, d Death, now time.Time) bool {
-	rec := r.get(fp, now)
-	rec.deaths[d] = true
-	rec.until = now.Add(retention)
-
-	if rec.blocked || len(rec.deaths) < r.deathsToBlock(fp, now) {
-		return false
-	}
-
-	rec.blocked = true
-
-	return true
-}
-
-func (r *Registry) deathsToBlock(fp request.Fingerprint, now time.Time) int {
-	if r.answered.has(fp, now) {
-		return answeredDeathsToBlock
-	}
-
-	return deathsToBlock
-}
-
-// Block blocks a request that a peer has blocked. It reports false, and does not
-// block the request, if it was answered whole lately.
-func (r *Registry) Block(fp request.Fingerprint, now time.Time) bool {
-	if r.answered.has(fp, now) {
-		return false
-	}
-
-	rec := r.get(fp, now)
-	rec.blocked = true
-	rec.until = now.Add(retention)
-
-	return true
-}
-
-// Unblock records that a peer has had a blocked request answered whole. It reports
-// whether this ended the block, which it does unless too many targets have died
-// for a request that was answered.
-func (r *Registry) Unblock(fp request.Fingerprint, now time.Time) bool {
-	r.answered.add(fp, now)
-
-	rec := r.records[fp]
-	if rec == nil || !rec.blocked || len(rec.deaths) >= answeredDeathsToBlock {
-		return false
-	}
-
-	rec.blocked = false
-
-	return true
-}
-
-// RecordAnswer records that a target has answered the request whole, and removes
-// its record unless it is blocked.
-func (r *Registry) RecordAnswer(fp request.Fingerprint, now time.Time) {
-	r.answered.add(fp, now)
-
-	if rec := r.records[fp]; rec != nil && !rec.blocked {
-		delete(r.records, fp)
-	}
+// Testimony is what one entry has observed of one death.
+type Testimony struct {
+	Death
+	// At is a time at which the target still ran, zero if none is known, and Until one by
+	// which it had ended. They are the same if the end was seen, and may be far apart if the
+	// target fell silent.
+	At, Until time.Time
+	// Exposed are the fingerprints of the requests that may have crashed it: those that
+	// were sent to it and had neither been answered nor written for Settle. The time is
+	// the earliest at which one with the fingerprint was sent.
+	Exposed map[request.Fingerprint]time.Time
 }
 
-// IsBlocked reports whether the request is blocked, and for how much longer.
-func (r *Registry) IsBlocked(fp request.Fingerprint, now time.Time) (time.Duration, bool) {
-	rec := r.records[fp]
-	if rec == nil || !rec.blocked || !now.Before(rec.until) {
-		return 0, false
-	}
-
-	return rec.until.Sub(now), true
-}
-
-// IsSuspect reports whether a target died recently while it ran the request, or
-// the request is blocked.
-func (r *Registry) IsSuspect(fp request.Fingerprint, now time.Time) bool {
-	rec := r.records[fp]
-
-	return rec != nil && now.Before(rec.until)
-}
-
-// Blocked returns the blocked fingerprints.
-func (r *Registry) Blocked(now time.Time) []request.Fingerprint {
-	var out []request.Fingerprint
-
-	for fp, rec := range r.records {
-		if rec.blocked && now.Before(rec.until) {
-			out = append(out, fp)
-		}
-	}
-
-	return out
-}
-
-func (r *Registry) get(fp request.Fingerprint, now time.Time) *record {
-	if r.records == nil {
-		r.records = make(map[request.Fingerprint]*record)
-	}
-
-	rec := r.records[fp]
-	if rec == nil || !now.Before(rec.until) {
-		r.evict(now)
-
-		rec = &record{deaths: make(map[Death]bool)}
-		r.records[fp] = rec
-	}
-
-	return rec
-}
-
-// evict removes the expired records of a full registry, and one more if it is
-// then still full.
-func (r *Registry) evict(now time.Time) {
-	if len(r.records) < maxRecords {
-		return
-	}
-
-	var oldest request.Fingerprint
-
-	var found *record
-
-	for fp, rec := range r.records {
-		if !now.Before(rec.until) {
-			delete(r.records, fp)
-
-			continue
-		}
-
-		if found == nil || !rec.blocked && found.blocked || rec.blocked == found.blocked && rec.until.Before(found.until) {
-			oldest, found = fp, rec
-		}
-	}
-
-	if len(r.records) >= maxRecords {
-		delete(r.records, oldest)
-	}
+// limits are the numbers of deaths, one after the other, from which a fingerprint is
+// blocked.
+type limits struct {
+	// unknown is for a fingerprint without a sound run lately, and sound for any other:
+	// it is likelier that others crash its targets.
+	unknown, sound int
 }
 
-// Len returns the number of records.
-func (r *Registry) Len() int { return len(r.records) }
+// limitsOf returns the limits for a scope.
+func limitsOf(request.Scope) limits { return limits{unknown: 2, sound: 4} }
--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -11,119 +11,196 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 )
 
-var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func death(target, incarnation string) Death {
-	return Death{Target: instance.ID(target), Incarnation: incarnation}
+// at returns a time in milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func fp(i int, s request.Scope) request.Fingerprint {
+	return request.FingerprintOf(s, fmt.Sprint(i))
 }
 
-// TestPoison records that targets die while they run one request. The request must
-// be blocked after the second death, and allowed again after ten minutes.
-func TestPoison(t *testing.T) {
-	var r Registry
+// exact returns the fingerprint of one request.
+func exact(i int) request.Fingerprint { return fp(i, request.ScopePrompt) }
 
-	assert.Assert(t, !r.RecordDeath(1, death("t1", "a"), now))
-	assert.Assert(t, r.IsSuspect(1, now))
-	assert.Assert(t, !r.RecordDeath(1, death("t1", "a"), now), "one death counts once")
-	assert.Assert(t, r.RecordDeath(1, death("t1", "b"), now), "the death of a restarted target counts")
+func fps(all ...request.Fingerprint) []request.Fingerprint { return all }
 
-	left, blocked := r.IsBlocked(1, now.Add(retention-time.Second))
-	assert.Assert(t, blocked)
-	assert.Equal(t, left, time.Second)
+// died returns a death 100 ms after requests with the fingerprints were sent.
+func died(target string, ms int, all ...request.Fingerprint) Testimony {
+	t := Testimony{Death: Death{Target: instance.ID(target), Incarnation: "a"}, At: at(ms), Until: at(ms), Exposed: make(map[request.Fingerprint]time.Time)}
+	for _, f := range all {
+		t.Exposed[f] = at(ms - 100)
+	}
+
+	return t
+}
 
-	_, blocked = r.IsBlocked(1, now.Add(retention))
-	assert.Assert(t, !blocked)
+// fellSilent returns a death that was not seen: the target wrote for the last time at ms.
+func fellSilent(target string, ms, until int, all ...request.Fingerprint) Testimony {
+	t := died(target, ms, all...)
+	t.Until = at(until)
+
+	return t
 }
 
-// TestClear checks that a request that has completed is no longer a suspect, and
-// that a block is not cleared.
-func TestClear(t *testing.T) {
-	var r Registry
+func isBlocked(j *Judge, f request.Fingerprint, now time.Time) bool {
+	_, _, blocked := j.Blocked(fps(f), now)
+
+	return blocked
+}
 
-	r.RecordDeath(1, death("t1", "a"), now)
-	r.RecordAnswer(1, now)
-	assert.Assert(t, !r.IsSuspect(1, now))
-	assert.Assert(t, !r.RecordDeath(1, death("t2", "a"), now), "it completed in between")
+// TestPoison checks that a request is blocked after the second death under it, and allowed
+// again after ten minutes.
+func TestPoison(t *testing.T) {
+	var j Judge
 
-	// A complete answer does not clear a block that a peer has reported.
-	r.Block(2, now)
-	r.RecordAnswer(2, now)
+	j.Testify(died("t1", 0, exact(1)), at(0))
+	assert.Assert(t, j.IsSuspect(fps(exact(1)), at(0)))
+	j.Testify(died("t1", 0, exact(1)), at(10))
+	assert.Equal(t, len(j.TakeConvicted()), 0, "one death counts once")
 
-	_, blocked := r.IsBlocked(2, now)
+	restarted := died("t1", 1000, exact(1))
+	restarted.Incarnation = "b"
+	j.Testify(restarted, at(1000))
+	assert.DeepEqual(t, j.TakeConvicted(), fps(exact(1)))
+	assert.Equal(t, len(j.TakeConvicted()), 0, "returned once")
+
+	_, left, blocked := j.Blocked(fps(exact(2), exact(1)), at(1000).Add(blockPeriod-time.Second))
 	assert.Assert(t, blocked)
-	assert.DeepEqual(t, r.Blocked(now), []request.Fingerprint{2})
+	assert.Equal(t, left, time.Second)
+	assert.Assert(t, !isBlocked(&j, exact(1), at(1000).Add(blockPeriod)))
 }
 
-// TestAnsweredRequest guards against a request that many send and that is blocked because
-// links of targets failed under it.
-func TestAnsweredRequest(t *testing.T) {
-	var r Registry
+func TestVerdict(t *testing.T) {
+	content := func(i int) request.Fingerprint { return fp(i, request.ScopeContent) }
 
-	r.RecordAnswer(1, now)
-	assert.Assert(t, !r.Block(1, now.Add(answeredPeriod)), "a peer's block is refused")
+	type soundRun struct {
+		fp     request.Fingerprint
+		ms, at int
+	}
 
-	for i := range answeredDeathsToBlock - 1 {
-		assert.Assert(t, !r.RecordDeath(1, death(fmt.Sprint(i), "a"), now))
+	cases := map[string]struct {
+		deaths []Testimony
+		// sound are runs that are known from a time on, before the deaths of that time.
+		sound   []soundRun
+		blocked []request.Fingerprint
+		not     []request.Fingerprint
+	}{
+		"two deaths":                {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 500, exact(1))}, blocked: fps(exact(1))},
+		"one death of two entries":  {deaths: []Testimony{died("t1", 0, exact(1)), died("t1", 20, exact(1))}, not: fps(exact(1))},
+		"deaths at the same time":   {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 10, exact(1)), died("t3", 20, exact(1))}, not: fps(exact(1))},
+		"sent again at once":        {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 100, exact(1))}, blocked: fps(exact(1))},
+		"sound between two deaths":  {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 500, exact(1))}, sound: []soundRun{{exact(1), 200, 400}}, not: fps(exact(1))},
+		"sound before, two deaths":  {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 500, exact(1))}, sound: []soundRun{{exact(1), -1000, -500}}, not: fps(exact(1))},
+		"sound before, four deaths": {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 500, exact(1)), died("t3", 1000, exact(1)), died("t4", 1500, exact(1))}, sound: []soundRun{{exact(1), -1000, -500}}, blocked: fps(exact(1))},
+		"sound long before":         {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 500, exact(1))}, sound: []soundRun{{exact(1), -3 * 60_000, -3 * 60_000}}, blocked: fps(exact(1))},
+		"bystander of two deaths":   {deaths: []Testimony{died("t1", 0, exact(1), exact(2)), died("t2", 500, exact(1), exact(2)), died("t3", 1000, exact(1))}, blocked: fps(exact(1)), not: fps(exact(2))},
+		"prompt is new each time":   {deaths: []Testimony{died("t1", 0, exact(1), content(9)), died("t2", 500, exact(2), content(9))}, blocked: fps(content(9)), not: fps(exact(1), exact(2))},
+		"narrower one explains all": {deaths: []Testimony{died("t1", 0, exact(1), content(9)), died("t2", 500, exact(1), content(9))}, blocked: fps(exact(1)), not: fps(content(9))},
+		"silent, in turn":           {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), fellSilent("t2", 300, 2200, exact(1))}, blocked: fps(exact(1))},
+		"silent, sound before":      {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), fellSilent("t2", 300, 2200, exact(1)), fellSilent("t3", 600, 2500, exact(1)), fellSilent("t4", 900, 2800, exact(1))}, sound: []soundRun{{exact(1), -1000, -500}}, not: fps(exact(1))},
+		"silent for one, seen":      {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), died("t1", 50, exact(1)), died("t2", 300, exact(1))}, blocked: fps(exact(1))},
+		"two that crash targets":    {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 100, exact(2)), died("t3", 500, exact(1)), died("t4", 600, exact(2))}, blocked: fps(exact(1), exact(2))},
 	}
 
-	assert.Assert(t, r.IsSuspect(1, now))
-	assert.Assert(t, r.RecordDeath(1, death("last", "a"), now), "it may crash targets all the same")
-	assert.Assert(t, !r.Unblock(1, now))
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var j Judge
+
+			sound := tc.sound
+
+			for _, d := range tc.deaths {
+				for len(sound) > 0 && !at(sound[0].at).After(d.At) {
+					j.RecordSound(fps(sound[0].fp), at(sound[0].ms), at(sound[0].at))
+					sound = sound[1:]
+				}
+
+				j.Testify(d, d.At)
+			}
+
+			now := tc.deaths[len(tc.deaths)-1].At
+
+			for _, f := range tc.blocked {
+				assert.Assert(t, isBlocked(&j, f, now), "%v is not blocked", f)
+			}
+
+			for _, f := range tc.not {
+				assert.Assert(t, !isBlocked(&j, f, now), "%v is blocked", f)
+			}
+		})
+	}
 }
 
-func TestAnswerLongAgo(t *testing.T) {
-	var r Registry
+// TestAnswerEndsBlock checks that only a run that began after the last death ends a block,
+// whoever found it.
+func TestAnswerEndsBlock(t *testing.T) {
+	var j Judge
 
-	r.RecordAnswer(1, now)
+	j.Testify(died("t1", 0, exact(1)), at(0))
+	j.Testify(died("t2", 500, exact(1)), at(500))
+	assert.Assert(t, j.Block(exact(2), at(500), at(600)))
 
-	later := now.Add(2 * answeredPeriod)
-	assert.Assert(t, !r.RecordDeath(1, death("t1", "a"), later))
-	assert.Assert(t, r.RecordDeath(1, death("t2", "a"), later))
+	assert.Equal(t, len(j.RecordSound(fps(exact(2)), at(400), at(700))), 0)
+	assert.Assert(t, isBlocked(&j, exact(2), at(700)))
+
+	for _, f := range fps(exact(1), exact(2)) {
+		assert.DeepEqual(t, j.RecordSound(fps(f), at(600), at(800)), fps(f))
+		assert.Assert(t, !isBlocked(&j, f, at(800)))
+	}
+
+	assert.Assert(t, !j.Block(exact(2), at(500), at(900)), "a block that comes again")
 }
 
-// TestUnblock checks that a block ends when a peer has had the request answered, and that
-// the deaths before still count.
-func TestUnblock(t *testing.T) {
-	var r Registry
+// TestRetract checks that a death that did not happen convicts nothing.
+func TestRetract(t *testing.T) {
+	var j Judge
 
-	r.RecordDeath(1, death("t1", "a"), now)
-	assert.Assert(t, r.RecordDeath(1, death("t2", "a"), now))
-	assert.Assert(t, r.Unblock(1, now))
+	j.Testify(died("t1", 0, exact(1)), at(0))
+	j.Testify(died("t2", 500, exact(1)), at(500))
 
-	_, blocked := r.IsBlocked(1, now)
-	assert.Assert(t, !blocked)
-	assert.Assert(t, !r.Unblock(1, now), "it is not blocked")
-	assert.Assert(t, !r.RecordDeath(1, death("t3", "a"), now))
-	assert.Assert(t, r.RecordDeath(1, death("t4", "a"), now))
+	j.Retract(Death{"t2", "a"}, at(600), at(700))
+	assert.Assert(t, isBlocked(&j, exact(1), at(700)), "written at about the same time")
 
-	assert.Assert(t, r.Block(2, now))
-	assert.Assert(t, r.Unblock(2, now), "a block that a peer has reported")
-	assert.Assert(t, !r.Block(2, now), "a block that comes again")
+	j.Retract(Death{"t2", "a"}, at(1500), at(1600))
+	assert.Assert(t, !isBlocked(&j, exact(1), at(1600)))
 }
 
-func TestAnsweredIsBounded(t *testing.T) {
-	var a answeredRequests
+func TestBlocks(t *testing.T) {
+	var j Judge
 
-	for i := range 3 * maxAnswered {
-		a.add(request.Fingerprint(i), now)
-	}
+	j.Testify(died("t1", 0, exact(1)), at(0))
+	j.Testify(died("t2", 500, exact(1)), at(500))
+	j.Block(exact(1), at(400), at(600))
+	j.Block(exact(2), at(400), at(600))
 
-	assert.Assert(t, len(a.current)+len(a.previous) <= 2*maxAnswered)
-	assert.Assert(t, a.has(3*maxAnswered-1, now))
-	assert.Assert(t, !a.has(0, now))
+	assert.Equal(t, len(j.Blocks(at(700))), 2)
+
+	b, deaths, ok := j.Conviction(exact(1), at(700))
+	assert.Assert(t, ok)
+	assert.Equal(t, b, Block{exact(1), at(500)})
+	assert.Equal(t, len(deaths), 2)
+
+	_, _, ok = j.Conviction(exact(2), at(700))
+	assert.Assert(t, !ok, "a peer's")
+	assert.Equal(t, len(j.Blocks(at(500).Add(blockPeriod))), 0)
 }
 
-func TestRegistryIsBounded(t *testing.T) {
-	var r Registry
+func TestIsBounded(t *testing.T) {
+	var (
+		j Judge
+		s soundRuns
+	)
 
-	r.Block(0, now)
+	j.Block(exact(0), at(0), at(0))
 
-	for i := range 2 * maxRecords {
-		r.RecordDeath(request.Fingerprint(i+1), death(fmt.Sprint(i), ""), now.Add(time.Duration(i)))
+	for i := range 3 * maxSound {
+		j.Testify(died(fmt.Sprint(i), i, exact(i), exact(i+1)), at(i))
+		s.add(exact(i), at(i), at(0))
 	}
 
-	assert.Assert(t, len(r.records) <= maxRecords)
-
-	_, blocked := r.IsBlocked(0, now)
-	assert.Assert(t, blocked, "blocked requests are evicted last")
+	assert.Assert(t, len(j.deaths) <= maxDeaths)
+	assert.Assert(t, isBlocked(&j, exact(0), at(0)))
+	assert.Assert(t, len(s.current)+len(s.previous) <= 2*maxSound)
+	assert.Assert(t, !s.last(exact(3*maxSound-1), at(0)).IsZero())
+	assert.Assert(t, s.last(exact(0), at(0)).IsZero())
 }
--- /dev/null
+++ b/internal/serving/crash/judge.go
@@ -0,0 +1,281 @@
+package crash
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// Judge decides what crashes targets from what entries have observed. The zero value has
+// observed nothing. It is not safe for concurrent use.
+//
+// A fingerprint is suspected of each death of a target on which a request with it was
+// about to write. A run that has begun since on a target that lived on acquits it of the
+// deaths before. What is suspected of enough deaths is blocked, and is then taken to
+// explain all deaths that it is suspected of (see verdict).
+type Judge struct {
+	deaths map[Death]*death
+	sound  soundRuns
+	// blocked are the fingerprints that the deaths here convict, and told those that
+	// peers have blocked, with the last death that counts for each.
+	blocked, told map[request.Fingerprint]time.Time
+	suspects      map[request.Fingerprint]bool
+	// convicted are those of blocked that TakeConvicted has not returned.
+	convicted []request.Fingerprint
+}
+
+// death is what is known of one death.
+type death struct {
+	// at is when the target was last known to run, and until when it had ended.
+	at, until time.Time
+	// exposed maps what may have crashed it to when it was sent there.
+	exposed map[request.Fingerprint]time.Time
+}
+
+// Testify adds what an entry has observed of a death. What several have observed of the
+// same death counts as one.
+func (j *Judge) Testify(t Testimony, now time.Time) {
+	if len(t.Exposed) == 0 {
+		return
+	}
+
+	d := j.deaths[t.Death]
+	if d == nil {
+		d = &death{exposed: make(map[request.Fingerprint]time.Time)}
+		j.insert(t.Death, d, now)
+	}
+
+	d.merge(t)
+	j.judge(now)
+}
+
+// merge adds what an entry has observed.
+func (d *death) merge(t Testimony) {
+	var first time.Time
+
+	for fp, sent := range t.Exposed {
+		if first.IsZero() || sent.Before(first) {
+			first = sent
+		}
+
+		if known, ok := d.exposed[fp]; ok && known.Before(sent) || !ok && len(d.exposed) >= maxExposures {
+			continue
+		}
+
+		d.exposed[fp] = sent
+	}
+
+	// What crashed the target was sent before it ended.
+	at := t.At
+	if at.IsZero() {
+		at = first
+	}
+
+	if d.until.IsZero() || t.Until.Before(d.until) {
+		d.until = t.Until
+	}
+
+	if at.After(d.at) {
+		d.at = at
+	}
+
+	if d.at.After(d.until) {
+		d.at = d.until
+	}
+}
+
+// Retract removes a death that did not happen: the target ran at the time given. What no
+// death convicts any more is no longer blocked.
+func (j *Judge) Retract(d Death, ranAt, now time.Time) {
+	if known := j.deaths[d]; known == nil || !ranAt.After(known.until.Add(observation)) {
+		return
+	}
+
+	delete(j.deaths, d)
+	j.judge(now)
+}
+
+// RecordSound records that a request began to run, or to write, at a time and that its
+// target lived on. It returns the fingerprints that are no longer blocked because of it.
+func (j *Judge) RecordSound(fps []request.Fingerprint, at, now time.Time) []request.Fingerprint {
+	var (
+		again   bool
+		blocked []request.Fingerprint
+	)
+
+	for _, fp := range fps {
+		j.sound.add(fp, at, now)
+
+		if !j.lastDeath(fp).IsZero() {
+			blocked = append(blocked, fp)
+		}
+
+		if told, ok := j.told[fp]; ok && at.After(told) {
+			delete(j.told, fp)
+		}
+
+		again = again || j.suspects[fp] || !j.blocked[fp].IsZero()
+	}
+
+	if again {
+		j.judge(now)
+	}
+
+	return slices.DeleteFunc(blocked, func(fp request.Fingerprint) bool { return !j.lastDeath(fp).IsZero() })
+}
+
+// LastSound returns when a request with the fingerprint last ran on a target that lived
+// on. It returns false if none is known.
+func (j *Judge) LastSound(fp request.Fingerprint, now time.Time) (time.Time, bool) {
+	at := j.sound.last(fp, now)
+
+	return at, !at.IsZero()
+}
+
+// Block blocks a fingerprint that a peer has found to crash targets, the last time at
+// lastDeath. It reports false, and does not block it, if a request with it has run soundly
+// since.
+func (j *Judge) Block(fp request.Fingerprint, lastDeath, now time.Time) bool {
+	if j.sound.last(fp, now).After(lastDeath) {
+		return false
+	}
+
+	if j.told == nil || len(j.told) >= maxBlocks {
+		j.told = make(map[request.Fingerprint]time.Time)
+	}
+
+	j.told[fp] = lastDeath
+
+	return true
+}
+
+// Blocked returns the first of the fingerprints that is blocked, and for how much longer.
+func (j *Judge) Blocked(fps []request.Fingerprint, now time.Time) (request.Fingerprint, time.Duration, bool) {
+	for _, fp := range fps {
+		until := j.lastDeath(fp).Add(blockPeriod)
+		if now.Before(until) {
+			return fp, until.Sub(now), true
+		}
+	}
+
+	return 0, 0, false
+}
+
+// lastDeath returns the last death for which the fingerprint is blocked, or zero.
+func (j *Judge) lastDeath(fp request.Fingerprint) time.Time {
+	own, told := j.blocked[fp], j.told[fp]
+	if told.After(own) {
+		return told
+	}
+
+	return own
+}
+
+// IsSuspect reports whether one of the fingerprints is suspected of a death that nothing
+// blocked explains, or is blocked.
+func (j *Judge) IsSuspect(fps []request.Fingerprint, now time.Time) bool {
+	for _, fp := range fps {
+		if j.suspects[fp] {
+			return true
+		}
+	}
+
+	_, _, blocked := j.Blocked(fps, now)
+
+	return blocked
+}
+
+// Block is what is blocked, and the last death that counts for it.
+type Block struct {
+	Fingerprint request.Fingerprint
+	LastDeath   time.Time
+}
+
+// Blocks returns all that is blocked, here or by peers.
+func (j *Judge) Blocks(now time.Time) []Block {
+	var out []Block
+
+	for fp := range j.told {
+		out = append(out, Block{fp, j.lastDeath(fp)})
+	}
+
+	for fp := range j.blocked {
+		if _, told := j.told[fp]; !told {
+			out = append(out, Block{fp, j.lastDeath(fp)})
+		}
+	}
+
+	return slices.DeleteFunc(out, func(b Block) bool { return now.Sub(b.LastDeath) >= blockPeriod })
+}
+
+// Conviction returns the block of a fingerprint that the deaths known here convict, and
+// these deaths. It returns false if they do not.
+func (j *Judge) Conviction(fp request.Fingerprint, now time.Time) (Block, []Death, bool) {
+	last, ok := j.blocked[fp]
+	if !ok || now.Sub(last) >= blockPeriod {
+		return Block{}, nil, false
+	}
+
+	var deaths []Death
+
+	for id, d := range j.deaths {
+		if _, exposed := d.exposed[fp]; exposed {
+			deaths = append(deaths, id)
+		}
+	}
+
+	return Block{fp, last}, deaths, true
+}
+
+// Idle reports whether nothing is suspected or blocked.
+func (j *Judge) Idle() bool { return len(j.deaths) == 0 && len(j.told) == 0 }
+
+// insert adds a death and forgets those that are too old, or the oldest if there are too
+// many.
+func (j *Judge) insert(id Death, d *death, now time.Time) {
+	if j.deaths == nil {
+		j.deaths = make(map[Death]*death)
+	}
+
+	var oldest Death
+
+	for other, known := range j.deaths {
+		if now.Sub(known.at) > retention {
+			delete(j.deaths, other)
+
+			continue
+		}
+
+		if o := j.deaths[oldest]; o == nil || known.at.Before(o.at) {
+			oldest = other
+		}
+	}
+
+	if len(j.deaths) >= maxDeaths {
+		delete(j.deaths, oldest)
+	}
+
+	j.deaths[id] = d
+}
+
+// judge weighs all deaths anew.
+func (j *Judge) judge(now time.Time) {
+	before := j.blocked
+	j.blocked, j.suspects = newVerdict(j, now).convict()
+
+	for fp := range j.blocked {
+		if _, old := before[fp]; !old {
+			j.convicted = append(j.convicted, fp)
+		}
+	}
+}
+
+// TakeConvicted returns the fingerprints that the deaths known here have convicted since the
+// last call.
+func (j *Judge) TakeConvicted() []request.Fingerprint {
+	out := j.convicted
+	j.convicted = nil
+
+	return out
+}
--- /dev/null
+++ b/internal/serving/crash/verdict.go
@@ -0,0 +1,167 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// verdict weighs the deaths that a judge knows.
+type verdict struct {
+	now time.Time
+	// deaths are those that nothing convicted explains yet.
+	deaths []*death
+	sound  *soundRuns
+}
+
+func newVerdict(j *Judge, now time.Time) *verdict {
+	v := &verdict{now: now, sound: &j.sound}
+
+	for _, d := range j.deaths {
+		if now.Sub(d.at) <= retention {
+			v.deaths = append(v.deaths, d)
+		}
+	}
+
+	return v
+}
+
+// suspicion is what the unexplained deaths say of a fingerprint.
+type suspicion struct {
+	fp     request.Fingerprint
+	deaths []*death
+	// sound is when a request with it last ran soundly, before all of the deaths.
+	sound time.Time
+}
+
+// convict returns what crashes targets, with the last death for each, and the suspects of
+// the deaths that this does not explain.
+//
+// The strongest suspicion convicts first and explains its deaths: what crashes targets is
+// in all of them, whatever else happened to run there, and its neighbours are acquitted.
+func (v *verdict) convict() (blocked map[request.Fingerprint]time.Time, suspects map[request.Fingerprint]bool) {
+	blocked = make(map[request.Fingerprint]time.Time)
+
+	for {
+		all := v.suspicions()
+		guilty, found := strongest(all)
+
+		if !found {
+			return blocked, suspectsOf(all)
+		}
+
+		blocked[guilty.fp] = guilty.lastDeath()
+		v.deaths = slices.DeleteFunc(v.deaths, func(d *death) bool { return slices.Contains(guilty.deaths, d) })
+	}
+}
+
+func suspectsOf(all map[request.Fingerprint]*suspicion) map[request.Fingerprint]bool {
+	out := make(map[request.Fingerprint]bool, len(all))
+	for fp := range all {
+		out[fp] = true
+	}
+
+	return out
+}
+
+// suspicions returns all fingerprints that are suspected of a death.
+func (v *verdict) suspicions() map[request.Fingerprint]*suspicion {
+	out := make(map[request.Fingerprint]*suspicion)
+
+	for _, d := range v.deaths {
+		for fp := range d.exposed {
+			s := out[fp]
+			if s == nil {
+				s = &suspicion{fp: fp, sound: v.sound.last(fp, v.now)}
+			}
+
+			if !d.at.After(s.sound) {
+				continue
+			}
+
+			s.deaths = append(s.deaths, d)
+			out[fp] = s
+		}
+	}
+
+	return out
+}
+
+// strongest returns the strongest suspicion that convicts: the one of most deaths, of
+// these the one that was sound the longest time ago, of these the narrowest.
+func strongest(all map[request.Fingerprint]*suspicion) (*suspicion, bool) {
+	var best *suspicion
+
+	for _, s := range all {
+		if s.convicts() && (best == nil || s.compare(best) < 0) {
+			best = s
+		}
+	}
+
+	return best, best != nil
+}
+
+// compare returns a negative number if s is stronger than other.
+func (s *suspicion) compare(other *suspicion) int {
+	return cmp.Or(
+		cmp.Compare(len(other.deaths), len(s.deaths)),
+		s.sound.Compare(other.sound),
+		cmp.Compare(s.fp.Scope(), other.fp.Scope()),
+		cmp.Compare(s.fp, other.fp),
+	)
+}
+
+// convicts reports whether there are enough deaths, one after the other.
+func (s *suspicion) convicts() bool {
+	limit := limitsOf(s.fp.Scope()).unknown
+	if !s.sound.IsZero() {
+		limit = limitsOf(s.fp.Scope()).sound
+	}
+
+	return len(s.deaths) >= limit && s.inTurn() >= limit
+}
+
+// inTurn returns how many of the deaths came one after the other: a request was sent to
+// the next target when the one before had ended. Targets that end together, as a rack
+// does, were not crashed by a request that was on all of them.
+func (s *suspicion) inTurn() int {
+	slices.SortFunc(s.deaths, func(a, b *death) int { return s.endOf(a).Compare(s.endOf(b)) })
+
+	n := 0
+
+	var last time.Time
+
+	for _, d := range s.deaths {
+		if n == 0 || !d.exposed[s.fp].Before(last) {
+			n++
+			last = s.endOf(d)
+		}
+	}
+
+	return n
+}
+
+// endOf returns when a target is taken to have ended. If that was not seen, a single request
+// is taken to have crashed it at once, and anything that sound requests may have too as late
+// as possible: targets that fall silent together would look as if they had ended in turn.
+func (s *suspicion) endOf(d *death) time.Time {
+	if s.sound.IsZero() && s.fp.Scope().Single() {
+		return d.at
+	}
+
+	return d.until
+}
+
+func (s *suspicion) lastDeath() time.Time {
+	var last time.Time
+
+	for _, d := range s.deaths {
+		if d.at.After(last) {
+			last = d.at
+		}
+	}
+
+	return last
+}
--- a/internal/serving/dispatch/acquire.go
+++ b/internal/serving/dispatch/acquire.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -83,20 +82,3 @@
 		d.cfg.OnReplicaIdle()
 	}
 }
-
-// IsBlocked reports whether the request is blocked because it crashes targets,
-// and for how much longer.
-func (d *Dispatcher) IsBlocked(fp request.Fingerprint) (time.Duration, bool) { return d.isBlocked(fp) }
-
-// IsSuspect reports whether a target died recently while it ran the request, or
-// the request is blocked.
-func (d *Dispatcher) IsSuspect(fp request.Fingerprint) bool { return d.isSuspect(fp) }
-
-// RecordDeath records that a target died while it ran the request. It reports
-// whether the request is now blocked.
-func (d *Dispatcher) RecordDeath(fp request.Fingerprint, death crash.Death) bool {
-	return d.recordDeath(fp, death)
-}
-
-// RecordAnswer records that a target has answered the request whole.
-func (d *Dispatcher) RecordAnswer(fp request.Fingerprint) { d.recordAnswer(fp) }
--- /dev/null
+++ b/internal/serving/dispatch/crash.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// Crashes knows which requests crash targets. Both serving paths ask it. Set the exported
+// fields before use.
+type Crashes struct {
+	// OnDeath is called with what this entry has observed of a death that is proved.
+	OnDeath func(crash.Testimony)
+	// OnConviction is called with what the deaths known here convict. It may be nil.
+	OnConviction func(request.Fingerprint)
+	// OnAcquittal is called when a request with a blocked fingerprint has run soundly here,
+	// at the time given. It may be nil.
+	OnAcquittal func(request.Fingerprint, time.Time)
+
+	mu    sync.Mutex
+	judge crash.Judge
+	runs  crash.Runs
+	// active says that something is suspected or blocked. While it is false, as usual,
+	// no request needs the lock to be asked about.
+	active atomic.Bool
+}
+
+// BeginRun records that a request is sent to an incarnation of a target. The caller ends it
+// with EndRun.
+func (c *Crashes) BeginRun(target instance.ID, incarnation string, req *request.Request) *crash.Run {
+	fps := req.Fingerprints()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.runs.Begin(crash.Death{Target: target, Incarnation: incarnation}, fps, time.Now())
+}
+
+// WriteRun records that a part of a run's answer has arrived. A nil run is none of this
+// entry's.
+func (c *Crashes) WriteRun(run *crash.Run) {
+	if run == nil {
+		return
+	}
+
+	c.mu.Lock()
+
+	now := time.Now()
+	if !c.runs.Write(run, now) {
+		c.mu.Unlock()
+
+		return
+	}
+
+	c.acquit(run, now)
+}
+
+// EndRun records how a run ended. Only the first call for a run has an effect.
+func (c *Crashes) EndRun(run *crash.Run, o crash.Outcome) {
+	c.mu.Lock()
+
+	now := time.Now()
+	if !c.runs.End(run, o, now) {
+		c.mu.Unlock()
+
+		return
+	}
+
+	c.acquit(run, now)
+}
+
+// acquit records a run that is now known to be sound. The caller holds the lock, which acquit
+// releases.
+func (c *Crashes) acquit(run *crash.Run, now time.Time) {
+	acquitted := c.judge.RecordSound(run.Fingerprints(), run.SoundAt(), now)
+	c.unlock()
+
+	if c.OnAcquittal == nil {
+		return
+	}
+
+	for _, fp := range acquitted {
+		c.OnAcquittal(fp, run.SoundAt())
+	}
+}
+
+// unlock releases the lock after a change of what the judge knows, and reports what it
+// convicts.
+func (c *Crashes) unlock() {
+	c.active.Store(!c.judge.Idle())
+	convicted := c.judge.TakeConvicted()
+	c.mu.Unlock()
+
+	if c.OnConviction == nil {
+		return
+	}
+
+	for _, fp := range convicted {
+		c.OnConviction(fp)
+	}
+}
+
+// Suspect records that an incarnation of a target refuses connections and seems to have died.
+// Prove or Retract must follow.
+func (c *Crashes) Suspect(d crash.Death) {
+	c.mu.Lock()
+	defer c.unlock()
+
+	now := time.Now()
+	c.runs.Refuse(d, now)
+	c.judge.Testify(c.runs.Testimony(d, now), now)
+}
+
+// Prove records that an incarnation of a target has ended.
+func (c *Crashes) Prove(d crash.Death) {
+	c.mu.Lock()
+	now := time.Now()
+	t := c.runs.Testimony(d, now)
+	c.judge.Testify(t, now)
+	c.unlock()
+
+	if c.OnDeath != nil && len(t.Exposed) > 0 {
+		c.OnDeath(t)
+	}
+}
+
+// ProveIfSilent does the same if the target has runs without an answer and has written
+// nothing for a while.
+func (c *Crashes) ProveIfSilent(d crash.Death) {
+	c.mu.Lock()
+	silent := c.runs.Silent(d, time.Now())
+	c.mu.Unlock()
+
+	if silent {
+		c.Prove(d)
+	}
+}
+
+// Retract records that an incarnation of a target ran at a time, so that it had not ended
+// before.
+func (c *Crashes) Retract(d crash.Death, ranAt time.Time) {
+	c.mu.Lock()
+	defer c.unlock()
+
+	c.judge.Retract(d, ranAt, time.Now())
+}
+
+// Testify adds what a peer has observed of a death.
+func (c *Crashes) Testify(t crash.Testimony) {
+	c.mu.Lock()
+	defer c.unlock()
+
+	c.judge.Testify(t, time.Now())
+}
+
+// RecordSound records that a peer has had a request with the fingerprint run soundly.
+func (c *Crashes) RecordSound(fp request.Fingerprint, at time.Time) {
+	c.mu.Lock()
+	defer c.unlock()
+
+	c.judge.RecordSound([]request.Fingerprint{fp}, at, time.Now())
+}
+
+// LastSound returns when a request with the fingerprint last ran soundly here.
+func (c *Crashes) LastSound(fp request.Fingerprint) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.judge.LastSound(fp, time.Now())
+}
+
+// HeardAt returns when an incarnation of a target last wrote to this entry.
+func (c *Crashes) HeardAt(d crash.Death) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.runs.HeardAt(d)
+}
+
+// Conviction returns the block of a fingerprint that the deaths known here convict, and
+// these deaths.
+func (c *Crashes) Conviction(fp request.Fingerprint) (crash.Block, []crash.Death, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.judge.Conviction(fp, time.Now())
+}
+
+// Block blocks what a peer has found to crash targets. It reports false, and does not block
+// it, if a request with it has run soundly here since.
+func (c *Crashes) Block(b crash.Block) bool {
+	c.mu.Lock()
+	defer c.unlock()
+
+	return c.judge.Block(b.Fingerprint, b.LastDeath, time.Now())
+}
+
+// BlockNow does the same for a death that is not dated. It does not prolong a block.
+func (c *Crashes) BlockNow(fp request.Fingerprint) {
+	c.mu.Lock()
+	defer c.unlock()
+
+	now := time.Now()
+	if _, _, blocked := c.judge.Blocked([]request.Fingerprint{fp}, now); !blocked {
+		c.judge.Block(fp, now, now)
+	}
+}
+
+// Convicted returns the fingerprints that the deaths known here convict.
+func (c *Crashes) Convicted() []request.Fingerprint {
+	var out []request.Fingerprint
+
+	for _, b := range c.Blocks() {
+		if _, _, convicted := c.Conviction(b.Fingerprint); convicted {
+			out = append(out, b.Fingerprint)
+		}
+	}
+
+	return out
+}
+
+// Blocks returns all that is blocked.
+func (c *Crashes) Blocks() []crash.Block {
+	if !c.active.Load() {
+		return nil
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.judge.Blocks(time.Now())
+}
+
+// Refusal returns the refusal of a request that is blocked, or nil.
+func (c *Crashes) Refusal(req *request.Request) *request.Refusal {
+	if !c.active.Load() {
+		return nil
+	}
+
+	c.mu.Lock()
+	_, left, blocked := c.judge.Blocked(req.Fingerprints(), time.Now())
+	c.mu.Unlock()
+
+	if !blocked {
+		return nil
+	}
+
+	return request.Refuse(request.Poisoned, left, "targets have crashed under this request or others like it")
+}
+
+// IsSuspect reports whether a target died lately under the request, or the request is
+// blocked.
+func (c *Crashes) IsSuspect(req *request.Request) bool {
+	if !c.active.Load() {
+		return false
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.judge.IsSuspect(req.Fingerprints(), time.Now())
+}
+
+// Forget drops what is known of the runs on incarnations that are no longer listed.
+func (c *Crashes) Forget(listed func(crash.Death) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.runs.Forget(listed, time.Now())
+}
--- a/internal/serving/dispatch/dispatch.go
+++ b/internal/serving/dispatch/dispatch.go
@@ -96,11 +96,8 @@
 	latencies sync.Map // latencies maps a model to its *modelLatency.
 	budget    retryBudget
 
-	crashMu sync.Mutex
-	crashes crash.Registry
-	// crashRecords is the length of crashes. While it is zero, as usual, no
-	// lock is needed.
-	crashRecords atomic.Int64
+	// Crashes knows which requests crash targets.
+	Crashes Crashes
 
 	running atomic.Int64
 }
@@ -128,6 +125,7 @@
 	}
 
 	d := &Dispatcher{cfg: cfg}
+	d.Crashes.OnConviction = func(fp request.Fingerprint) { cfg.OnNotice(Notice{Poisoned: fp}) }
 	d.budget.level.Store(maxRetryBudget)
 
 	return d
@@ -146,8 +144,8 @@
 // If the client has disconnected or reads too slowly, it returns the context's
 // error, or one that wraps the sink's.
 func (d *Dispatcher) Do(ctx context.Context, req *request.Request, sink Sink) (Result, error) {
-	if wait, blocked := d.isBlocked(req.Fingerprint()); blocked {
-		return Result{}, request.Refuse(request.Poisoned, wait, "this request has crashed the targets that ran it")
+	if refusal := d.Crashes.Refusal(req); refusal != nil {
+		return Result{}, refusal
 	}
 
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -294,88 +292,6 @@
 	return n
 }
 
-// Block blocks a request that a peer found to crash targets. It reports false if
-// the request was answered whole here lately and is therefore not blocked.
-func (d *Dispatcher) Block(fp request.Fingerprint) bool {
-	d.crashMu.Lock()
-	defer d.crashMu.Unlock()
-
-	blocked := d.crashes.Block(fp, time.Now())
-	d.crashRecords.Store(int64(d.crashes.Len()))
-
-	return blocked
-}
-
-// Unblock ends the block of a request that a peer has had answered whole. It
-// reports whether the request is no longer blocked because of that.
-func (d *Dispatcher) Unblock(fp request.Fingerprint) bool {
-	d.crashMu.Lock()
-	defer d.crashMu.Unlock()
-
-	return d.crashes.Unblock(fp, time.Now())
-}
-
-// BlockedFingerprints returns the blocked fingerprints.
-func (d *Dispatcher) BlockedFingerprints() []request.Fingerprint {
-	if d.crashRecords.Load() == 0 {
-		return nil
-	}
-
-	d.crashMu.Lock()
-	defer d.crashMu.Unlock()
-
-	return d.crashes.Blocked(time.Now())
-}
-
-func (d *Dispatcher) isBlocked(fp request.Fingerprint) (time.Duration, bool) {
-	if d.crashRecords.Load() == 0 {
-		return 0, false
-	}
-
-	d.crashMu.Lock()
-	defer d.crashMu.Unlock()
-
-	return d.crashes.IsBlocked(fp, time.Now())
-}
-
-// isSuspect reports whether a target died recently while it ran the request, or
-// the request is blocked.
-func (d *Dispatcher) isSuspect(fp request.Fingerprint) bool {
-	if d.crashRecords.Load() == 0 {
-		return false
-	}
-
-	d.crashMu.Lock()
-	defer d.crashMu.Unlock()
-
-	return d.crashes.IsSuspect(fp, time.Now())
-}
-
-// recordDeath records that a target died while it ran the request. It reports
-// whether the request is now blocked.
-func (d *Dispatcher) recordDeath(fp request.Fingerprint, death crash.Death) bool {
-	d.crashMu.Lock()
-	now := time.Now()
-	nowBlocked := d.crashes.RecordDeath(fp, death, now)
-	_, blocked := d.crashes.IsBlocked(fp, now)
-	d.crashRecords.Store(int64(d.crashes.Len()))
-	d.crashMu.Unlock()
-
-	if nowBlocked {
-		d.cfg.OnNotice(Notice{Poisoned: fp})
-	}
-
-	return blocked
-}
-
-func (d *Dispatcher) recordAnswer(fp request.Fingerprint) {
-	d.crashMu.Lock()
-	defer d.crashMu.Unlock()
-
-	d.crashes.RecordAnswer(fp, time.Now())
-	d.crashRecords.Store(int64(d.crashes.Len()))
-}
-
 // RefuseWaiting refuses all queued requests for which why returns a refusal.
 func (d *Dispatcher) RefuseWaiting(why func(*request.Request) *request.Refusal) {
 	d.queues.Range(func(_, value any) bool {
--- a/internal/serving/dispatch/failure.go
+++ b/internal/serving/dispatch/failure.go
@@ -172,10 +172,10 @@
 		f.cfg.OnNotice(Notice{Dead: death})
 	}
 
-	blocked := f.recordDeath(f.req.Fingerprint(), death)
+	f.Crashes.Prove(death)
 	f.suspect = true
 
-	if !blocked {
+	if f.Crashes.Refusal(f.req) == nil {
 		return nil
 	}
 
--- a/internal/serving/dispatch/forwarder.go
+++ b/internal/serving/dispatch/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
 	"github.com/fulmarcross/fulmarcross/internal/room/timeline"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -62,7 +63,7 @@
 // run sends the request, to several targets if necessary, until its answer is
 // complete or the request is refused.
 func (f *forwarder) run(ctx context.Context) (Result, error) {
-	f.suspect = f.isSuspect(f.req.Fingerprint())
+	f.suspect = f.Crashes.IsSuspect(f.req)
 
 	for {
 		t, err := f.nextTarget(ctx)
@@ -160,6 +161,7 @@
 	number := f.attempts.Begin()
 	sent := time.Now()
 	load := t.InFlight()
+	run := f.Crashes.BeginRun(t.ID, f.incarnation, f.req)
 
 	s, err := f.cfg.Engine(t).Generate(stall.ctx, target.Generation{
 		RequestID: f.req.EngineID,
@@ -170,13 +172,16 @@
 		Priority:  f.req.Priority,
 	})
 	if err != nil {
-		f.attempts.Record(number, outcomeOf(err))
+		outcome := outcomeOf(err)
+		f.attempts.Record(number, outcome)
+		f.Crashes.EndRun(run, endOf(outcome))
 
 		return stall.wrap(err)
 	}
 	defer s.Close()
+	tokens, err := f.relayTokens(s, stall, number, next, sent, run)
+	f.Crashes.EndRun(run, endOfStream(err))
 
-	tokens, err := f.relayTokens(s, stall, number, next, sent)
 	if errors.Is(err, errMigrate) {
 		f.exportState(t)
 	}
@@ -212,8 +217,29 @@
 	return request.Unanswered
 }
 
+// endOf returns how a run ended that began no answer.
+func endOf(o request.Outcome) crash.Outcome {
+	if o == request.NotReached || o == request.ProvedNotRun {
+		return crash.NotRun
+	}
+
+	return crash.Broken
+}
+
+// endOfStream returns how a run ended whose answer had begun.
+func endOfStream(err error) crash.Outcome {
+	switch {
+	case err == nil:
+		return crash.Answered
+	case isCut(err):
+		return crash.Broken
+	default:
+		return crash.Abandoned
+	}
+}
+
 // relayTokens writes the stream's tokens to the sink until the end mark.
-func (f *forwarder) relayTokens(s target.Stream, stall *stallTimer, number int, bound time.Duration, sent time.Time) (int, error) {
+func (f *forwarder) relayTokens(s target.Stream, stall *stallTimer, number int, bound time.Duration, sent time.Time, run *crash.Run) (int, error) {
 	tokens := 0
 	last := sent
 
@@ -236,6 +262,8 @@
 			return tokens, nil
 		}
 
+		f.Crashes.WriteRun(run)
+
 		if !f.req.Origin.Begun() {
 			f.req.Origin = origin.Of(f.software)
 		}
@@ -284,7 +312,6 @@
 }
 
 func (f *forwarder) succeed() Result {
-	f.recordAnswer(f.req.Fingerprint())
 	f.cfg.Log.Add(timeline.Event{Kind: timeline.Answered, Request: f.req.ID, Model: f.req.Model, Customer: f.req.Customer})
 
 	return Result{Tokens: f.checker.Next(), FirstToken: f.firstToken, Cold: f.cold}
--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -13,22 +13,27 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 )
 
+// confirmAfter is how long a target must refuse connections to count as dead. Links that
+// fail for a moment refuse them too.
+const confirmAfter = 300 * time.Millisecond
+
 // markUnreachable is called when no connection to the target could be opened. It
 // records a failure and marks the target's incarnation dead, so that no requests
 // are sent to it.
-func (d *delivery) markUnreachable(t *router.Target) {
-	now := time.Now()
-	t.RecordFailure(now)
+func (d *delivery) markUnreachable(t *router.Target, err error) {
+	t.RecordFailure(time.Now())
 
-	if d.recordDeath(t, t.Info().Incarnation, now) {
+	if d.recordDeath(t, err) {
 		d.Log.Warn().Str("target", string(t.ID)).Msg("target not reached")
 	}
 }
 
-// recordDeath records that this incarnation of the target is dead. If that was
-// not recorded yet, it calls OnUnreachable and returns true.
-func (d *delivery) recordDeath(t *router.Target, incarnation string, now time.Time) bool {
-	if !t.MarkDead(incarnation, now) {
+// recordDeath records that the target's present incarnation seems to be dead, because no
+// connection opened. If that was not recorded yet, it calls OnUnreachable, has the death
+// confirmed and returns true.
+func (d *delivery) recordDeath(t *router.Target, dialErr error) bool {
+	death := crash.Death{Target: t.ID, Incarnation: t.Info().Incarnation}
+	if !t.MarkDead(death.Incarnation, time.Now()) {
 		return false
 	}
 
@@ -36,16 +41,45 @@
 		d.OnUnreachable(t)
 	}
 
+	// A link that is silent says nothing. The list shows whether the target has ended.
+	if errors.Is(dialErr, syscall.ECONNREFUSED) {
+		d.Dispatcher.Crashes.Suspect(death)
+
+		go d.confirmDeath(t, death)
+	}
+
 	return true
 }
 
+// confirmDeath finds out whether a target that seemed to be dead still refuses connections
+// after a while.
+//
+// A refused connection alone is a guess: the link may have failed. A target that accepts
+// connections again may have been started anew, which its row in the list then shows.
+func (s *Server) confirmDeath(t *router.Target, death crash.Death) {
+	time.Sleep(confirmAfter)
+
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+
+	c, err := s.Pool.get(ctx, t, true)
+
+	switch {
+	case err == nil:
+		s.Pool.put(c, 0)
+		s.Dispatcher.Crashes.Retract(death, time.Now())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.Log.Info().Str("target", string(t.ID)).Str("process", death.Incarnation).Msg("target has ended")
+		s.Dispatcher.Crashes.Prove(death)
+	}
+}
+
 // checkCrash checks whether the target died while it ran the request. It returns
 // a refusal if the request is now blocked, and err otherwise.
 //
-// Requests that crash every target that runs them must be blocked. A target
-// counts as dead only if no new connection to it opens right after the failure,
+// A target seems to be dead only if no new connection to it opens right after the failure,
 // so that a lost answer alone does not make a request suspect, and if this entry reaches
-// others. It also counts as dead if ctx ends before the connection is open.
+// others. It also seems to be dead if ctx ends before the connection is open.
 func (d *delivery) checkCrash(ctx context.Context, t *router.Target, err error) error {
 	var failed *FailedError
 	if noTargetFault(err) || errors.As(err, &failed) || ctx.Err() != nil {
@@ -75,17 +109,43 @@
 		return err
 	}
 
-	incarnation := t.Info().Incarnation
-	d.recordDeath(t, incarnation, time.Now())
-	d.Log.Warn().Str("id", d.info.ID).Str("target", string(t.ID)).Msg("target died under a request")
+	d.recordDeath(t, dialErr)
+	d.Log.Warn().Str("id", d.info.ID).Str("target", string(t.ID)).Uints64("fingerprints", d.fingerprints()).Msg("target died under a request")
 
-	if d.Dispatcher.RecordDeath(d.req.Fingerprint(), crash.Death{Target: t.ID, Incarnation: incarnation}) {
+	if d.Dispatcher.Crashes.Refusal(d.req) != nil {
 		return d.attemptLog.Refuse(request.Poisoned, 0, "targets crashed while they ran this request")
 	}
 
 	return err
 }
 
+// endOf returns how a run ended. A target that answers with a failure has lived on.
+func (d *delivery) endOf(ctx context.Context, err error) crash.Outcome {
+	var failed *FailedError
+
+	switch {
+	case err == nil, errors.As(err, &failed):
+		return crash.Answered
+	case provedNotSent(err):
+		return crash.NotRun
+	case ctx.Err() != nil, d.retryReserved.Load(), noTargetFault(err), !connectionBroken(err):
+		return crash.Abandoned
+	default:
+		return crash.Broken
+	}
+}
+
+// fingerprints returns those of the request, for the log.
+func (d *delivery) fingerprints() []uint64 {
+	var out []uint64
+
+	for _, fp := range d.req.Fingerprints() {
+		out = append(out, uint64(fp))
+	}
+
+	return out
+}
+
 // connectionBroken reports whether err means that the connection ended during a
 // request.
 func connectionBroken(err error) bool {
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
@@ -77,12 +78,18 @@
 			return err
 		}
 
+		if refusal := d.Dispatcher.Crashes.Refusal(d.req); refusal != nil {
+			// It was blocked while it waited.
+			d.Dispatcher.Release(t, d.req, d.suspect)
+			d.refundRetry()
+
+			return refusal
+		}
+
 		err = d.attempt(ctx, t)
 		d.Dispatcher.Release(t, d.req, d.suspect)
 
 		if err == nil {
-			d.Dispatcher.RecordAnswer(d.req.Fingerprint())
-
 			return nil
 		}
 
@@ -209,22 +216,32 @@
 		}
 	}
 
+	run := d.Dispatcher.Crashes.BeginRun(t.ID, t.Info().Incarnation, d.req)
+
 	a, err := d.Pool.exchange(ctx, t, out, d.Protocol)
 	if !provedNotSent(err) {
 		d.retryDebited = false
 	}
 
 	if err != nil {
+		d.Dispatcher.Crashes.EndRun(run, d.endOf(ctx, err))
+
 		return d.handleSendError(ctx, t, n, err)
 	}
 
 	if a.info.NotRun {
+		d.Dispatcher.Crashes.EndRun(run, crash.NotRun)
+
 		return d.handleRejection(t, n, a)
 	}
 
 	d.runs++
+	a.run = run
 
-	if err := d.deliverAnswer(t, n, a, sent); err != nil {
+	err = d.deliverAnswer(t, n, a, sent)
+	d.Dispatcher.Crashes.EndRun(run, d.endOf(ctx, err))
+
+	if err != nil {
 		return d.checkCrash(ctx, t, err)
 	}
 
@@ -239,7 +256,7 @@
 		d.attemptLog.Record(n, request.NotReached)
 
 		if ctx.Err() == nil && !d.blamesSelf(ctx) {
-			d.markUnreachable(t)
+			d.markUnreachable(t, err)
 		}
 
 		return err
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -124,7 +124,7 @@
 		EngineID: d.info.ID,
 		Customer: d.customer(),
 		Model:    RoutingKey(d.service, model),
-		Prompt:   d.contentDigest(),
+		Prompt:   d.contentDigest(d.info.Prompt),
 		Priority: max(0, maxPriority-d.priority()),
 		Deadline: d.queueDeadline(),
 		Arrived:  d.arrived,
@@ -148,8 +148,8 @@
 		cancel()
 	})()
 
-	if retryAfter, blocked := d.Dispatcher.IsBlocked(d.req.Fingerprint()); blocked {
-		d.finish(request.Refuse(request.Poisoned, retryAfter, "this request has crashed the targets that ran it"))
+	if refusal := d.Dispatcher.Crashes.Refusal(d.req); refusal != nil {
+		d.finish(refusal)
 
 		return
 	}
@@ -166,7 +166,7 @@
 		return
 	}
 
-	d.suspect = d.Dispatcher.IsSuspect(d.req.Fingerprint())
+	d.suspect = d.Dispatcher.Crashes.IsSuspect(d.req)
 	d.finish(d.run(ctx))
 }
 
@@ -196,11 +196,11 @@
 // lowers it by one, but not below zero. The weight in the queue is one more.
 const maxPriority = 9
 
-// contentDigest returns a digest of the request's content and caller. A client that sends
-// the same content again under another id gets the same digest.
-func (d *delivery) contentDigest() string {
+// contentDigest returns a digest of the request's content and caller, with a prompt. A client
+// that sends the same content again under another id gets the same digest.
+func (d *delivery) contentDigest(prompt string) string {
 	h := xxhash.New()
-	for _, s := range []string{d.teamName(), d.r.Method, d.r.Host, d.r.RequestURI, d.info.Prompt} {
+	for _, s := range []string{d.teamName(), d.r.Method, d.r.Host, d.r.RequestURI, prompt} {
 		_, _ = h.WriteString(s)
 		_, _ = h.WriteString("\x00")
 	}
--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/serving/statement"
@@ -50,6 +51,8 @@
 	pool     *Pool
 	// origin is the software of the target that answered.
 	origin origin.Origin
+	// run is the run that the answer is of, or nil if another entry sent it.
+	run *crash.Run
 	// stop ends the watch on the request's context. It returns false if the
 	// context has already ended, which closes the connection.
 	stop func() bool
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -43,6 +43,7 @@
 		}
 
 		read := time.Now()
+		d.Dispatcher.Crashes.WriteRun(a.run)
 		pauses.read(read, took)
 		took = 0
 
--- a/internal/serving/request/request.go
+++ b/internal/serving/request/request.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 )
 
@@ -22,6 +20,8 @@
 	Plan     string
 	Model    string
 	Prompt   string
+	// Common are fingerprints that other requests may have too, the narrowest first.
+	Common []Fingerprint
 	// MaxTokens is positive.
 	MaxTokens int
 	// Priority is higher for more urgent requests. The customer's share of a
@@ -44,20 +44,6 @@
 	PredictedWait time.Duration
 }
 
-// Fingerprint identifies a request's content, so that a request that its client
-// sends again is recognised.
-type Fingerprint uint64
-
-// Fingerprint returns the hash of the model and the prompt.
-func (r *Request) Fingerprint() Fingerprint {
-	d := xxhash.New()
-	_, _ = d.WriteString(r.Model)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(r.Prompt)
-
-	return Fingerprint(d.Sum64())
-}
-
 // Run states whether a refused request ran.
 type Run string
 
--- /dev/null
+++ b/internal/wire/news/crash.go
@@ -0,0 +1,238 @@
+package news
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// Inquiry asks an entry what it knows against a conviction.
+type Inquiry struct {
+	Fingerprints []request.Fingerprint
+	Deaths       []crash.Death
+}
+
+// Findings is the answer to an Inquiry: the times at which requests with the fingerprints
+// last ran soundly there, and at which the processes last wrote to it. Zero means that none
+// is known.
+type Findings struct {
+	SoundAt []time.Time
+	HeardAt []time.Time
+}
+
+// unknownAge stands for a time that is not known.
+const unknownAge = -1
+
+// ProcessMessage is a crash.Death on the wire.
+type ProcessMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target, Incarnation string
+}
+
+// FingerprintMessage is a fingerprint on the wire, with the age of what is said of it.
+type FingerprintMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Fingerprint uint64
+	AgeMs       int64
+}
+
+// TestimonyMessage is a crash.Testimony on the wire. It states ages, so that no clocks are
+// compared.
+type TestimonyMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Process ProcessMessage
+	// AtMs is unknownAge if it is not known.
+	AtMs, UntilMs int64
+	Exposed       []FingerprintMessage
+}
+
+// InquiryMessage is an Inquiry on the wire.
+type InquiryMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Fingerprints []uint64
+	Deaths       []ProcessMessage
+}
+
+// FindingsMessage is Findings on the wire, as ages.
+type FindingsMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	SoundMs, HeardMs []int64
+}
+
+func fromDeath(d crash.Death) ProcessMessage {
+	return ProcessMessage{Target: string(d.Target), Incarnation: d.Incarnation}
+}
+
+func toDeath(m ProcessMessage) crash.Death {
+	return crash.Death{Target: instance.ID(m.Target), Incarnation: m.Incarnation}
+}
+
+func fromTestimony(t crash.Testimony, now time.Time) TestimonyMessage {
+	ages := fromTimes([]time.Time{t.At, t.Until}, now)
+	out := TestimonyMessage{Process: fromDeath(t.Death), AtMs: ages[0], UntilMs: ages[1]}
+
+	for fp, sent := range t.Exposed {
+		out.Exposed = append(out.Exposed, FingerprintMessage{Fingerprint: uint64(fp), AgeMs: now.Sub(sent).Milliseconds()})
+	}
+
+	return out
+}
+
+func toTestimony(m TestimonyMessage, now time.Time) crash.Testimony {
+	times := toTimes([]int64{m.AtMs, m.UntilMs}, now)
+	out := crash.Testimony{Death: toDeath(m.Process), At: times[0], Until: times[1], Exposed: make(map[request.Fingerprint]time.Time, len(m.Exposed))}
+
+	for _, e := range m.Exposed {
+		out.Exposed[request.Fingerprint(e.Fingerprint)] = before(now, e.AgeMs)
+	}
+
+	return out
+}
+
+// before returns the time that is an age before now.
+func before(now time.Time, ageMs int64) time.Time {
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
+}
+
+func fromTimes(times []time.Time, now time.Time) []int64 {
+	out := make([]int64, len(times))
+
+	for i, at := range times {
+		out[i] = unknownAge
+		if !at.IsZero() {
+			out[i] = max(0, now.Sub(at).Milliseconds())
+		}
+	}
+
+	return out
+}
+
+func toTimes(ages []int64, now time.Time) []time.Time {
+	out := make([]time.Time, len(ages))
+
+	for i, age := range ages {
+		if age != unknownAge {
+			out[i] = before(now, age)
+		}
+	}
+
+	return out
+}
+
+func fromBlocks(blocks []crash.Block, now time.Time) []FingerprintMessage {
+	out := make([]FingerprintMessage, len(blocks))
+	for i, b := range blocks {
+		out[i] = FingerprintMessage{Fingerprint: uint64(b.Fingerprint), AgeMs: now.Sub(b.LastDeath).Milliseconds()}
+	}
+
+	return out
+}
+
+// Testify is the remote call.
+func (s service) Testify(in []TestimonyMessage, _ *Empty) error {
+	for _, m := range in {
+		s.h.Testify(toTestimony(m, clock.Now()))
+	}
+
+	return nil
+}
+
+// Inquire is the remote call.
+func (s service) Inquire(in InquiryMessage, out *FindingsMessage) error {
+	var q Inquiry
+
+	for _, fp := range in.Fingerprints {
+		q.Fingerprints = append(q.Fingerprints, request.Fingerprint(fp))
+	}
+
+	for _, m := range in.Deaths {
+		q.Deaths = append(q.Deaths, toDeath(m))
+	}
+
+	e, now := s.h.Inquire(q), clock.Now()
+	*out = FindingsMessage{SoundMs: fromTimes(e.SoundAt, now), HeardMs: fromTimes(e.HeardAt, now)}
+
+	return nil
+}
+
+// Block is the remote call.
+func (s service) Block(in []FingerprintMessage, out *[]int64) error {
+	now := clock.Now()
+	blocks := make([]crash.Block, len(in))
+
+	for i, m := range in {
+		blocks[i] = crash.Block{Fingerprint: request.Fingerprint(m.Fingerprint), LastDeath: before(now, m.AgeMs)}
+	}
+
+	*out = fromTimes(s.h.Block(blocks), clock.Now())
+
+	return nil
+}
+
+// Acquit is the remote call.
+func (s service) Acquit(in FingerprintMessage, _ *Empty) error {
+	s.h.Acquit(request.Fingerprint(in.Fingerprint), before(clock.Now(), in.AgeMs))
+
+	return nil
+}
+
+// Testify tells an entry that judges what this one has observed of deaths.
+func (c *Client) Testify(ctx context.Context, testimonies []crash.Testimony) error {
+	now := clock.Now()
+	in := make([]TestimonyMessage, len(testimonies))
+
+	for i, t := range testimonies {
+		in[i] = fromTestimony(t, now)
+	}
+
+	return c.Call(ctx, serviceName+".Testify", in, &Empty{})
+}
+
+// Inquire asks an entry what it knows against a conviction.
+func (c *Client) Inquire(ctx context.Context, q Inquiry) (Findings, error) {
+	var in InquiryMessage
+
+	for _, fp := range q.Fingerprints {
+		in.Fingerprints = append(in.Fingerprints, uint64(fp))
+	}
+
+	for _, d := range q.Deaths {
+		in.Deaths = append(in.Deaths, fromDeath(d))
+	}
+
+	var out FindingsMessage
+	if err := c.Call(ctx, serviceName+".Inquire", in, &out); err != nil {
+		return Findings{}, err
+	}
+
+	now := clock.Now()
+
+	return Findings{SoundAt: toTimes(out.SoundMs, now), HeardAt: toTimes(out.HeardMs, now)}, nil
+}
+
+// Block blocks what crashes targets. It returns for each when a request with it has run
+// soundly at the peer since, which then does not block it, or zero.
+func (c *Client) Block(ctx context.Context, blocks []crash.Block) ([]time.Time, error) {
+	var out []int64
+	if err := c.Call(ctx, serviceName+".Block", fromBlocks(blocks, clock.Now()), &out); err != nil {
+		return nil, err
+	}
+
+	return toTimes(out, clock.Now()), nil
+}
+
+// Acquit says that a request with the fingerprint ran soundly at a time.
+func (c *Client) Acquit(ctx context.Context, fp request.Fingerprint, at time.Time) error {
+	in := FingerprintMessage{Fingerprint: uint64(fp), AgeMs: clock.Now().Sub(at).Milliseconds()}
+
+	return c.Call(ctx, serviceName+".Acquit", in, &Empty{})
+}
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -13,6 +13,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/fleet/membership"
 	"github.com/fulmarcross/fulmarcross/internal/placement/demand"
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -52,11 +53,15 @@
 	View(have Versions) View
 	// Resume tells the lease holder which models resumed streams wait for.
 	Resume(resumed []demand.Resumed) error
-	// Block blocks a request that crashes the targets that run it. It reports
-	// false, and does not block it, if the request was answered whole there lately.
-	Block(fp request.Fingerprint) bool
-	// Unblock ends the block of a request that some entry has had answered whole.
-	Unblock(fp request.Fingerprint)
+	// Testify tells this entry what a peer has observed of a death.
+	Testify(t crash.Testimony)
+	// Inquire returns what this entry knows against a conviction.
+	Inquire(q Inquiry) Findings
+	// Block blocks what crashes targets. It returns for each when a request with it has run
+	// soundly here since, so that it is not blocked, or zero.
+	Block(blocks []crash.Block) []time.Time
+	// Acquit says that a request with the fingerprint ran soundly at a time.
+	Acquit(fp request.Fingerprint, at time.Time)
 	// Lend accepts a delegation of a peer's shares of limits.
 	Lend(l Lending) Receipt
 	// Draw decides whether a peer's request is within its team's limit.
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -20,6 +20,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/placement/replica"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/ratelimit"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -47,7 +48,8 @@
 	report     demand.Report
 	missing    []holder.Missing
 	blocked    request.Fingerprint
-	unblocked  request.Fingerprint
+	acquitted  request.Fingerprint
+	testimony  crash.Testimony
 	resumed    []demand.Resumed
 	lending    Lending
 	drawing    Drawing
@@ -140,15 +142,33 @@
 	return a
 }
 
-// Block does not block request 8, as if it had been answered lately.
-func (e *echo) Block(fp request.Fingerprint) bool {
-	if fp == 8 {
-		return false
-	}
+func (e *echo) Testify(t crash.Testimony) { e.testimony = t }
+
+func (e *echo) Acquit(fp request.Fingerprint, _ time.Time) { e.acquitted = fp }
+
+// Inquire knows the first of the fingerprints and the last of the processes.
+func (e *echo) Inquire(q Inquiry) Findings {
+	f := Findings{SoundAt: make([]time.Time, len(q.Fingerprints)), HeardAt: make([]time.Time, len(q.Deaths))}
+	f.SoundAt[0], f.HeardAt[len(q.Deaths)-1] = clock.Now(), clock.Now()
+
+	return f
+}
+
+// Block does not block request 8, as if it had run soundly since.
+func (e *echo) Block(blocks []crash.Block) []time.Time {
+	out := make([]time.Time, len(blocks))
+
+	for i, b := range blocks {
+		if b.Fingerprint == 8 {
+			out[i] = clock.Now()
 
-	e.blocked = fp
+			continue
+		}
+
+		e.blocked = b.Fingerprint
+	}
 
-	return true
+	return out
 }
 
 func (e *echo) Resume(resumed []demand.Resumed) error {
@@ -157,8 +177,6 @@
 	return nil
 }
 
-func (e *echo) Unblock(fp request.Fingerprint) { e.unblocked = fp }
-
 // connect serves e on loopback and returns a client of it.
 func connect(tb testing.TB, e *echo) *Client {
 	tb.Helper()
@@ -261,20 +279,11 @@
 	assert.Equal(t, v.Targets[0].Slots, 3)
 	assert.Equal(t, v.Targets[0].Resident[0].Adapters[0], "a")
 
-	blocked, err := c.Block(t.Context(), 9)
-	assert.NilError(t, err)
-	assert.Assert(t, blocked)
-	assert.Equal(t, got.blocked, request.Fingerprint(9))
-
-	blocked, err = c.Block(t.Context(), 8)
-	assert.NilError(t, err)
-	assert.Assert(t, !blocked)
+	checkCrashes(t, c, &got)
 
 	resumed := []demand.Resumed{{Model: "s/m", Software: "v1"}, {Model: "s/m"}}
 	assert.NilError(t, c.Resume(t.Context(), resumed))
 	assert.DeepEqual(t, got.resumed, resumed)
-	assert.NilError(t, c.Unblock(t.Context(), 9))
-	assert.Equal(t, got.unblocked, request.Fingerprint(9))
 
 	lending := Lending{
 		Delegation: quota.Delegation{Entry: "e", Slots: 0x8005, Until: quota.Uptime(2 * time.Second)}, Home: "h", Returns: map[string]float64{"team": 1540},
@@ -385,3 +394,29 @@
 		})
 	}
 }
+
+// checkCrashes checks the calls about what crashes targets.
+func checkCrashes(t *testing.T, c *Client, got *echo) {
+	t.Helper()
+
+	now := clock.Now()
+	near := cmpopts.EquateApproxTime(time.Second)
+
+	sent := crash.Testimony{
+		Death: crash.Death{Target: "t", Incarnation: "7"}, At: now.Add(-time.Minute), Until: now.Add(-time.Second), Exposed: map[request.Fingerprint]time.Time{9: now.Add(-2 * time.Minute)},
+	}
+	assert.NilError(t, c.Testify(t.Context(), []crash.Testimony{sent}))
+	assert.DeepEqual(t, got.testimony, sent, near)
+
+	f, err := c.Inquire(t.Context(), Inquiry{Fingerprints: []request.Fingerprint{9, 8}, Deaths: []crash.Death{{Target: "t"}, sent.Death}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f, Findings{SoundAt: []time.Time{now, {}}, HeardAt: []time.Time{{}, now}}, near)
+
+	sound, err := c.Block(t.Context(), []crash.Block{{Fingerprint: 9, LastDeath: now}, {Fingerprint: 8, LastDeath: now}})
+	assert.NilError(t, err)
+	assert.Equal(t, got.blocked, request.Fingerprint(9))
+	assert.DeepEqual(t, sound, []time.Time{{}, now}, near)
+
+	assert.NilError(t, c.Acquit(t.Context(), 9, now))
+	assert.Equal(t, got.acquitted, request.Fingerprint(9))
+}
