fix(relay): a request that crashes targets is recognised whatever its prompt

A client that sent the same path and body with another last part of the prompt each time was never blocked (66 targets in 30 s, 105 requests where 3 are allowed).

A request has two now, with and without its prompt.

--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -125,6 +125,7 @@
 		Customer: d.customer(),
 		Model:    RoutingKey(d.service, model),
 		Prompt:   d.contentDigest(d.info.Prompt),
+		Common:   []request.Fingerprint{request.FingerprintOf(request.ScopeContent, d.service, d.contentDigest(""))},
 		Priority: max(0, maxPriority-d.priority()),
 		Deadline: d.queueDeadline(),
 		Arrived:  d.arrived,
