fix(crash): a part of prompts that crashes targets is found by what lives

Only whole requests were judged, and no two with the part are alike.

A part is suspected of each death of a target on which a request with it was about to write, and acquitted by each that has begun since on a target that lived on. Three deaths in turn convict a part that has not run soundly in the last minutes, five any other; the strongest suspicion explains its deaths, and the others ask all entries what speaks against it. What sound requests share is in as many deaths and is acquitted by them.

--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -59,5 +59,12 @@
 	unknown, sound int
 }
 
-// limitsOf returns the limits for a scope.
-func limitsOf(request.Scope) limits { return limits{unknown: 2, sound: 4} }
+// limitsOf returns the limits for a scope. What many requests share takes more deaths, since
+// a block hits all of them.
+func limitsOf(s request.Scope) limits {
+	if s.Single() {
+		return limits{unknown: 2, sound: 4}
+	}
+
+	return limits{unknown: 3, sound: 5}
+}
--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -74,6 +74,8 @@
 func TestVerdict(t *testing.T) {
 	content := func(i int) request.Fingerprint { return fp(i, request.ScopeContent) }
 
+	part := func(i int) request.Fingerprint { return fp(i, request.ScopePart) }
+
 	type soundRun struct {
 		fp     request.Fingerprint
 		ms, at int
@@ -100,6 +102,10 @@
 		"silent, in turn":           {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), fellSilent("t2", 300, 2200, exact(1))}, blocked: fps(exact(1))},
 		"silent, sound before":      {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), fellSilent("t2", 300, 2200, exact(1)), fellSilent("t3", 600, 2500, exact(1)), fellSilent("t4", 900, 2800, exact(1))}, sound: []soundRun{{exact(1), -1000, -500}}, not: fps(exact(1))},
 		"silent for one, seen":      {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), died("t1", 50, exact(1)), died("t2", 300, exact(1))}, blocked: fps(exact(1))},
+		"part, two deaths":          {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1))}, not: fps(part(1))},
+		"part, three deaths":        {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1)), died("t3", 1000, part(1))}, blocked: fps(part(1))},
+		"part beside a sound one":   {deaths: []Testimony{died("t1", 0, part(1), part(2)), died("t2", 500, part(1), part(2)), died("t3", 1000, part(1), part(2))}, sound: []soundRun{{part(2), -60_000, -59_000}}, blocked: fps(part(1)), not: fps(part(2))},
+		"part, sound before":        {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1)), died("t3", 1000, part(1)), died("t4", 1500, part(1))}, sound: []soundRun{{part(1), -1000, -500}}, not: fps(part(1))},
 		"two that crash targets":    {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 100, exact(2)), died("t3", 500, exact(1)), died("t4", 600, exact(2))}, blocked: fps(exact(1), exact(2))},
 	}
 
@@ -165,6 +171,18 @@
 	assert.Assert(t, !isBlocked(&j, exact(1), at(1600)))
 }
 
+// TestSuspects checks that a request is a suspect after a death under it, and others that share
+// a part with it are not.
+func TestSuspects(t *testing.T) {
+	var j Judge
+
+	shared := fp(1, request.ScopePart)
+	j.Testify(died("t1", 0, exact(1), shared), at(0))
+
+	assert.Assert(t, j.IsSuspect(fps(exact(1), shared), at(0)))
+	assert.Assert(t, !j.IsSuspect(fps(exact(2), shared), at(0)))
+}
+
 func TestBlocks(t *testing.T) {
 	var j Judge
 
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -172,11 +172,12 @@
 	return own
 }
 
-// IsSuspect reports whether one of the fingerprints is suspected of a death that nothing
-// blocked explains, or is blocked.
+// IsSuspect reports whether the request itself is suspected of a death that nothing blocked
+// explains, or is blocked. What it shares with others does not make it a suspect: most of
+// them are sound.
 func (j *Judge) IsSuspect(fps []request.Fingerprint, now time.Time) bool {
 	for _, fp := range fps {
-		if j.suspects[fp] {
+		if j.suspects[fp] && fp.Scope().Single() {
 			return true
 		}
 	}
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -125,7 +126,7 @@
 		Customer: d.customer(),
 		Model:    RoutingKey(d.service, model),
 		Prompt:   d.contentDigest(d.info.Prompt),
-		Common:   []request.Fingerprint{request.FingerprintOf(request.ScopeContent, d.service, d.contentDigest(""))},
+		Common:   d.commonFingerprints(),
 		Priority: max(0, maxPriority-d.priority()),
 		Deadline: d.queueDeadline(),
 		Arrived:  d.arrived,
@@ -197,6 +198,18 @@
 // lowers it by one, but not below zero. The weight in the queue is one more.
 const maxPriority = 9
 
+// commonFingerprints returns the fingerprints that other requests may have too: of the content
+// without its prompt, and of the parts of the prompt, the last one first.
+func (d *delivery) commonFingerprints() []request.Fingerprint {
+	out := []request.Fingerprint{request.FingerprintOf(request.ScopeContent, d.service, d.contentDigest(""))}
+
+	for _, part := range slices.Backward(d.info.SharedParts) {
+		out = append(out, request.FingerprintOf(request.ScopePart, d.service, part))
+	}
+
+	return out
+}
+
 // contentDigest returns a digest of the request's content and caller, with a prompt. A client
 // that sends the same content again under another id gets the same digest.
 func (d *delivery) contentDigest(prompt string) string {
--- a/internal/serving/relay/protocol.go
+++ b/internal/serving/relay/protocol.go
@@ -42,6 +42,9 @@
 	// Prompt identifies all parts of the prompt. SharedPrompt identifies only the
 	// parts that the prompts of other requests also contain.
 	Prompt, SharedPrompt string
+	// SharedParts identify each of the parts that the prompts of other requests also
+	// contain, in order.
+	SharedParts []string
 	// TokensIn is the size of the prompt, TokensOut the maximum size of the
 	// answer. Neither is negative.
 	TokensIn, TokensOut int
--- a/internal/serving/request/fingerprint.go
+++ b/internal/serving/request/fingerprint.go
@@ -15,6 +15,8 @@
 	ScopePrompt Scope = iota
 	// ScopeContent covers the content without the prompt.
 	ScopeContent
+	// ScopePart covers a part of the prompt that other requests have too.
+	ScopePart
 )
 
 // Single reports whether the scope covers one request, which may come again.
