--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -99,6 +99,10 @@
 
 // restartHolder kills an entry's holder and starts its next process.
 func (s *roomSchedule) restartHolder(id instance.ID) {
+	if s.ended.Load() {
+		return
+	}
+
 	s.starts++
 	s.holders[id].gate.Close()
 	s.holders[id].stop()
