fix(router): an entry's share of slots follows where the clients are

Between two counts each entry may add one part in n of a target's free slots, whoever has the clients. One that gets nearly all of them has to win its slots count by count, and refuses by prediction meanwhile.

Half of the free slots are divided evenly and half in proportion to the requests that entries had on the target by the last count; nobody's share is smaller than before. A count that does not include this entry's requests says nothing, and a few requests do not decide. With even load the share is as before.

--- a/internal/serving/router/window.go
+++ b/internal/serving/router/window.go
@@ -35,7 +35,27 @@
 		return int64(evenShare)
 	}
 
-	return max(int64(evenShare), t.inFlightAtCount.Load()+t.shareOfFree(free, entries, competitors(info, entries, q.Waiting)))
+	share := max(t.shareOfFree(free, entries, competitors(info, entries, q.Waiting)), t.shareByLoad(info, free, entries))
+
+	return max(int64(evenShare), t.inFlightAtCount.Load()+share)
+}
+
+// typicalCount is the number of requests that are added to those of a count, spread evenly
+// over the entries, so that a few requests do not decide who gets a target's free slots.
+const typicalCount = 8
+
+// shareByLoad returns this entry's share of a target's free slots by where the clients are:
+// half of the slots are divided evenly, and half in proportion to the requests that entries
+// had on the target by the last count. Requests that the count does not include say nothing.
+//
+// Without it, an entry that gets most of a site's connections has no more slots than one
+// that gets none, and refuses clients although targets have room.
+func (t *Target) shareByLoad(info *TargetInfo, free, entries int) int64 {
+	even := 1 / float64(entries)
+	counted := min(float64(t.inFlightAtCount.Load()), float64(info.Running))
+	own := (counted + typicalCount*even) / (float64(info.Running) + typicalCount)
+
+	return int64(float64(free) * (even + own) / 2) //nolint:mnd // The two halves.
 }
 
 // maxCompetitors is the number of entries that are assumed to send to the same
