fix(node): blocks outlive a restart of all entries

After all entries had been started anew a request that crashes targets crashed two more, since blocks lived in memory alone.

Blocks are kept in one row of the store: an entry reads it once when it starts, and whoever convicts or acquits changes it (a read and a write each). Clocks of entries differ, so a death that is yet to come counts as one of now.

--- a/internal/fleet/node/calls.go
+++ b/internal/fleet/node/calls.go
@@ -22,6 +22,7 @@
 	purposeLease   purpose = "lease"
 	purposeEntries purpose = "entries"
 	purposeStreams purpose = "streams"
+	purposeCrashes purpose = "crashes"
 )
 
 // cause is why a call to the store is made.
@@ -124,6 +125,8 @@
 		n.calls.count(purposeEntries, causeStart)
 	case key == historiesKey, strings.HasPrefix(key, streamPrefix):
 		n.calls.count(purposeStreams, n.pollState().cause())
+	case key == blocksKey:
+		n.calls.count(purposeCrashes, n.pollState().cause())
 	default:
 		n.calls.count(purposeLease, n.pollState().cause())
 	}
--- a/internal/fleet/node/crash_test.go
+++ b/internal/fleet/node/crash_test.go
@@ -124,3 +124,37 @@
 		assert.Assert(t, served >= 38, "%d of 40", served)
 	})
 }
+
+// TestBlockOutlivesAllEntries guards against a request that crashes targets again because all entries were started anew.
+func TestBlockOutlivesAllEntries(t *testing.T) {
+	simulateSite(t, site.Options{Entries: 4, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
+		const stays = 5 * time.Second
+
+		same := func(int) string { return "p:10,q:5" }
+
+		s.CrashOn(site.Crash{On: crashesTarget, Down: time.Second})
+		sendCrashing(t, s, 6*time.Second, 300*time.Millisecond, stays, "/dossier/x", same)
+		time.Sleep(stays)
+
+		before, _ := s.Crashes(requestRule)
+		former := s.Entries
+
+		for _, e := range former {
+			e.Stop()
+		}
+
+		s.Entries = nil
+
+		for range former {
+			_, err := s.Add(t.Context())
+			assert.NilError(t, err)
+		}
+
+		assert.NilError(t, s.WaitReady(t.Context()))
+		sendCrashing(t, s, 6*time.Second, 300*time.Millisecond, stays, "/dossier/x", same)
+		time.Sleep(stays)
+
+		after, _ := s.Crashes(requestRule)
+		assert.Equal(t, after, before)
+	})
+}
--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -104,6 +104,8 @@
 
 // run tells the judges of deaths, and other entries of blocks, until ctx ends.
 func (c *crashes) run(ctx context.Context) {
+	go c.learnStored(ctx)
+
 	blocks := time.NewTicker(jitter(blocksInterval))
 	defer blocks.Stop()
 
@@ -233,6 +235,7 @@
 
 	c.node.cfg.Log.Warn().Uint64("fingerprint", uint64(fp)).Uint8("scope", uint8(fp.Scope())).Any("targets", targetsOf(deaths)).Msg("request crashes targets")
 	c.node.informAll(func(ctx context.Context, p *peer) error { return c.sendBlocks(ctx, p, []crash.Block{block}) })
+	c.store(c.node.workCtx, block)
 }
 
 // hearFindings applies what a peer knows against a conviction.
@@ -256,6 +259,7 @@
 func (c *crashes) acquit(fp request.Fingerprint, at time.Time) {
 	c.node.cfg.Log.Info().Uint64("fingerprint", uint64(fp)).Msg("request no longer blocked, a target has answered it")
 	c.node.informAll(func(ctx context.Context, p *peer) error { return p.client.Acquit(ctx, fp, at) })
+	c.removeStored(c.node.workCtx, fp)
 }
 
 func targetsOf(deaths []crash.Death) []string {
--- /dev/null
+++ b/internal/serving/crash/block.go
@@ -0,0 +1,40 @@
+package crash
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// Block is what is blocked, and the last death that counts for it.
+type Block struct {
+	Fingerprint request.Fingerprint
+	LastDeath   time.Time
+}
+
+// Over reports whether the block has ended.
+func (b Block) Over(now time.Time) bool { return now.Sub(b.LastDeath) >= blockPeriod }
+
+// Merge returns the blocks with another one and without those that are over. It reports false
+// if the other one is among them already, with as late a death.
+func Merge(blocks []Block, other Block, now time.Time) ([]Block, bool) {
+	kept := slices.DeleteFunc(slices.Clone(blocks), func(b Block) bool { return b.Over(now) })
+
+	for _, b := range kept {
+		if b.Fingerprint == other.Fingerprint && !b.LastDeath.Before(other.LastDeath.Truncate(time.Second)) {
+			return kept, false
+		}
+	}
+
+	kept = slices.DeleteFunc(kept, func(b Block) bool { return b.Fingerprint == other.Fingerprint })
+
+	return append(kept, other), true
+}
+
+// Newest returns at most n of the blocks, those with the latest deaths first.
+func Newest(blocks []Block, n int) []Block {
+	out := slices.SortedFunc(slices.Values(blocks), func(a, b Block) int { return b.LastDeath.Compare(a.LastDeath) })
+
+	return out[:min(n, len(out))]
+}
--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -222,3 +222,20 @@
 	assert.Assert(t, !s.last(exact(3*maxSound-1), at(0)).IsZero())
 	assert.Assert(t, s.last(exact(0), at(0)).IsZero())
 }
+
+func TestMerge(t *testing.T) {
+	old := Block{exact(1), at(0)}
+	blocks := []Block{old, {exact(2), at(0).Add(-blockPeriod)}}
+
+	got, changed := Merge(blocks, Block{exact(3), at(100)}, at(200))
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, got, []Block{old, {exact(3), at(100)}})
+
+	_, changed = Merge(blocks, Block{exact(1), at(500)}, at(600))
+	assert.Assert(t, !changed, "within a second")
+
+	got, changed = Merge(blocks, Block{exact(1), at(5000)}, at(5000))
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, got, []Block{{exact(1), at(5000)}})
+	assert.DeepEqual(t, Newest([]Block{old, {exact(3), at(100)}}, 1), []Block{{exact(3), at(100)}})
+}
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -187,12 +187,6 @@
 	return blocked
 }
 
-// Block is what is blocked, and the last death that counts for it.
-type Block struct {
-	Fingerprint request.Fingerprint
-	LastDeath   time.Time
-}
-
 // Blocks returns all that is blocked, here or by peers.
 func (j *Judge) Blocks(now time.Time) []Block {
 	var out []Block
@@ -207,7 +201,7 @@
 		}
 	}
 
-	return slices.DeleteFunc(out, func(b Block) bool { return now.Sub(b.LastDeath) >= blockPeriod })
+	return slices.DeleteFunc(out, func(b Block) bool { return b.Over(now) })
 }
 
 // Conviction returns the block of a fingerprint that the deaths known here convict, and
