fix(relay): an answer without a length is not whole if its target ended with it

Cause: the end of the connection is then the answer's end, and a process that dies ends its connections in the same way. After such an end the target is dialled once; if it does not accept, the answer counts as cut off, so that a resumable stream goes on elsewhere. A target that leaves may end right after its last answer and is not asked. The connection is kept for the next request, which would need a new one anyway.

--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -146,6 +146,27 @@
 	return out
 }
 
+// endedWithTarget reports whether an answer that states no length ended because its target
+// did, so that it may look whole and lack its end. A target that leaves may end right after
+// its last answer.
+func (d *delivery) endedWithTarget(t *router.Target, a *answer) bool {
+	if a.framed() || a.run == nil || t.Leaving() {
+		return false
+	}
+
+	ctx, cancel := context.WithTimeout(d.r.Context(), dialTimeout)
+	defer cancel()
+
+	c, err := d.Pool.get(ctx, t, true)
+	if err != nil {
+		return true
+	}
+
+	d.Pool.put(c, 0)
+
+	return false
+}
+
 // connectionBroken reports whether err means that the connection ended during a
 // request.
 func connectionBroken(err error) bool {
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -347,6 +347,12 @@
 		return errors.Join(&InvalidAnswerError{Reason: "answer cut short"}, err)
 	}
 
+	if d.endedWithTarget(t, a) {
+		a.abandon()
+
+		return fmt.Errorf("target %s: ended with its answer: %w", t.ID, io.ErrUnexpectedEOF)
+	}
+
 	a.release()
 	d.attemptLog.Record(n, request.Completed)
 
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -42,8 +42,9 @@
 			return d.endStream(t, n, a, event, err)
 		}
 
-		read := time.Now()
 		d.Dispatcher.Crashes.WriteRun(a.run)
+
+		read := time.Now()
 		pauses.read(read, took)
 		took = 0
 
@@ -100,7 +101,7 @@
 
 // endStream handles the end of a stream, which is complete or cut off. A stream
 // that does not state its own length counts as complete if its connection ends
-// between two events.
+// between two events and its target lives on.
 func (d *delivery) endStream(t *router.Target, n int, a *answer, rest []byte, err error) error {
 	if !errors.Is(err, io.EOF) || !a.framed() && len(rest) > 0 {
 		a.abandon()
@@ -108,6 +109,12 @@
 		return fmt.Errorf("target %s: stream cut off: %w", t.ID, err)
 	}
 
+	if d.endedWithTarget(t, a) {
+		a.abandon()
+
+		return fmt.Errorf("target %s: ended with its stream: %w", t.ID, io.ErrUnexpectedEOF)
+	}
+
 	a.release()
 	d.attemptLog.Record(n, request.Completed)
 
