--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -217,6 +217,7 @@
 	}
 
 	q := news.Inquiry{Fingerprints: []request.Fingerprint{fp}, Deaths: deaths}
+
 	c.node.informAll(func(ctx context.Context, p *peer) error {
 		e, err := p.client.Inquire(ctx, q)
 		if err == nil {
--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -199,6 +199,7 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				draw := rand.New(rand.NewPCG(uint64(seed), 1))
+
 				cl := newClusterOf(t, 2+draw.IntN(2), roomEngine(draw).Engine, 1+draw.IntN(3))
 				defer cl.end()
 
--- a/internal/serving/crash/runs.go
+++ b/internal/serving/crash/runs.go
@@ -161,10 +161,11 @@
 		}
 	}
 
-	p.unanswered = kept
 	if len(kept) < maxUnanswered {
-		p.unanswered = append(kept, run)
+		kept = append(kept, run)
 	}
+
+	p.unanswered = kept
 }
 
 // Refuse records that an incarnation refuses connections.
--- a/internal/serving/dispatch/forwarder.go
+++ b/internal/serving/dispatch/forwarder.go
@@ -179,6 +179,7 @@
 		return stall.wrap(err)
 	}
 	defer s.Close()
+
 	tokens, err := f.relayTokens(s, stall, number, next, sent, run)
 	f.Crashes.EndRun(run, endOfStream(err))
 
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,7 +181,7 @@
 	f.mu.Unlock()
 
 	if down {
-		return nil, errors.New("refused")
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 
 	near, far := net.Pipe()
