test(soak): requests and parts of prompts that crash engines

Engines refuse connections, fall silent or are back at once, as new processes under their ids. The soak judges by the users' rules: after three deaths (five for a part) and three seconds, three more at most from entries that are not excused.

--- a/internal/cli/command/soakcmd.go
+++ b/internal/cli/command/soakcmd.go
@@ -24,6 +24,7 @@
 	Reach    bool          `help:"Entries are also cut off from all targets, and targets are brittle, or silent for a second."`
 	Changes  bool          `help:"Series of large configurations also follow each other."`
 	Software bool          `help:"Engines of several versions of the software serve side by side, and clients take streams up."`
+	Crashes  bool          `help:"Requests, and parts of prompts, also crash engines."`
 	Verbose  bool          `help:"Print each trouble."`
 }
 
@@ -45,7 +46,7 @@
 
 	for seed := c.Seed; seed < c.Seed+uint64(max(1, c.Seeds)); seed++ { //nolint:gosec // Small.
 		opt := soak.Options{
-			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Traces: s.err,
+			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Crashes: c.Crashes, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Traces: s.err,
 		}
 		if c.Verbose {
 			opt.Progress = s.err
@@ -58,6 +59,10 @@
 
 		_, _ = fmt.Fprintf(s.out, "seed %d: %d asked, %d answered, %d refused (%d by teams' limits and keys), %d unknown, %d broken\n", seed, r.Asked, r.Answered, r.Refused, r.Limited, r.Unknown, len(r.Broken))
 
+		if c.Crashes {
+			_, _ = fmt.Fprintf(s.out, "  %d engines crashed\n", r.Crashed)
+		}
+
 		if c.Software {
 			_, _ = fmt.Fprintf(s.out, "  %d streams taken up, %d went on, %d with events of several versions\n", r.Taken, r.GoneOn, len(r.Mixed))
 
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -26,44 +26,53 @@
 // CrashOn makes targets crash on some requests.
 func (s *Site) CrashOn(c Crash) {
 	for id, w := range s.Targets() {
-		w.SetCrash(worker.Crash{On: c.On, Ends: func() { s.crash(id, c) }})
+		w.SetCrash(worker.Crash{On: c.On, Ends: func(platform.Request) { s.crash(id, c) }})
 	}
 }
 
 // crash ends a target's process and starts another one later.
 func (s *Site) crash(id instance.ID, c Crash) {
-	s.mu.Lock()
-	s.down[id] = true
-	s.mu.Unlock()
-
 	how := network.Reset
 	if c.Silent {
 		how = network.Silent
 	}
 
+	s.End(id)
 	s.cutFromAll(id, how)
 
+	startNext := func() {
+		// The next process knows nothing of the connections of the one before.
+		s.cutFromAll(id, network.Reset)
+		s.StartNext(id)
+		s.cutFromAll(id, network.Whole)
+	}
+
 	if c.Down == 0 {
-		s.startAfterCrash(id)
+		startNext()
 
 		return
 	}
 
-	time.AfterFunc(c.Down, func() { s.startAfterCrash(id) })
+	time.AfterFunc(c.Down, startNext)
+}
+
+// End makes a target's row stay as it is, since its process has ended.
+func (s *Site) End(id instance.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.down[id] = true
 }
 
-// startAfterCrash starts a target's next process, which knows nothing of the connections and
-// models of the one before.
-func (s *Site) startAfterCrash(id instance.ID) {
-	s.cutFromAll(id, network.Reset)
+// StartNext starts a target's next process, which holds nothing.
+func (s *Site) StartNext(id instance.ID) {
 	s.Targets()[id].StartAnew()
 	s.change(id, func(t *inventory.Target) { t.StartedMs++ })
 
 	s.mu.Lock()
-	delete(s.down, id)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
 
-	s.cutFromAll(id, network.Whole)
+	delete(s.down, id)
 }
 
 // cutFromAll partitions all entries from a target, or ends that.
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -36,6 +36,8 @@
 	// those of them that went on, and Mixed describes those with events of several versions.
 	Taken, GoneOn int
 	Mixed         []string
+	// Crashed counts the engines that requests have crashed.
+	Crashed int
 	// Broken describes the promises that were broken.
 	Broken []string
 }
--- a/internal/standin/soak/proxy.go
+++ b/internal/standin/soak/proxy.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +41,8 @@
 // proxy is a TCP proxy on loopback for one address.
 type proxy struct {
 	to netip.AddrPort
+	// at is the proxy's own address, and l its listener while it accepts connections.
+	at netip.AddrPort
 	l  net.Listener
 
 	// owner returns the process that has opened a connection. If it is nil, none is known.
@@ -62,14 +65,53 @@
 		return nil, err
 	}
 
-	p := &proxy{to: to, l: l, owner: owner, cuts: make(map[string]Trouble), conns: make(map[net.Conn]string), changed: make(chan struct{})}
+	at, err := netip.ParseAddrPort(l.Addr().String())
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
 
-	go p.accept()
+	p := &proxy{to: to, at: at, l: l, owner: owner, cuts: make(map[string]Trouble), conns: make(map[net.Conn]string), changed: make(chan struct{})}
+
+	go p.accept(l)
 
 	return p, nil
 }
 
-func (p *proxy) address() (netip.AddrPort, error) { return netip.ParseAddrPort(p.l.Addr().String()) }
+func (p *proxy) address() (netip.AddrPort, error) { return p.at, nil }
+
+// end resets all connections and refuses new ones, as when the process behind has ended.
+func (p *proxy) end() {
+	p.mu.Lock()
+	l := p.l
+	p.mu.Unlock()
+
+	_ = l.Close() // It may have ended already.
+
+	p.set(Reset)
+}
+
+// startNext accepts connections again after end, or resets those of before.
+func (p *proxy) startNext() error {
+	p.set(Reset)
+	p.set(Calm)
+
+	l, err := net.Listen("tcp", p.at.String())
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return nil // It had not ended.
+	}
+
+	if err != nil {
+		return err
+	}
+
+	p.mu.Lock()
+	p.l = l
+	p.mu.Unlock()
+
+	go p.accept(l)
+
+	return nil
+}
 
 // set begins a fault and ends the one before. It then forwards the data that a silent
 // link held back, as after a partition that the connections survive.
@@ -164,11 +206,7 @@
 	return p.trouble, p.changed
 }
 
-func (p *proxy) close() {
-	_ = p.l.Close()
-
-	p.set(Reset)
-}
+func (p *proxy) close() { p.end() }
 
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -178,9 +216,9 @@
 	_ = c.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.l.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -63,6 +63,8 @@
 	// Software has engines of several versions side by side, adds releases in no order, and
 	// clients that take their streams up at any entry.
 	Software bool
+	// Crashes adds requests, and parts of prompts, that crash engines.
+	Crashes bool
 	// Command starts an entry, with Env added to its environment.
 	Command, Env []string
 	// Dir is the directory for settings and logs.
@@ -89,6 +91,7 @@
 	cuts      cuts
 	series    series
 	streams   streams
+	crashes   crashes
 	// heal counts the faults that have not ended.
 	heal  sync.WaitGroup
 	began time.Time
@@ -105,6 +108,10 @@
 	}
 
 	o := site.Options{Log: io.Discard, Front: s.front, Teams: teams(), Keys: keys}
+	if opt.Crashes {
+		o.Engine = holdingBusy
+	}
+
 	if opt.Software {
 		o.Engine = sideBySide
 	}
@@ -124,6 +131,10 @@
 		return Report{}, err
 	}
 
+	if opt.Crashes {
+		s.crashEngines()
+	}
+
 	s.began = time.Now()
 	calls, stop := context.WithCancel(ctx)
 
@@ -157,6 +168,8 @@
 	r.Broken = append(r.Broken, s.cuts.broken(&s.book, &s.excuses)...)
 	r.Broken = append(r.Broken, s.series.found()...)
 	r.Broken = append(r.Broken, s.streams.broken()...)
+	r.Broken = append(r.Broken, s.crashes.broken(s.excuses.overlap)...)
+	r.Crashed = s.crashes.deaths()
 	r.Taken, r.GoneOn, r.Mixed = s.streams.taken, s.streams.goneOn, s.streams.mixed
 
 	return r, ctx.Err()
@@ -345,5 +358,9 @@
 		all = append(all, s.release(draw, engine), s.release(draw, engine))
 	}
 
+	if s.Crashes {
+		all = append(all, s.makeCrashes(draw)...)
+	}
+
 	return all[draw.IntN(len(all))]
 }
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -343,3 +343,51 @@
 		})
 	}
 }
+
+// TestSoakCrashes plays one short seed in which requests, and parts of prompts, also crash
+// engines.
+func TestSoakCrashes(t *testing.T) {
+	t.Parallel()
+
+	r := play(t, Options{Seed: 5, Entries: 4, Length: 12 * time.Second, Crashes: true})
+	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
+	assert.Assert(t, r.Answered > 0)
+	assert.Assert(t, r.Crashed > 0)
+}
+
+// TestCrashesAreJudged guards against a soak that passes over requests that crash engines for
+// long.
+func TestCrashesAreJudged(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+
+	for name, tc := range map[string]struct {
+		series       string
+		deaths, late int
+		excused      bool
+		broken       bool
+	}{
+		"request, few late ones":     {series: crashingBody + "1", deaths: 3, late: 3},
+		"request, many late ones":    {series: crashingBody + "1", deaths: 3, late: 4, broken: true},
+		"request, two deaths":        {series: crashingBody + "1", deaths: 2, late: 9},
+		"request, entries excused":   {series: crashingBody + "1", deaths: 3, late: 9, excused: true},
+		"part, four deaths":          {series: crashingPart + "1", deaths: 4, late: 9},
+		"part, five, many late ones": {series: crashingPart + "1", deaths: 5, late: 4, broken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var c crashes
+
+			s := c.of(tc.series)
+			for i := range tc.deaths {
+				s.deaths = append(s.deaths, at(i))
+			}
+
+			for i := range tc.late {
+				s.arrivals = append(s.arrivals, crashArrival{"entry-0", at(20 + i)})
+			}
+
+			got := c.broken(func(string, time.Time, time.Time) bool { return tc.excused })
+			assert.Equal(t, len(got) > 0, tc.broken, "%v", got)
+		})
+	}
+}
--- a/internal/standin/worker/crash.go
+++ b/internal/standin/worker/crash.go
@@ -10,8 +10,10 @@
 type Crash struct {
 	// On reports whether a request crashes the worker.
 	On func(platform.Request) bool
+	// Arrives is called when such a request arrives. It may be nil.
+	Arrives func(platform.Request)
 	// Ends is called when the worker crashes.
-	Ends func()
+	Ends func(platform.Request)
 }
 
 // crashState is what a worker records of requests that crash it.
@@ -40,11 +42,17 @@
 // arriveCrashing records the arrival of a request that crashes the worker.
 func (w *Worker) arriveCrashing(r platform.Request) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
+	c := w.crash.Crash
+	crashes := c.On != nil && c.On(r)
 
-	if w.crash.On != nil && w.crash.On(r) {
+	if crashes {
 		w.crash.arrivals = append(w.crash.arrivals, time.Now())
 	}
+	w.mu.Unlock()
+
+	if crashes && c.Arrives != nil {
+		c.Arrives(r)
+	}
 }
 
 // crashOn crashes the worker if the request does so, after the work that it takes. It goes on
@@ -64,7 +72,7 @@
 	w.crash.deaths = append(w.crash.deaths, time.Now())
 	w.mu.Unlock()
 
-	c.Ends()
+	c.Ends(r)
 	<-r.Gone
 	a.Lose()
 }
