--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -107,17 +107,8 @@
 		return Report{}, err
 	}
 
-	o := site.Options{Log: io.Discard, Front: s.front, Teams: teams(), Keys: keys}
-	if opt.Crashes {
-		o.Engine = holdingBusy
-	}
-
-	if opt.Software {
-		o.Engine = sideBySide
-	}
-
 	var err error
-	if s.site, err = site.Start(ctx, o); err != nil {
+	if s.site, err = site.Start(ctx, s.siteOptions()); err != nil {
 		return Report{}, err
 	}
 	defer s.site.Close()
@@ -175,6 +166,20 @@
 	return r, ctx.Err()
 }
 
+func (s *soak) siteOptions() site.Options {
+	o := site.Options{Log: io.Discard, Front: s.front, Teams: teams(), Keys: keys}
+
+	if s.Crashes {
+		o.Engine = holdingBusy
+	}
+
+	if s.Software {
+		o.Engine = sideBySide
+	}
+
+	return o
+}
+
 // front starts a proxy in front of a target and returns its address.
 func (s *soak) front(id instance.ID, own netip.AddrPort) (netip.AddrPort, error) {
 	var owner func(net.Conn) string
