fix(crash): what sound requests share is not blocked beside several crashing ones

Two kinds of requests crashed all four engines within 1.3 s, so that nothing sound could run. What sound requests share was in the deaths of both, and most deaths came first. Such a conviction also stayed with the peers that had been told of it, when the entry itself knew better a moment later.

What has not run soundly lately convicts first, and explains its deaths; what a peer has blocked explains them too, unless it is narrower. An entry that does not convict any more tells those that it had told. The soak's sound requests share their prompts' first part with the crashing ones.

--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -47,6 +47,9 @@
 	// told are the numbers of the testimonies up to which the judges were told, by their
 	// processes.
 	told map[judgeProcess]uint64
+	// announced are the fingerprints of which this entry has told others that they are
+	// blocked.
+	announced map[request.Fingerprint]bool
 }
 
 type numberedTestimony struct {
@@ -234,11 +237,44 @@
 		return
 	}
 
+	c.setAnnounced(fp, true)
 	c.node.cfg.Log.Warn().Uint64("fingerprint", uint64(fp)).Uint8("scope", uint8(fp.Scope())).Any("targets", targetsOf(deaths)).Msg("request crashes targets")
 	c.node.informAll(func(ctx context.Context, p *peer) error { return c.sendBlocks(ctx, p, []crash.Block{block}) })
 	c.store(c.node.workCtx, block)
 }
 
+// setAnnounced records whether others are told that a fingerprint is blocked, and returns
+// whether they were.
+func (c *crashes) setAnnounced(fp request.Fingerprint, announced bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	before := c.announced[fp]
+
+	if c.announced == nil {
+		c.announced = make(map[request.Fingerprint]bool)
+	}
+
+	c.announced[fp] = announced
+	if !announced {
+		delete(c.announced, fp)
+	}
+
+	return before
+}
+
+// reverse tells all entries that this one does not find any more that a fingerprint crashes
+// targets.
+func (c *crashes) reverse(fp request.Fingerprint) {
+	if !c.setAnnounced(fp, false) {
+		return
+	}
+
+	c.node.cfg.Log.Info().Uint64("fingerprint", uint64(fp)).Msg("request no longer blocked, something else explains the deaths")
+	c.node.informAll(func(ctx context.Context, p *peer) error { return p.client.Lift(ctx, fp) })
+	c.removeStored(c.node.workCtx, fp)
+}
+
 // hearFindings applies what a peer knows against a conviction.
 func (c *crashes) hearFindings(q news.Inquiry, e news.Findings) {
 	own := &c.node.dispatcher.Crashes
@@ -331,6 +367,9 @@
 	return out
 }
 
+// Lift implements news.Handler.
+func (n *Node) Lift(fp request.Fingerprint) { n.dispatcher.Crashes.Lift(fp) }
+
 // Acquit implements news.Handler.
 func (n *Node) Acquit(fp request.Fingerprint, at time.Time) {
 	n.dispatcher.Crashes.RecordSound(fp, at)
--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -57,13 +57,19 @@
 	j.Testify(died("t1", 0, exact(1)), at(0))
 	assert.Assert(t, j.IsSuspect(fps(exact(1)), at(0)))
 	j.Testify(died("t1", 0, exact(1)), at(10))
-	assert.Equal(t, len(j.TakeConvicted()), 0, "one death counts once")
+
+	convicted, _ := j.TakeChanges()
+	assert.Equal(t, len(convicted), 0, "one death counts once")
 
 	restarted := died("t1", 1000, exact(1))
 	restarted.Incarnation = "b"
 	j.Testify(restarted, at(1000))
-	assert.DeepEqual(t, j.TakeConvicted(), fps(exact(1)))
-	assert.Equal(t, len(j.TakeConvicted()), 0, "returned once")
+
+	convicted, _ = j.TakeChanges()
+	assert.DeepEqual(t, convicted, fps(exact(1)))
+
+	convicted, _ = j.TakeChanges()
+	assert.Equal(t, len(convicted), 0, "returned once")
 
 	_, left, blocked := j.Blocked(fps(exact(2), exact(1)), at(1000).Add(blockPeriod-time.Second))
 	assert.Assert(t, blocked)
@@ -106,6 +112,7 @@
 		"part, three deaths":        {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1)), died("t3", 1000, part(1))}, blocked: fps(part(1))},
 		"part beside a sound one":   {deaths: []Testimony{died("t1", 0, part(1), part(2)), died("t2", 500, part(1), part(2)), died("t3", 1000, part(1), part(2))}, sound: []soundRun{{part(2), -60_000, -59_000}}, blocked: fps(part(1)), not: fps(part(2))},
 		"part, sound before":        {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1)), died("t3", 1000, part(1)), died("t4", 1500, part(1))}, sound: []soundRun{{part(1), -1000, -500}}, not: fps(part(1))},
+		"popular beside two parts":  {deaths: []Testimony{died("t1", 0, part(1), part(9)), died("t2", 500, part(2), part(9)), died("t3", 1000, part(1), part(9)), died("t4", 1500, part(2), part(9)), died("t5", 2000, part(1), part(9)), died("t6", 2500, part(2), part(9))}, sound: []soundRun{{part(9), -60_000, -59_000}}, blocked: fps(part(1), part(2)), not: fps(part(9))},
 		"two that crash targets":    {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 100, exact(2)), died("t3", 500, exact(1)), died("t4", 600, exact(2))}, blocked: fps(exact(1), exact(2))},
 	}
 
@@ -157,6 +164,42 @@
 	assert.Assert(t, !j.Block(exact(2), at(500), at(900)), "a block that comes again")
 }
 
+// TestReversal checks that a conviction ends when another one explains its deaths, found here
+// or by a peer.
+func TestReversal(t *testing.T) {
+	shared := fp(1, request.ScopePart)
+	deaths := []Testimony{died("t1", 0, exact(1), shared), died("t2", 500, exact(1), shared), died("t3", 1000, shared)}
+
+	for name, convict := range map[string]func(j *Judge){
+		"here":      func(j *Judge) { j.Testify(deaths[2], at(1000)) },
+		"by a peer": func(j *Judge) { j.Block(shared, at(1000), at(1000)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var j Judge
+
+			j.Testify(deaths[0], at(0))
+			j.Testify(deaths[1], at(500))
+			assert.Assert(t, isBlocked(&j, exact(1), at(600)))
+
+			convict(&j)
+			assert.Assert(t, !isBlocked(&j, exact(1), at(1000)))
+			assert.Assert(t, isBlocked(&j, shared, at(1000)))
+
+			_, reversed := j.TakeChanges()
+			assert.DeepEqual(t, reversed, fps(exact(1)))
+		})
+	}
+}
+
+func TestLift(t *testing.T) {
+	var j Judge
+
+	j.Block(exact(1), at(0), at(100))
+	j.Lift(exact(1), at(200))
+	assert.Assert(t, !isBlocked(&j, exact(1), at(200)))
+	assert.Assert(t, j.Idle())
+}
+
 // TestRetract checks that a death that did not happen convicts nothing.
 func TestRetract(t *testing.T) {
 	var j Judge
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -21,8 +21,8 @@
 	// peers have blocked, with the last death that counts for each.
 	blocked, told map[request.Fingerprint]time.Time
 	suspects      map[request.Fingerprint]bool
-	// convicted are those of blocked that TakeConvicted has not returned.
-	convicted []request.Fingerprint
+	// convicted and reversed are the changes of blocked that TakeChanges has not returned.
+	convicted, reversed []request.Fingerprint
 }
 
 // death is what is known of one death.
@@ -146,6 +146,7 @@
 	}
 
 	j.told[fp] = lastDeath
+	j.judge(now)
 
 	return true
 }
@@ -264,13 +265,29 @@
 			j.convicted = append(j.convicted, fp)
 		}
 	}
+
+	for fp := range before {
+		if _, still := j.blocked[fp]; !still {
+			j.reversed = append(j.reversed, fp)
+		}
+	}
+}
+
+// TakeChanges returns the fingerprints that the deaths known here have convicted since the
+// last call, and those that they no longer convict.
+func (j *Judge) TakeChanges() (convicted, reversed []request.Fingerprint) {
+	convicted, reversed = j.convicted, j.reversed
+	j.convicted, j.reversed = nil, nil
+
+	return convicted, reversed
 }
 
-// TakeConvicted returns the fingerprints that the deaths known here have convicted since the
-// last call.
-func (j *Judge) TakeConvicted() []request.Fingerprint {
-	out := j.convicted
-	j.convicted = nil
+// Lift ends the block of a fingerprint that a peer has found and does not find any more.
+func (j *Judge) Lift(fp request.Fingerprint, now time.Time) {
+	if _, told := j.told[fp]; !told {
+		return
+	}
 
-	return out
+	delete(j.told, fp)
+	j.judge(now)
 }
--- a/internal/serving/crash/verdict.go
+++ b/internal/serving/crash/verdict.go
@@ -14,10 +14,12 @@
 	// deaths are those that nothing convicted explains yet.
 	deaths []*death
 	sound  *soundRuns
+	// told are the blocks of peers.
+	told map[request.Fingerprint]time.Time
 }
 
 func newVerdict(j *Judge, now time.Time) *verdict {
-	v := &verdict{now: now, sound: &j.sound}
+	v := &verdict{now: now, sound: &j.sound, told: j.told}
 
 	for _, d := range j.deaths {
 		if now.Sub(d.at) <= retention {
@@ -28,6 +30,26 @@
 	return v
 }
 
+// explained reports whether something else that a peer has blocked was on the target. What
+// is blocked in a narrow scope may be one case of something wider.
+func (v *verdict) explained(d *death, fp request.Fingerprint) bool {
+	found := false
+
+	for other, last := range v.told {
+		if _, exposed := d.exposed[other]; !exposed || v.now.Sub(last) >= blockPeriod {
+			continue
+		}
+
+		if other == fp {
+			return false
+		}
+
+		found = found || other.Scope() >= fp.Scope()
+	}
+
+	return found
+}
+
 // suspicion is what the unexplained deaths say of a fingerprint.
 type suspicion struct {
 	fp     request.Fingerprint
@@ -77,7 +99,7 @@
 				s = &suspicion{fp: fp, sound: v.sound.last(fp, v.now)}
 			}
 
-			if !d.at.After(s.sound) {
+			if !d.at.After(s.sound) || v.explained(d, fp) {
 				continue
 			}
 
@@ -89,8 +111,10 @@
 	return out
 }
 
-// strongest returns the strongest suspicion that convicts: the one of most deaths, of
-// these the one that was sound the longest time ago, of these the narrowest.
+// strongest returns the strongest suspicion that convicts. What has not run soundly lately
+// comes first: where several things crash targets, what sound requests share is in more
+// deaths than each of them. Then come most deaths, the soundness of the longest time ago, and
+// the narrowest scope.
 func strongest(all map[request.Fingerprint]*suspicion) (*suspicion, bool) {
 	var best *suspicion
 
@@ -106,6 +130,7 @@
 // compare returns a negative number if s is stronger than other.
 func (s *suspicion) compare(other *suspicion) int {
 	return cmp.Or(
+		cmp.Compare(known(s.sound), known(other.sound)),
 		cmp.Compare(len(other.deaths), len(s.deaths)),
 		s.sound.Compare(other.sound),
 		cmp.Compare(s.fp.Scope(), other.fp.Scope()),
@@ -113,6 +138,14 @@
 	)
 }
 
+func known(at time.Time) int {
+	if at.IsZero() {
+		return 0
+	}
+
+	return 1
+}
+
 // convicts reports whether there are enough deaths, one after the other.
 func (s *suspicion) convicts() bool {
 	limit := limitsOf(s.fp.Scope()).unknown
--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -17,6 +17,8 @@
 	OnDeath func(crash.Testimony)
 	// OnConviction is called with what the deaths known here convict. It may be nil.
 	OnConviction func(request.Fingerprint)
+	// OnReversal is called with what they do not convict any more. It may be nil.
+	OnReversal func(request.Fingerprint)
 	// OnAcquittal is called when a request with a blocked fingerprint has run soundly here,
 	// at the time given. It may be nil.
 	OnAcquittal func(request.Fingerprint, time.Time)
@@ -92,15 +94,19 @@
 // convicts.
 func (c *Crashes) unlock() {
 	c.active.Store(!c.judge.Idle())
-	convicted := c.judge.TakeConvicted()
+	convicted, reversed := c.judge.TakeChanges()
 	c.mu.Unlock()
 
-	if c.OnConviction == nil {
-		return
+	for _, fp := range convicted {
+		if c.OnConviction != nil {
+			c.OnConviction(fp)
+		}
 	}
 
-	for _, fp := range convicted {
-		c.OnConviction(fp)
+	for _, fp := range reversed {
+		if c.OnReversal != nil {
+			c.OnReversal(fp)
+		}
 	}
 }
 
@@ -199,7 +205,15 @@
 	return c.judge.Block(b.Fingerprint, b.LastDeath, time.Now())
 }
 
-// BlockNow does the same for a death that is not dated. It does not prolong a block.
+// Lift ends the block of what a peer does not find to crash targets any more.
+func (c *Crashes) Lift(fp request.Fingerprint) {
+	c.mu.Lock()
+	defer c.unlock()
+
+	c.judge.Lift(fp, time.Now())
+}
+
+// BlockNow does what Block does for a death that is not dated. It does not prolong a block.
 func (c *Crashes) BlockNow(fp request.Fingerprint) {
 	c.mu.Lock()
 	defer c.unlock()
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -122,7 +122,7 @@
 	s.book.send(id)
 
 	r, err := site.AskOn(ctx, c, p.callers, k.path, k.body, relay.RequestInfo{
-		ID: id, Timeout: callFor, Model: k.model, TokensIn: 10, TokensOut: tokens, Credentials: credentials(team),
+		ID: id, Timeout: callFor, Model: k.model, Prompt: s.soundPrompt(id), TokensIn: 10, TokensOut: tokens, Credentials: credentials(team),
 	})
 	s.book.note(id, k, r, err)
 }
@@ -301,7 +301,7 @@
 
 		c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		r, err := site.AskOn(ctx, c, p.callers, k.path, k.body, relay.RequestInfo{
-			ID: id, Timeout: callFor, Model: k.model, TokensIn: 10, TokensOut: tokens, Credentials: credentials(free),
+			ID: id, Timeout: callFor, Model: k.model, Prompt: s.soundPrompt(id), TokensIn: 10, TokensOut: tokens, Credentials: credentials(free),
 		})
 
 		if err == nil && r.Status == http.StatusOK && r.Whole {
--- a/internal/standin/soak/crashes.go
+++ b/internal/standin/soak/crashes.go
@@ -202,6 +202,15 @@
 	})
 }
 
+// soundPrompt returns the prompt of a sound request, whose first part crashing ones have too.
+func (s *soak) soundPrompt(id string) string {
+	if !s.Crashes {
+		return ""
+	}
+
+	return fmt.Sprintf("shared:10,good:10,%s:5", id)
+}
+
 // makeCrashes are the troubles in which clients send, at any entry, a request that crashes
 // engines, or requests that have such a part in their prompts. Half of the clients leave at
 // once.
--- a/internal/wire/news/crash.go
+++ b/internal/wire/news/crash.go
@@ -185,6 +185,18 @@
 	return nil
 }
 
+// Lift is the remote call.
+func (s service) Lift(in uint64, _ *Empty) error {
+	s.h.Lift(request.Fingerprint(in))
+
+	return nil
+}
+
+// Lift ends a block that this entry has found and does not find any more.
+func (c *Client) Lift(ctx context.Context, fp request.Fingerprint) error {
+	return c.Call(ctx, serviceName+".Lift", uint64(fp), &Empty{})
+}
+
 // Testify tells an entry that judges what this one has observed of deaths.
 func (c *Client) Testify(ctx context.Context, testimonies []crash.Testimony) error {
 	now := clock.Now()
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -60,6 +60,8 @@
 	// Block blocks what crashes targets. It returns for each when a request with it has run
 	// soundly here since, so that it is not blocked, or zero.
 	Block(blocks []crash.Block) []time.Time
+	// Lift ends a block that a peer has found and does not find any more.
+	Lift(fp request.Fingerprint)
 	// Acquit says that a request with the fingerprint ran soundly at a time.
 	Acquit(fp request.Fingerprint, at time.Time)
 	// Lend accepts a delegation of a peer's shares of limits.
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -49,6 +49,7 @@
 	missing    []holder.Missing
 	blocked    request.Fingerprint
 	acquitted  request.Fingerprint
+	lifted     request.Fingerprint
 	testimony  crash.Testimony
 	resumed    []demand.Resumed
 	lending    Lending
@@ -142,6 +143,8 @@
 	return a
 }
 
+func (e *echo) Lift(fp request.Fingerprint) { e.lifted = fp }
+
 func (e *echo) Testify(t crash.Testimony) { e.testimony = t }
 
 func (e *echo) Acquit(fp request.Fingerprint, _ time.Time) { e.acquitted = fp }
@@ -417,6 +420,8 @@
 	assert.Equal(t, got.blocked, request.Fingerprint(9))
 	assert.DeepEqual(t, sound, []time.Time{{}, now}, near)
 
+	assert.NilError(t, c.Lift(t.Context(), 9))
+	assert.Equal(t, got.lifted, request.Fingerprint(9))
 	assert.NilError(t, c.Acquit(t.Context(), 9, now))
 	assert.Equal(t, got.acquitted, request.Fingerprint(9))
 }
