fix(crash): what others may share is blocked only once they know nothing against it

An entry that had just started convicted the first part of all prompts by testimonies that it was told, without knowing what had run soundly, nor whom to ask. And where several parts crash the same four engines, each explained the deaths of the others, so that blocks ended and began again.

A conviction of anything wider than one request takes effect once at least half of the other entries were asked, three seconds after the entry's start at the earliest. Confirmed convictions of what has never run soundly stand, whatever else explains the deaths by now.

--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
@@ -28,6 +29,11 @@
 	blocksInterval = 1500 * time.Millisecond
 	// testimonyRetry is the time after which judges that did not answer are told again.
 	testimonyRetry = 250 * time.Millisecond
+	// confirmUptime is how long an entry must have run to convict, and confirmTries and
+	// confirmRetry how often and at what intervals it asks others.
+	confirmUptime = 3 * time.Second
+	confirmTries  = 4
+	confirmRetry  = 300 * time.Millisecond
 	// testimonySpacing lets the failures of one death be told together.
 	testimonySpacing = 10 * time.Millisecond
 )
@@ -210,26 +216,57 @@
 }
 
 // confirm asks all entries what they know against a conviction, and blocks the fingerprint
-// everywhere if it stands.
-func (c *crashes) confirm(fp request.Fingerprint) {
-	own := &c.node.dispatcher.Crashes
+// everywhere if it stands. An entry that has just started knows neither what has run soundly
+// nor whom to ask.
+func (c *crashes) confirm(ctx context.Context, fp request.Fingerprint) {
+	if clock.Sleep(ctx, confirmUptime-time.Since(c.node.started)) != nil {
+		return
+	}
 
-	_, deaths, convicted := own.Conviction(fp)
+	for range confirmTries {
+		if c.inquire(fp) {
+			c.announce(fp)
+
+			return
+		}
+
+		if clock.Sleep(ctx, confirmRetry) != nil {
+			return
+		}
+	}
+}
+
+// inquire asks all entries what they know against a conviction. It reports false if fewer than
+// half of them answered.
+func (c *crashes) inquire(fp request.Fingerprint) bool {
+	_, deaths, convicted := c.node.dispatcher.Crashes.Conviction(fp)
 	if !convicted {
-		return
+		return true
 	}
 
+	var asked, answered atomic.Int64
+
 	q := news.Inquiry{Fingerprints: []request.Fingerprint{fp}, Deaths: deaths}
 
 	c.node.informAll(func(ctx context.Context, p *peer) error {
-		e, err := p.client.Inquire(ctx, q)
+		asked.Add(1)
+
+		f, err := p.client.Inquire(ctx, q)
 		if err == nil {
-			c.hearFindings(q, e)
+			answered.Add(1)
+			c.hearFindings(q, f)
 		}
 
 		return err
 	})
 
+	return 2*answered.Load() >= asked.Load() //nolint:mnd // Half of them.
+}
+
+// announce blocks a fingerprint everywhere, if it is still convicted.
+func (c *crashes) announce(fp request.Fingerprint) {
+	own := &c.node.dispatcher.Crashes
+
 	block, deaths, convicted := own.Conviction(fp)
 	if !convicted {
 		c.node.cfg.Log.Info().Uint64("fingerprint", uint64(fp)).Msg("request does not crash targets, another entry says")
@@ -237,6 +274,7 @@
 		return
 	}
 
+	own.Confirm(fp)
 	c.setAnnounced(fp, true)
 	c.node.cfg.Log.Warn().Uint64("fingerprint", uint64(fp)).Uint8("scope", uint8(fp.Scope())).Any("targets", targetsOf(deaths)).Msg("request crashes targets")
 	c.node.informAll(func(ctx context.Context, p *peer) error { return c.sendBlocks(ctx, p, []crash.Block{block}) })
@@ -332,7 +370,7 @@
 // broadcastNotice tells all peers what crashes targets.
 func (n *Node) broadcastNotice(notice dispatch.Notice) {
 	if notice.Poisoned != 0 {
-		go n.crashes.confirm(notice.Poisoned)
+		go n.crashes.confirm(n.workCtx, notice.Poisoned)
 	}
 }
 
--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -43,7 +43,12 @@
 	return t
 }
 
+// isBlocked reports whether a fingerprint is blocked if other entries know nothing against it.
 func isBlocked(j *Judge, f request.Fingerprint, now time.Time) bool {
+	if _, _, convicted := j.Conviction(f, now); convicted {
+		j.Confirm(f)
+	}
+
 	_, _, blocked := j.Blocked(fps(f), now)
 
 	return blocked
@@ -191,6 +196,36 @@
 	}
 }
 
+// TestOnlyConfirmedPartsAreBlocked checks that what sound requests may share is blocked only once
+// others know nothing against it, and then stays blocked beside others of its kind.
+func TestOnlyConfirmedPartsAreBlocked(t *testing.T) {
+	var j Judge
+
+	one, two := fp(1, request.ScopePart), fp(2, request.ScopePart)
+
+	for i := range 3 {
+		j.Testify(died(fmt.Sprint("t", i), 500*i, one, two), at(500*i))
+	}
+
+	j.Testify(died("t3", 1500, one), at(1500))
+
+	_, _, blocked := j.Blocked(fps(one), at(1500))
+	assert.Assert(t, !blocked)
+
+	j.Confirm(one)
+
+	_, _, blocked = j.Blocked(fps(one), at(1500))
+	assert.Assert(t, blocked)
+
+	for i := range 6 {
+		j.Testify(died(fmt.Sprint("u", i), 2000+500*i, one, two), at(2000+500*i))
+		j.Testify(died(fmt.Sprint("v", i), 2250+500*i, two), at(2250+500*i))
+	}
+
+	assert.Assert(t, isBlocked(&j, two, at(6000)))
+	assert.Assert(t, isBlocked(&j, one, at(6000)))
+}
+
 func TestLift(t *testing.T) {
 	var j Judge
 
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -21,6 +21,8 @@
 	// peers have blocked, with the last death that counts for each.
 	blocked, told map[request.Fingerprint]time.Time
 	suspects      map[request.Fingerprint]bool
+	// confirmed are those of blocked that other entries know nothing against.
+	confirmed map[request.Fingerprint]bool
 	// convicted and reversed are the changes of blocked that TakeChanges has not returned.
 	convicted, reversed []request.Fingerprint
 }
@@ -115,7 +117,7 @@
 			delete(j.told, fp)
 		}
 
-		again = again || j.suspects[fp] || !j.blocked[fp].IsZero()
+		again = again || j.suspects[fp] || !j.blocked[fp].IsZero() // Also if it is not confirmed.
 	}
 
 	if again {
@@ -163,9 +165,14 @@
 	return 0, 0, false
 }
 
-// lastDeath returns the last death for which the fingerprint is blocked, or zero.
+// lastDeath returns the last death for which the fingerprint is blocked, or zero. What others
+// may share is blocked by the deaths known here only once that is confirmed.
 func (j *Judge) lastDeath(fp request.Fingerprint) time.Time {
 	own, told := j.blocked[fp], j.told[fp]
+	if fp.Scope() != request.ScopePrompt && !j.confirmed[fp] {
+		own = time.Time{}
+	}
+
 	if told.After(own) {
 		return told
 	}
@@ -197,7 +204,7 @@
 	}
 
 	for fp := range j.blocked {
-		if _, told := j.told[fp]; !told {
+		if _, told := j.told[fp]; !told && !j.lastDeath(fp).IsZero() {
 			out = append(out, Block{fp, j.lastDeath(fp)})
 		}
 	}
@@ -205,6 +212,15 @@
 	return slices.DeleteFunc(out, func(b Block) bool { return b.Over(now) })
 }
 
+// Confirm makes the conviction of a fingerprint a block.
+func (j *Judge) Confirm(fp request.Fingerprint) {
+	if j.confirmed == nil {
+		j.confirmed = make(map[request.Fingerprint]bool)
+	}
+
+	j.confirmed[fp] = true
+}
+
 // Conviction returns the block of a fingerprint that the deaths known here convict, and
 // these deaths. It returns false if they do not.
 func (j *Judge) Conviction(fp request.Fingerprint, now time.Time) (Block, []Death, bool) {
@@ -259,6 +275,7 @@
 func (j *Judge) judge(now time.Time) {
 	before := j.blocked
 	j.blocked, j.suspects = newVerdict(j, now).convict()
+	j.keepStanding(before, now)
 
 	for fp := range j.blocked {
 		if _, old := before[fp]; !old {
@@ -269,6 +286,31 @@
 	for fp := range before {
 		if _, still := j.blocked[fp]; !still {
 			j.reversed = append(j.reversed, fp)
+			delete(j.confirmed, fp)
+		}
+	}
+}
+
+// keepStanding keeps the confirmed convictions of what many requests have in common and has
+// never run soundly, although something else explains its deaths by now.
+//
+// Where several things crash the same targets, the deaths of one explain those of the others.
+// If their blocks ended, they would crash targets again.
+func (j *Judge) keepStanding(before map[request.Fingerprint]time.Time, now time.Time) {
+	var all map[request.Fingerprint]*suspicion
+
+	for fp, last := range before {
+		_, still := j.blocked[fp]
+		if still || !j.confirmed[fp] || fp.Scope() == request.ScopePrompt || !j.sound.last(fp, now).IsZero() {
+			continue
+		}
+
+		if all == nil {
+			all = (&verdict{now: now, deaths: newVerdict(j, now).deaths, sound: &j.sound}).suspicions()
+		}
+
+		if s := all[fp]; s != nil && s.convicts() {
+			j.blocked[fp] = last
 		}
 	}
 }
--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -196,6 +196,15 @@
 	return c.judge.Conviction(fp, time.Now())
 }
 
+// Confirm blocks what the deaths known here convict, since other entries know nothing against
+// it.
+func (c *Crashes) Confirm(fp request.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.judge.Confirm(fp)
+}
+
 // Block blocks what a peer has found to crash targets. It reports false, and does not block
 // it, if a request with it has run soundly here since.
 func (c *Crashes) Block(b crash.Block) bool {
