fix(crash): parts are judged before single requests, and contested deaths acquit the sound

What ran soundly is in the deaths of all kinds, and added up those that no other suspicion explained yet; of a target that fell silent, the latest possible end was assumed for parts; and requests that were tried twice convicted themselves and explained the deaths of their part, if that had run soundly before.

Parts come before single requests, unless one request explains all their deaths. A death on which something shared was that has never run soundly and is suspected of others too does not count against the sound.

TestVerdict: four cases.

--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -112,12 +112,16 @@
 		"narrower one explains all": {deaths: []Testimony{died("t1", 0, exact(1), content(9)), died("t2", 500, exact(1), content(9))}, blocked: fps(exact(1)), not: fps(content(9))},
 		"silent, in turn":           {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), fellSilent("t2", 300, 2200, exact(1))}, blocked: fps(exact(1))},
 		"silent, sound before":      {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), fellSilent("t2", 300, 2200, exact(1)), fellSilent("t3", 600, 2500, exact(1)), fellSilent("t4", 900, 2800, exact(1))}, sound: []soundRun{{exact(1), -1000, -500}}, not: fps(exact(1))},
+		"part, silent, in turn":     {deaths: []Testimony{fellSilent("t1", 0, 1900, part(1)), fellSilent("t2", 300, 2200, part(1)), fellSilent("t3", 600, 2500, part(1))}, blocked: fps(part(1))},
 		"silent for one, seen":      {deaths: []Testimony{fellSilent("t1", 0, 1900, exact(1)), died("t1", 50, exact(1)), died("t2", 300, exact(1))}, blocked: fps(exact(1))},
 		"part, two deaths":          {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1))}, not: fps(part(1))},
 		"part, three deaths":        {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1)), died("t3", 1000, part(1))}, blocked: fps(part(1))},
 		"part beside a sound one":   {deaths: []Testimony{died("t1", 0, part(1), part(2)), died("t2", 500, part(1), part(2)), died("t3", 1000, part(1), part(2))}, sound: []soundRun{{part(2), -60_000, -59_000}}, blocked: fps(part(1)), not: fps(part(2))},
 		"part, sound before":        {deaths: []Testimony{died("t1", 0, part(1)), died("t2", 500, part(1)), died("t3", 1000, part(1)), died("t4", 1500, part(1))}, sound: []soundRun{{part(1), -1000, -500}}, not: fps(part(1))},
 		"popular beside two parts":  {deaths: []Testimony{died("t1", 0, part(1), part(9)), died("t2", 500, part(2), part(9)), died("t3", 1000, part(1), part(9)), died("t4", 1500, part(2), part(9)), died("t5", 2000, part(1), part(9)), died("t6", 2500, part(2), part(9))}, sound: []soundRun{{part(9), -60_000, -59_000}}, blocked: fps(part(1), part(2)), not: fps(part(9))},
+		"part from some moment on":  {deaths: []Testimony{died("t1", 0, exact(1), part(1)), died("t2", 100, exact(1), part(1)), died("t3", 500, exact(2), part(1)), died("t4", 600, exact(2), part(1)), died("t5", 1000, exact(3), part(1)), died("t6", 1100, exact(3), part(1))}, sound: []soundRun{{part(1), -60_000, -59_000}}, blocked: fps(part(1))},
+		"one request with a part":   {deaths: []Testimony{died("t1", 0, exact(1), part(1)), died("t2", 100, exact(1), part(1)), died("t3", 500, exact(1), part(1))}, blocked: fps(exact(1)), not: fps(part(1))},
+		"content beside a new part": {deaths: []Testimony{died("t1", 0, content(1), part(1)), died("t2", 100, content(1), part(1)), died("t3", 500, content(1), part(2)), died("t4", 600, content(1), part(2))}, sound: []soundRun{{content(1), -60_000, -59_000}}, not: fps(content(1))},
 		"two that crash targets":    {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 100, exact(2)), died("t3", 500, exact(1)), died("t4", 600, exact(2))}, blocked: fps(exact(1), exact(2))},
 	}
 
@@ -289,8 +293,11 @@
 
 	j.Block(exact(0), at(0), at(0))
 
-	for i := range 3 * maxSound {
+	for i := range 3 * maxDeaths {
 		j.Testify(died(fmt.Sprint(i), i, exact(i), exact(i+1)), at(i))
+	}
+
+	for i := range 3 * maxSound {
 		s.add(exact(i), at(i), at(0))
 	}
 
--- /dev/null
+++ b/internal/serving/crash/death.go
@@ -0,0 +1,78 @@
+package crash
+
+import (
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// death is what is known of one death.
+type death struct {
+	// at is when the target was last known to run, and until when it had ended.
+	at, until time.Time
+	// exposed maps what may have crashed it to when it was sent there.
+	exposed map[request.Fingerprint]time.Time
+}
+
+// merge adds what an entry has observed.
+func (d *death) merge(t Testimony) {
+	var first time.Time
+
+	for fp, sent := range t.Exposed {
+		if first.IsZero() || sent.Before(first) {
+			first = sent
+		}
+
+		if known, ok := d.exposed[fp]; ok && known.Before(sent) || !ok && len(d.exposed) >= maxExposures {
+			continue
+		}
+
+		d.exposed[fp] = sent
+	}
+
+	// What crashed the target was sent before it ended.
+	at := t.At
+	if at.IsZero() {
+		at = first
+	}
+
+	if d.until.IsZero() || t.Until.Before(d.until) {
+		d.until = t.Until
+	}
+
+	if at.After(d.at) {
+		d.at = at
+	}
+
+	if d.at.After(d.until) {
+		d.at = d.until
+	}
+}
+
+// insert adds a death and forgets those that are too old, or the oldest if there are too
+// many.
+func (j *Judge) insert(id Death, d *death, now time.Time) {
+	if j.deaths == nil {
+		j.deaths = make(map[Death]*death)
+	}
+
+	var oldest Death
+
+	for other, known := range j.deaths {
+		if now.Sub(known.at) > retention {
+			delete(j.deaths, other)
+
+			continue
+		}
+
+		if o := j.deaths[oldest]; o == nil || known.at.Before(o.at) {
+			oldest = other
+		}
+	}
+
+	if len(j.deaths) >= maxDeaths {
+		delete(j.deaths, oldest)
+	}
+
+	j.deaths[id] = d
+}
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -27,14 +27,6 @@
 	convicted, reversed []request.Fingerprint
 }
 
-// death is what is known of one death.
-type death struct {
-	// at is when the target was last known to run, and until when it had ended.
-	at, until time.Time
-	// exposed maps what may have crashed it to when it was sent there.
-	exposed map[request.Fingerprint]time.Time
-}
-
 // Testify adds what an entry has observed of a death. What several have observed of the
 // same death counts as one.
 func (j *Judge) Testify(t Testimony, now time.Time) {
@@ -52,41 +44,6 @@
 	j.judge(now)
 }
 
-// merge adds what an entry has observed.
-func (d *death) merge(t Testimony) {
-	var first time.Time
-
-	for fp, sent := range t.Exposed {
-		if first.IsZero() || sent.Before(first) {
-			first = sent
-		}
-
-		if known, ok := d.exposed[fp]; ok && known.Before(sent) || !ok && len(d.exposed) >= maxExposures {
-			continue
-		}
-
-		d.exposed[fp] = sent
-	}
-
-	// What crashed the target was sent before it ended.
-	at := t.At
-	if at.IsZero() {
-		at = first
-	}
-
-	if d.until.IsZero() || t.Until.Before(d.until) {
-		d.until = t.Until
-	}
-
-	if at.After(d.at) {
-		d.at = at
-	}
-
-	if d.at.After(d.until) {
-		d.at = d.until
-	}
-}
-
 // Retract removes a death that did not happen: the target ran at the time given. What no
 // death convicts any more is no longer blocked.
 func (j *Judge) Retract(d Death, ranAt, now time.Time) {
@@ -243,34 +200,6 @@
 // Idle reports whether nothing is suspected or blocked.
 func (j *Judge) Idle() bool { return len(j.deaths) == 0 && len(j.told) == 0 }
 
-// insert adds a death and forgets those that are too old, or the oldest if there are too
-// many.
-func (j *Judge) insert(id Death, d *death, now time.Time) {
-	if j.deaths == nil {
-		j.deaths = make(map[Death]*death)
-	}
-
-	var oldest Death
-
-	for other, known := range j.deaths {
-		if now.Sub(known.at) > retention {
-			delete(j.deaths, other)
-
-			continue
-		}
-
-		if o := j.deaths[oldest]; o == nil || known.at.Before(o.at) {
-			oldest = other
-		}
-	}
-
-	if len(j.deaths) >= maxDeaths {
-		delete(j.deaths, oldest)
-	}
-
-	j.deaths[id] = d
-}
-
 // judge weighs all deaths anew.
 func (j *Judge) judge(now time.Time) {
 	before := j.blocked
@@ -306,7 +235,9 @@
 		}
 
 		if all == nil {
-			all = (&verdict{now: now, deaths: newVerdict(j, now).deaths, sound: &j.sound}).suspicions()
+			v := newVerdict(j, now)
+			v.told = nil // Nothing else explains deaths here.
+			all = v.suspicions()
 		}
 
 		if s := all[fp]; s != nil && s.convicts() {
--- a/internal/serving/crash/verdict.go
+++ b/internal/serving/crash/verdict.go
@@ -63,15 +63,22 @@
 //
 // The strongest suspicion convicts first and explains its deaths: what crashes targets is
 // in all of them, whatever else happened to run there, and its neighbours are acquitted.
+// Parts of prompts come before single requests, of which many may have the same part.
 func (v *verdict) convict() (blocked map[request.Fingerprint]time.Time, suspects map[request.Fingerprint]bool) {
 	blocked = make(map[request.Fingerprint]time.Time)
 
-	for {
-		all := v.suspicions()
-		guilty, found := strongest(all)
+	v.convictScopes(blocked, func(s request.Scope) bool { return !s.Single() })
+	v.convictScopes(blocked, request.Scope.Single)
+
+	return blocked, suspectsOf(v.suspicions())
+}
 
+// convictScopes adds what crashes targets, of some scopes.
+func (v *verdict) convictScopes(blocked map[request.Fingerprint]time.Time, scopes func(request.Scope) bool) {
+	for {
+		guilty, found := strongest(v.suspicions(), scopes)
 		if !found {
-			return blocked, suspectsOf(all)
+			return
 		}
 
 		blocked[guilty.fp] = guilty.lastDeath()
@@ -108,18 +115,48 @@
 		}
 	}
 
+	dropContested(out)
+
 	return out
 }
 
-// strongest returns the strongest suspicion that convicts. What has not run soundly lately
-// comes first: where several things crash targets, what sound requests share is in more
-// deaths than each of them. Then come most deaths, the soundness of the longest time ago, and
-// the narrowest scope.
-func strongest(all map[request.Fingerprint]*suspicion) (*suspicion, bool) {
+// dropContested drops, from the suspicions of what has run soundly lately, the deaths that
+// something shared which has not may have caused as well, if it is suspected of others too.
+func dropContested(all map[request.Fingerprint]*suspicion) {
+	contested := func(d *death) bool {
+		for fp := range d.exposed {
+			if s := all[fp]; s != nil && s.sound.IsZero() && fp.Scope() != request.ScopePrompt && len(s.deaths) > 1 {
+				return true
+			}
+		}
+
+		return false
+	}
+
+	for fp, s := range all {
+		if s.sound.IsZero() {
+			continue
+		}
+
+		if s.deaths = slices.DeleteFunc(s.deaths, contested); len(s.deaths) == 0 {
+			delete(all, fp)
+		}
+	}
+}
+
+// strongest returns the strongest suspicion that convicts, of some scopes. What has not run
+// soundly lately comes first: where several things crash targets, what sound requests share is
+// in more deaths than each of them. Then come most deaths, the soundness of the longest time
+// ago, and the narrowest scope.
+func strongest(all map[request.Fingerprint]*suspicion, scopes func(request.Scope) bool) (*suspicion, bool) {
 	var best *suspicion
 
 	for _, s := range all {
-		if s.convicts() && (best == nil || s.compare(best) < 0) {
+		if !scopes(s.fp.Scope()) || !s.convicts() || best != nil && s.compare(best) >= 0 {
+			continue
+		}
+
+		if s.fp.Scope().Single() || !s.isOneRequest(all) {
 			best = s
 		}
 	}
@@ -127,6 +164,21 @@
 	return best, best != nil
 }
 
+// isOneRequest reports whether a single request, which convicts too, was on all the targets.
+func (s *suspicion) isOneRequest(all map[request.Fingerprint]*suspicion) bool {
+	for _, other := range all {
+		if !other.fp.Scope().Single() || len(other.deaths) < len(s.deaths) || !other.convicts() {
+			continue
+		}
+
+		if !slices.ContainsFunc(s.deaths, func(d *death) bool { return !slices.Contains(other.deaths, d) }) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // compare returns a negative number if s is stronger than other.
 func (s *suspicion) compare(other *suspicion) int {
 	return cmp.Or(
@@ -176,11 +228,11 @@
 	return n
 }
 
-// endOf returns when a target is taken to have ended. If that was not seen, a single request
-// is taken to have crashed it at once, and anything that sound requests may have too as late
-// as possible: targets that fall silent together would look as if they had ended in turn.
+// endOf returns when a target is taken to have ended. If that was not seen, what has not run
+// soundly lately is taken to have crashed it at once, and anything else as late as possible:
+// targets that fall silent together would look as if they had ended in turn.
 func (s *suspicion) endOf(d *death) time.Time {
-	if s.sound.IsZero() && s.fp.Scope().Single() {
+	if s.sound.IsZero() {
 		return d.at
 	}
 
