--- a/internal/serving/crash/crash_test.go
+++ b/internal/serving/crash/crash_test.go
@@ -122,6 +122,8 @@
 		"part from some moment on":  {deaths: []Testimony{died("t1", 0, exact(1), part(1)), died("t2", 100, exact(1), part(1)), died("t3", 500, exact(2), part(1)), died("t4", 600, exact(2), part(1)), died("t5", 1000, exact(3), part(1)), died("t6", 1100, exact(3), part(1))}, sound: []soundRun{{part(1), -60_000, -59_000}}, blocked: fps(part(1))},
 		"one request with a part":   {deaths: []Testimony{died("t1", 0, exact(1), part(1)), died("t2", 100, exact(1), part(1)), died("t3", 500, exact(1), part(1))}, blocked: fps(exact(1)), not: fps(part(1))},
 		"content beside a new part": {deaths: []Testimony{died("t1", 0, content(1), part(1)), died("t2", 100, content(1), part(1)), died("t3", 500, content(1), part(2)), died("t4", 600, content(1), part(2))}, sound: []soundRun{{content(1), -60_000, -59_000}}, not: fps(content(1))},
+		"four, sound between":       {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 500, exact(1)), died("t3", 1000, exact(1)), died("t4", 1500, exact(1))}, sound: []soundRun{{exact(1), 700, 900}}, not: fps(exact(1))},
+		"content of two requests":   {deaths: []Testimony{died("t1", 0, exact(1), content(9)), died("t2", 100, exact(1), content(9)), died("t3", 500, exact(2), content(9)), died("t4", 600, exact(2), content(9))}, sound: []soundRun{{content(9), -60_000, -59_000}}, blocked: fps(exact(1), exact(2)), not: fps(content(9))},
 		"two that crash targets":    {deaths: []Testimony{died("t1", 0, exact(1)), died("t2", 100, exact(2)), died("t3", 500, exact(1)), died("t4", 600, exact(2))}, blocked: fps(exact(1), exact(2))},
 	}
 
