--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -31,6 +31,30 @@
 	draw *rand.Rand
 	// starts counts the processes of holders.
 	starts int
+	// later is what is to be done later, by the goroutine that plays the schedule.
+	later []action
+}
+
+// action is something to be done at a time.
+type action struct {
+	at time.Time
+	do func()
+}
+
+// after has something done later.
+func (s *roomSchedule) after(d time.Duration, do func()) {
+	s.later = append(s.later, action{time.Now().Add(d), do})
+}
+
+// doLater does what is due.
+func (s *roomSchedule) doLater() {
+	now := time.Now()
+	due := slices.DeleteFunc(slices.Clone(s.later), func(a action) bool { return a.at.After(now) })
+	s.later = slices.DeleteFunc(s.later, func(a action) bool { return !a.at.After(now) })
+
+	for _, a := range due {
+		a.do()
+	}
 }
 
 // between draws a duration.
@@ -90,19 +114,15 @@
 // another lease holder.
 func (s *roomSchedule) lateForNextProcess(w, h instance.ID) {
 	s.worker(w).SetFaults(worker.Faults{LateOrders: 1 + s.draw.IntN(2), Late: s.between(2*time.Second, 12*time.Second)})
-	time.AfterFunc(s.between(500*time.Millisecond, 3*time.Second), func() { s.restartWorker(w) })
+	s.after(s.between(500*time.Millisecond, 3*time.Second), func() { s.restartWorker(w) })
 
 	if s.draw.IntN(2) == 0 {
-		time.AfterFunc(s.between(200*time.Millisecond, 3*time.Second), func() { s.restartHolder(h) })
+		s.after(s.between(200*time.Millisecond, 3*time.Second), func() { s.restartHolder(h) })
 	}
 }
 
 // restartHolder kills an entry's holder and starts its next process.
 func (s *roomSchedule) restartHolder(id instance.ID) {
-	if s.ended.Load() {
-		return
-	}
-
 	s.starts++
 	s.holders[id].gate.Close()
 	s.holders[id].stop()
@@ -163,6 +183,7 @@
 			s.trouble()
 		}
 
+		s.doLater()
 		s.askSome()
 		time.Sleep(s.between(50*time.Millisecond, 500*time.Millisecond))
 	}
--- a/internal/serving/relay/identify_test.go
+++ b/internal/serving/relay/identify_test.go
@@ -308,7 +308,7 @@
 
 			// The targets restart as new processes.
 			synctest.Wait()
-			clear(f.down)
+			f.restart()
 			f.listTargets(uint64(2 + i))
 			time.Sleep(time.Second)
 		}
--- a/internal/serving/relay/relay_test.go
+++ b/internal/serving/relay/relay_test.go
@@ -191,6 +191,14 @@
 	return near, nil
 }
 
+// restart makes all targets accept connections.
+func (f *fixture) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	clear(f.down)
+}
+
 // target serves one connection.
 func (f *fixture) target(id instance.ID, conn net.Conn) {
 	r := bufio.NewReader(conn)
@@ -697,7 +705,7 @@
 
 			// The targets restart as new processes.
 			synctest.Wait()
-			clear(f.down)
+			f.restart()
 			f.listTargets(uint64(2 + i))
 			time.Sleep(time.Second)
 		}
