refactor(relay): one way to try whether a target accepts connections

checkCrash, confirmDeath and endedWithTarget each opened a connection with a timeout and kept it for the next request. dial does that for all three. Behaviour as before; package relay's tests pass.

--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -59,14 +59,10 @@
 func (s *Server) confirmDeath(t *router.Target, death crash.Death) {
 	time.Sleep(confirmAfter)
 
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-
-	c, err := s.Pool.get(ctx, t, true)
+	err := s.dial(context.Background(), t)
 
 	switch {
 	case err == nil:
-		s.Pool.put(c, 0)
 		s.Dispatcher.Crashes.Retract(death, time.Now())
 	case errors.Is(err, syscall.ECONNREFUSED):
 		s.Log.Info().Str("target", string(t.ID)).Str("process", death.Incarnation).Msg("target has ended")
@@ -95,17 +91,8 @@
 		return err
 	}
 
-	probe, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-
-	c, dialErr := d.Pool.get(probe, t, true)
-	if dialErr == nil {
-		d.Pool.put(c, 0)
-
-		return err
-	}
-
-	if d.blamesSelf(ctx) {
+	dialErr := d.dial(ctx, t)
+	if dialErr == nil || d.blamesSelf(ctx) {
 		return err
 	}
 
@@ -154,17 +141,21 @@
 		return false
 	}
 
-	ctx, cancel := context.WithTimeout(d.r.Context(), dialTimeout)
+	return d.dial(d.r.Context(), t) != nil
+}
+
+// dial opens a connection to the target and keeps it for the next request. It fails if the
+// target accepts none.
+func (s *Server) dial(ctx context.Context, t *router.Target) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 
-	c, err := d.Pool.get(ctx, t, true)
-	if err != nil {
-		return true
+	c, err := s.Pool.get(ctx, t, true)
+	if err == nil {
+		s.Pool.put(c, 0)
 	}
 
-	d.Pool.put(c, 0)
-
-	return false
+	return err
 }
 
 // connectionBroken reports whether err means that the connection ended during a
