perf(relay): a request's body is hashed once

The fingerprints with and without the prompt each hashed the whole body, up to 4 MB, for every request. The one with the prompt is now made of the digest without it.

--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -120,13 +120,15 @@
 		model, d.prioritised = d.info.Model, true
 	}
 
+	content := d.contentDigest()
+
 	d.req = &request.Request{
 		ID:       d.info.ID,
 		EngineID: d.info.ID,
 		Customer: d.customer(),
 		Model:    RoutingKey(d.service, model),
-		Prompt:   d.contentDigest(d.info.Prompt),
-		Common:   d.commonFingerprints(),
+		Prompt:   content + " " + d.info.Prompt,
+		Common:   d.commonFingerprints(content),
 		Priority: max(0, maxPriority-d.priority()),
 		Deadline: d.queueDeadline(),
 		Arrived:  d.arrived,
@@ -200,8 +202,8 @@
 
 // commonFingerprints returns the fingerprints that other requests may have too: of the content
 // without its prompt, and of the parts of the prompt, the last one first.
-func (d *delivery) commonFingerprints() []request.Fingerprint {
-	out := []request.Fingerprint{request.FingerprintOf(request.ScopeContent, d.service, d.contentDigest(""))}
+func (d *delivery) commonFingerprints(content string) []request.Fingerprint {
+	out := []request.Fingerprint{request.FingerprintOf(request.ScopeContent, d.service, content)}
 
 	for _, part := range slices.Backward(d.info.SharedParts) {
 		out = append(out, request.FingerprintOf(request.ScopePart, d.service, part))
@@ -210,11 +212,11 @@
 	return out
 }
 
-// contentDigest returns a digest of the request's content and caller, with a prompt. A client
-// that sends the same content again under another id gets the same digest.
-func (d *delivery) contentDigest(prompt string) string {
+// contentDigest returns a digest of the request's content and caller, without its prompt. A
+// client that sends the same content again under another id gets the same digest.
+func (d *delivery) contentDigest() string {
 	h := xxhash.New()
-	for _, s := range []string{d.teamName(), d.r.Method, d.r.Host, d.r.RequestURI, prompt} {
+	for _, s := range []string{d.teamName(), d.r.Method, d.r.Host, d.r.RequestURI} {
 		_, _ = h.WriteString(s)
 		_, _ = h.WriteString("\x00")
 	}
