refactor(crash): changes of the list are compared by number, and dead code goes

For each change of the list, proveReplaced formatted the processes of all targets as text, twice, and a type of its own wrapped what processOf returns. It compares the start times and converts. setAnnounced, which set, deleted and returned in one, is two functions; Run.On had no caller. TestRequestCrashesTargetsForLong, TestPartCrashesTargets, TestBlockOutlivesAllEntries, TestPopularRequestIsNotBlocked and TestMostConnectionsGoToOneEntry pass.

--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -275,36 +275,39 @@
 	}
 
 	own.Confirm(fp)
-	c.setAnnounced(fp, true)
+	c.recordAnnounced(fp)
 	c.node.cfg.Log.Warn().Uint64("fingerprint", uint64(fp)).Uint8("scope", uint8(fp.Scope())).Any("targets", targetsOf(deaths)).Msg("request crashes targets")
 	c.node.informAll(func(ctx context.Context, p *peer) error { return c.sendBlocks(ctx, p, []crash.Block{block}) })
 	c.store(c.node.workCtx, block)
 }
 
-// setAnnounced records whether others are told that a fingerprint is blocked, and returns
-// whether they were.
-func (c *crashes) setAnnounced(fp request.Fingerprint, announced bool) bool {
+// recordAnnounced records that others are told that a fingerprint is blocked.
+func (c *crashes) recordAnnounced(fp request.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	before := c.announced[fp]
-
 	if c.announced == nil {
 		c.announced = make(map[request.Fingerprint]bool)
 	}
 
-	c.announced[fp] = announced
-	if !announced {
-		delete(c.announced, fp)
-	}
+	c.announced[fp] = true
+}
+
+// takeAnnounced reports whether others were told that a fingerprint is blocked, once.
+func (c *crashes) takeAnnounced(fp request.Fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	announced := c.announced[fp]
+	delete(c.announced, fp)
 
-	return before
+	return announced
 }
 
 // reverse tells all entries that this one does not find any more that a fingerprint crashes
 // targets.
 func (c *crashes) reverse(fp request.Fingerprint) {
-	if !c.setAnnounced(fp, false) {
+	if !c.takeAnnounced(fp) {
 		return
 	}
 
@@ -350,23 +353,16 @@
 // process now, and of those that have fallen silent and are not listed any more.
 func (c *crashes) proveReplaced(before, now map[instance.ID]inventory.Target) {
 	for id, t := range before {
-		death := deathOf(t)
-
 		next, listed := now[id]
 		switch {
 		case !listed:
-			c.node.dispatcher.Crashes.ProveIfSilent(death)
-		case deathOf(next) != death:
-			c.node.dispatcher.Crashes.Prove(death)
+			c.node.dispatcher.Crashes.ProveIfSilent(crash.Death(processOf(t)))
+		case next.StartedMs != t.StartedMs:
+			c.node.dispatcher.Crashes.Prove(crash.Death(processOf(t)))
 		}
 	}
 }
 
-// deathOf returns the death of the process that a row of the list describes.
-func deathOf(t inventory.Target) crash.Death {
-	return crash.Death{Target: t.ID, Incarnation: processOf(t).Incarnation}
-}
-
 // broadcastNotice tells all peers what crashes targets.
 func (n *Node) broadcastNotice(notice dispatch.Notice) {
 	if notice.Poisoned != 0 {
--- a/internal/serving/crash/runs.go
+++ b/internal/serving/crash/runs.go
@@ -148,9 +148,6 @@
 // Fingerprints returns those of the run's request.
 func (run *Run) Fingerprints() []request.Fingerprint { return run.fingerprints }
 
-// On returns the incarnation that the run was sent to.
-func (run *Run) On() Death { return run.on }
-
 // keep remembers a run without an answer.
 func (p *process) keep(run *Run, now time.Time) {
 	kept := p.unanswered[:0]
