--- a/internal/fleet/node/crash_test.go
+++ b/internal/fleet/node/crash_test.go
@@ -19,10 +19,10 @@
 // requestRule bounds a request that crashes targets, as the users do.
 var requestRule = site.CrashRule{Deaths: 3, Contact: contactTime, Most: 3}
 
-// crashing is the body of requests that crash their targets.
+// crashing begins the body of requests that crash their targets.
 const crashing = "crashing"
 
-func crashesTarget(r platform.Request) bool { return string(r.Body) == crashing }
+func crashesTarget(r platform.Request) bool { return strings.HasPrefix(string(r.Body), crashing) }
 
 // holdingSame makes all engines hold the same two models.
 func holdingSame(int) site.EngineOptions {
@@ -33,6 +33,12 @@
 // client leaves after patience.
 func sendCrashing(t *testing.T, s *site.Site, length, spacing, patience time.Duration, path string, prompt func(i int) string) {
 	t.Helper()
+	sendCrashingBodies(t, s, length, spacing, patience, path, func(i int) (string, string) { return crashing, prompt(i) })
+}
+
+// sendCrashingBodies does the same with requests that differ in their bodies, too.
+func sendCrashingBodies(t *testing.T, s *site.Site, length, spacing, patience time.Duration, path string, request func(i int) (body, prompt string)) {
+	t.Helper()
 
 	for i := range int(length / spacing) {
 		e := s.Entries[i%len(s.Entries)]
@@ -41,8 +47,10 @@
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(t.Context()), patience)
 			defer cancel()
 
-			_, _ = site.Ask(ctx, e, path, crashing, relay.RequestInfo{
-				ID: fmt.Sprintf("crashing-%d", i), Timeout: 4 * time.Second, Model: site.Model(0), Prompt: prompt(i), TokensIn: 10, TokensOut: 12,
+			body, prompt := request(i)
+
+			_, _ = site.Ask(ctx, e, path, body, relay.RequestInfo{
+				ID: fmt.Sprintf("crashing-%d", i), Timeout: 4 * time.Second, Model: site.Model(0), Prompt: prompt, TokensIn: 10, TokensOut: 12,
 			})
 		}()
 
--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 	"github.com/fulmarcross/fulmarcross/internal/standin/schedule"
 	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
@@ -30,6 +32,8 @@
 	starts int
 	// later is what is to be done later, by the goroutine that plays the schedule.
 	later []action
+	// drops says that configurations come without some of the models that targets hold.
+	drops bool
 }
 
 // action is something to be done at a time.
@@ -83,6 +87,12 @@
 func (s *roomSchedule) trouble() {
 	w, h := s.pickWorker(), s.pickHolder()
 
+	if s.drops && s.draw.IntN(3) == 0 {
+		s.dropModels()
+
+		return
+	}
+
 	switch s.draw.IntN(11) {
 	case 0, 1:
 		s.worker(w).SetFaults(worker.Faults{LateOrders: 1 + s.draw.IntN(3), Late: s.between(2*time.Second, 12*time.Second)})
@@ -107,6 +117,18 @@
 	}
 }
 
+// dropModels puts a configuration in force that lacks two models, for some seconds.
+func (s *roomSchedule) dropModels() {
+	all := s.config().Services["s"].Engine.Models
+	s.configure(func(models map[string]route.Model) {
+		delete(models, s.pickModel())
+		delete(models, s.pickModel())
+	})
+	s.after(s.between(time.Second, 4*time.Second), func() {
+		s.configure(func(models map[string]route.Model) { maps.Copy(models, all) })
+	})
+}
+
 // lateForNextProcess leaves orders to a worker for its next process, and often for the time of
 // another lease holder.
 func (s *roomSchedule) lateForNextProcess(w, h instance.ID) {
@@ -202,13 +224,28 @@
 // TestTargetsGetMoreThanTheyHaveRoomFor guards against orders that a target cannot carry out for want of memory or slots, after seeded troubles.
 func TestTargetsGetMoreThanTheyHaveRoomFor(t *testing.T) {
 	schedule.Each(t, schedulePrefix, roomSchedules, 1, func(t *testing.T, draw *rand.Rand) {
-		cl := newClusterOf(t, 2+draw.IntN(2), roomEngine(draw).Engine, 1+draw.IntN(3))
-		defer cl.end()
-
-		(&roomSchedule{cluster: cl, draw: draw}).play(40 * time.Second)
+		playRoomSchedule(t, roomSchedule{draw: draw})
+	})
+}
 
-		for id, w := range cl.workers {
-			assert.Equal(t, len(w.Broken()), 0, "%s: %v", id, w.Broken())
-		}
+// TestModelThatIsNotConfiguredTakesNoRoom guards against orders for which a target has no room because it holds a model that the configuration does not name any more.
+func TestModelThatIsNotConfiguredTakesNoRoom(t *testing.T) {
+	schedule.Each(t, schedulePrefix, roomSchedules, 2, func(t *testing.T, draw *rand.Rand) {
+		playRoomSchedule(t, roomSchedule{draw: draw, drops: true})
 	})
 }
+
+// playRoomSchedule plays a schedule to a cluster that is drawn.
+func playRoomSchedule(t *testing.T, s roomSchedule) {
+	t.Helper()
+
+	cl := newClusterOf(t, 2+s.draw.IntN(2), roomEngine(s.draw).Engine, 1+s.draw.IntN(3))
+	defer cl.end()
+
+	s.cluster = cl
+	s.play(40 * time.Second)
+
+	for id, w := range cl.workers {
+		assert.Equal(t, len(w.Broken()), 0, "%s: %v", id, w.Broken())
+	}
+}
--- a/internal/placement/holder/world_test.go
+++ b/internal/placement/holder/world_test.go
@@ -199,7 +199,7 @@
 	h := &testHolder{stop: stop}
 	h.Holder = holder.New(holder.Config{
 		Self: id, Process: process, Table: gatedTable{&cl.table, &h.gate}, Engines: gatedEngines{cl, &h.gate}, Timing: timing, TurnPause: turnPause,
-		Targets: cl.targetsSince(time.Now()), Routes: func() *route.Config { return cl.routes }, Peers: func() []holder.Candidate { return cl.candidates(id) },
+		Targets: cl.targetsSince(time.Now()), Routes: cl.config, Peers: func() []holder.Candidate { return cl.candidates(id) },
 		Publish: func(snapshot holder.Snapshot) { cl.publish(id, snapshot) }, Log: zerolog.Nop(),
 	})
 
@@ -210,6 +210,26 @@
 	go h.Run(ctx)
 }
 
+// config returns the configuration in force.
+func (cl *cluster) config() *route.Config {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+
+	return cl.routes
+}
+
+// configure puts a configuration in force that changes the models of the engines. The engines
+// are as they were.
+func (cl *cluster) configure(change func(models map[string]route.Model)) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+
+	e := *cl.routes.Services["s"].Engine
+	e.Models = maps.Clone(e.Models)
+	change(e.Models)
+	cl.routes = &route.Config{Version: cl.routes.Version + 1, Services: map[string]route.Service{"s": {Name: "s", Engine: &e}}}
+}
+
 // candidates returns the other entries that are not partitioned, all of unknown
 // strength.
 func (cl *cluster) candidates(self instance.ID) []holder.Candidate {
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -21,6 +21,9 @@
 	// Down is how long a target that has crashed is down. It is then a new process under the
 	// same id.
 	Down time.Duration
+	// RowExpires says that the store removes the row of a target that is down for rowExpiry. It
+	// stays otherwise.
+	RowExpires bool
 }
 
 // CrashOn makes targets crash on some requests.
@@ -40,6 +43,10 @@
 	s.End(id)
 	s.cutFromAll(id, how)
 
+	if c.RowExpires {
+		s.expire(id)
+	}
+
 	startNext := func() {
 		// The next process knows nothing of the connections of the one before.
 		s.cutFromAll(id, network.Reset)
@@ -64,6 +71,14 @@
 	s.down[id] = true
 }
 
+// expire has the row of a target removed that writes no more.
+func (s *Site) expire(id instance.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.expired[id] = time.Now().Add(rowExpiry)
+}
+
 // StartNext starts a target's next process, which holds nothing.
 func (s *Site) StartNext(id instance.ID) {
 	s.Targets()[id].StartAnew()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -58,6 +59,8 @@
 	Front func(id instance.ID, own netip.AddrPort) (netip.AddrPort, error)
 	// MemoryMB bounds the memory of each entry, unless it is zero.
 	MemoryMB float64
+	// Engines is the number of model engines; zero means four.
+	Engines int
 	// Engine describes an engine. If it is nil, all engines have the same software and hold
 	// two models each.
 	Engine func(i int) EngineOptions
@@ -103,6 +106,7 @@
 		Store: &rows.Store{}, Workers: make(map[instance.ID]*worker.Worker), Desks: make(map[instance.ID]*worker.Plain),
 		targets: make(map[instance.ID]inventory.Target), handler: make(map[instance.ID]platform.Worker), cancel: cancel,
 		front: opt.Front, network: opt.Network, memoryMB: opt.MemoryMB, unlisted: make(map[instance.ID]bool), down: make(map[instance.ID]bool), written: make(map[instance.ID]inventory.Target),
+		expired: make(map[instance.ID]time.Time),
 	}
 	s.config = demo()
 
@@ -117,7 +121,7 @@
 		engineOf = defaultEngine
 	}
 
-	for i := range engines {
+	for i := range cmp.Or(opt.Engines, engines) {
 		e := engineOf(i)
 		w := &worker.Worker{Engine: s.config.Services[Drafting].Engine, Software: e.Software, Holding: e.Holding}
 
