fix(relay): bytes without end hold no request that another target could answer

Callers saw: a target in trouble sent slow bytes without end, and the request was held until its deadline (504), also where another target was free and the request might run again; a refusal that stated that the request was not run held it for as long, by its body. Cause: patience without end. Sizes were bounded, but time was bounded by the request's deadline alone. The class: no end was taken for an end to come.

Change: what cannot be a status line fails at its first wrong byte; a head has a second from its first byte on; a refusal counts by its head, and its body is read beside, for 100 ms; a body must be whole in half of the time that is left if the request may run again; a body that states more than the limit fails at once. Of a stream, what is neither an event nor a comment is no answer, comments count neither as progress nor as a sound run, and none is passed on before the first event. A slow but sound target is told from these: before the first byte of its head or body there is no bound but the former ones.

--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -280,11 +280,7 @@
 func (d *delivery) handleRejection(t *router.Target, n int, a *answer) error {
 	d.attemptLog.Record(n, request.ProvedNotRun)
 
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxHeadBytes)); err == nil {
-		a.release()
-	} else {
-		a.abandon()
-	}
+	a.discard()
 
 	switch {
 	case a.info.Misdirected && a.info.Instance != "" && a.info.Instance != t.ID:
@@ -340,6 +336,14 @@
 		return d.forwardStream(t, n, a, sent)
 	}
 
+	if a.ContentLength >= maxAnswerBytes {
+		a.abandon()
+
+		return &InvalidAnswerError{Reason: "answer too long"}
+	}
+
+	d.boundBody(a)
+
 	body, err := d.readAll(io.LimitReader(a.Body, maxAnswerBytes), a.ContentLength, &d.held.answer)
 	if err != nil || len(body) == maxAnswerBytes {
 		a.abandon()
@@ -347,6 +351,8 @@
 		return errors.Join(&InvalidAnswerError{Reason: "answer cut short"}, err)
 	}
 
+	_ = a.conn.SetReadDeadline(time.Time{}) // Fails only if the connection is closed.
+
 	if d.endedWithTarget(t, a) {
 		a.abandon()
 
--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -194,11 +194,16 @@
 	for range maxInterim {
 		c.limited.N = maxHeadBytes
 
+		if err := c.awaitHead(); err != nil {
+			return nil, err
+		}
+
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, headError(err)
 		}
 
+		c.headRead()
 		c.limited.N = int64(^uint64(0) >> 1)
 
 		if resp.StatusCode >= http.StatusOK {
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -20,7 +20,7 @@
 
 // forwardStream forwards a stream's events to the client as they arrive.
 func (d *delivery) forwardStream(t *router.Target, n int, a *answer, sent time.Time) error {
-	if !d.headSent && !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+	if !d.headSent && !isEventStream(a) {
 		d.Log.Debug().Str("id", d.info.ID).Str("type", a.Header.Get("Content-Type")).Msg("stream is not text/event-stream")
 	}
 
@@ -34,6 +34,12 @@
 
 	defer watch.Stop()
 
+	if _, err := stream.r.Peek(1); err == nil && d.route.Resumable {
+		watch.Reset(eventTimeout) // What has begun to write writes an event soon.
+	}
+
+	progressAt := time.Now()
+
 	for count := 0; ; count++ {
 		event, id, err := stream.next(buf)
 		buf = event
@@ -42,7 +48,20 @@
 			return d.endStream(t, n, a, event, err)
 		}
 
-		d.Dispatcher.Crashes.WriteRun(a.run)
+		switch kind := blockOf(event); {
+		case kind == noEvent && isEventStream(a):
+			a.abandon()
+
+			return &InvalidAnswerError{Reason: "no event"}
+		case kind == aComment && !d.headSent:
+			count--
+
+			continue // The client may be answered by another target.
+		case kind == anEvent:
+			d.Dispatcher.Crashes.WriteRun(a.run)
+
+			progressAt = time.Now()
+		}
 
 		read := time.Now()
 		pauses.read(read, took)
@@ -71,11 +90,16 @@
 		}
 
 		if d.route.Resumable {
-			watch.Reset(eventTimeout)
+			watch.Reset(time.Until(progressAt.Add(eventTimeout)))
 		}
 	}
 }
 
+// isEventStream reports whether the answer states that its body consists of events.
+func isEventStream(a *answer) bool {
+	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // closeStalled closes the connection of a stream that sent no event for
 // eventTimeout, if the request may be retried: it has attempts left, the entry is
 // not draining, and the retry budget allows a retry, which is debited here.
