fix(crash): a silent target counts as a death until it is heard again

Cause: a silent death was proved by the target's row alone, seconds later, at its return, or never where rows stay (the store away, or back from a copy). The class: no proof was taken for no death.

Change: a target that has sent nothing for 150 ms on runs that it may have crashed on is asked for two connections; if neither opens in 100 ms, what was exposed to it is told to the judges, as silent. A silent target counts as a death until some entry hears it, which withdraws it; the inquiry before a block asks all entries for that, so that a link that fails makes no death. A target whose connection broke, or that stays quiet, is asked which process it is, which needs no store. What crashed a target is dated after it was sent, so that a sound run before does not acquit it. A target that runs a long request opens connections at once and is not told of.

--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -14,6 +14,7 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/dispatch"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+	"github.com/fulmarcross/fulmarcross/internal/serving/router"
 	"github.com/fulmarcross/fulmarcross/internal/wire/news"
 )
 
@@ -34,6 +35,8 @@
 	confirmUptime = 3 * time.Second
 	confirmTries  = 4
 	confirmRetry  = 300 * time.Millisecond
+	// quietInterval is the time between two searches for targets that have fallen silent.
+	quietInterval = 50 * time.Millisecond
 	// testimonySpacing lets the failures of one death be told together.
 	testimonySpacing = 10 * time.Millisecond
 )
@@ -118,6 +121,9 @@
 	blocks := time.NewTicker(jitter(blocksInterval))
 	defer blocks.Stop()
 
+	quiet := time.NewTicker(quietInterval)
+	defer quiet.Stop()
+
 	for ctx.Err() == nil {
 		retry := time.NewTimer(time.Hour)
 		if c.anyUntold() {
@@ -133,6 +139,8 @@
 			c.tellJudges(ctx)
 		case <-blocks.C:
 			c.repeatBlocks(ctx)
+		case <-quiet.C:
+			c.node.relay.CheckQuiet()
 		}
 
 		retry.Stop()
@@ -363,6 +371,24 @@
 	}
 }
 
+// reportedProcess asks a target which process it is. Only engines tell.
+func (n *Node) reportedProcess(ctx context.Context, t *router.Target) (string, error) {
+	n.mu.Lock()
+	listed, ok := n.targetsByID[t.ID]
+	n.mu.Unlock()
+
+	if routes := n.routes.Load(); !ok || routes == nil || routes.Config.Services[listed.Service].Engine == nil {
+		return "", nil
+	}
+
+	report, err := n.cfg.Engines.Report(ctx, listed)
+	if err != nil || report.Born == 0 {
+		return "", err
+	}
+
+	return incarnationOf(report.Born), nil
+}
+
 // broadcastNotice tells all peers what crashes targets.
 func (n *Node) broadcastNotice(notice dispatch.Notice) {
 	if notice.Poisoned != 0 {
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -235,7 +235,7 @@
 	n.dispatcher.Crashes.OnAcquittal = func(fp request.Fingerprint, at time.Time) { go n.crashes.acquit(fp, at) }
 	n.relay = &relay.Server{
 		Protocol: cfg.Protocol, Dispatcher: n.dispatcher, Pool: &n.pool, Budgets: &n.budgets,
-		Table: n.routes.Load, TableKnown: n.configKnown, TableTooOld: n.configTooOld, RefreshTable: n.confirm, Limits: &n.quotas, Origins: &n.origins, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, OnStatement: n.hear, Reach: &n.reach, Log: cfg.Log, Metrics: n.metrics, BoundTokens: cfg.BoundedMemory,
+		Table: n.routes.Load, TableKnown: n.configKnown, TableTooOld: n.configTooOld, RefreshTable: n.confirm, Limits: &n.quotas, Origins: &n.origins, OnModelAbsent: n.recordMissing, OnAddressMoved: n.markMoved, OnUnreachable: n.recordUnreachable, Process: n.reportedProcess, OnStatement: n.hear, Reach: &n.reach, Log: cfg.Log, Metrics: n.metrics, BoundTokens: cfg.BoundedMemory,
 	}
 
 	if cfg.BoundedMemory {
--- a/internal/fleet/node/statements.go
+++ b/internal/fleet/node/statements.go
@@ -75,9 +75,12 @@
 
 // processOf returns the process that a row of the list describes.
 func processOf(t inventory.Target) statement.Process {
-	return statement.Process{Target: t.ID, Incarnation: strconv.FormatInt(t.StartedMs, 10)}
+	return statement.Process{Target: t.ID, Incarnation: incarnationOf(t.StartedMs)}
 }
 
+// incarnationOf identifies a target's process by when it started, in Unix milliseconds.
+func incarnationOf(startedMs int64) string { return strconv.FormatInt(startedMs, 10) }
+
 // routedProcess returns the target whose present process this is, or nil.
 func (n *Node) routedProcess(p statement.Process) *router.Target {
 	t := n.routing.Target(p.Target)
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -16,6 +16,10 @@
 	Settle = 200 * time.Millisecond
 	// observation is how far apart entries may see the same death.
 	observation = 500 * time.Millisecond
+	// QuietAfter is how long a target must have sent nothing on the runs of a request until
+	// it is asked for a connection, and quietAgain the time until it is asked again.
+	QuietAfter = 150 * time.Millisecond
+	quietAgain = 500 * time.Millisecond
 	// retention is how long deaths count.
 	retention = 20 * time.Minute
 	// blockPeriod is how long a block lasts after the last death that counts for it.
@@ -43,7 +47,7 @@
 	Death
 	// At is a time at which the target still ran, zero if none is known, and Until one by
 	// which it had ended. They are the same if the end was seen, and may be far apart if the
-	// target fell silent.
+	// target fell silent. Until is zero if the target is silent and not known to have ended.
 	At, Until time.Time
 	// Exposed are the fingerprints of the requests that may have crashed it: those that
 	// were sent to it and had neither been answered nor written for Settle. The time is
@@ -51,6 +55,12 @@
 	Exposed map[request.Fingerprint]time.Time
 }
 
+// silent reports whether the target is silent and not known to have ended.
+func (t *Testimony) silent() bool { return t.Until.IsZero() }
+
+// Withdrawal returns the testimony that a silent target ran at a time.
+func Withdrawal(d Death, ranAt time.Time) Testimony { return Testimony{Death: d, At: ranAt} }
+
 // limits are the numbers of deaths, one after the other, from which a fingerprint is
 // blocked.
 type limits struct {
--- a/internal/serving/crash/death.go
+++ b/internal/serving/crash/death.go
@@ -10,14 +10,41 @@
 type death struct {
 	// at is when the target was last known to run, and until when it had ended.
 	at, until time.Time
+	// ended says that it is known to have ended. It is only silent otherwise.
+	ended bool
 	// exposed maps what may have crashed it to when it was sent there.
 	exposed map[request.Fingerprint]time.Time
 }
 
-// merge adds what an entry has observed.
-func (d *death) merge(t Testimony) {
+// endAfter returns when the target is taken to have ended at the earliest if what has the
+// fingerprint crashed it: after that was sent.
+func (d *death) endAfter(fp request.Fingerprint) time.Time {
+	if sent := d.exposed[fp]; sent.After(d.at) {
+		return sent
+	}
+
+	return d.at
+}
+
+// refutedBy reports whether a target that ran at a time had not ended.
+func (d *death) refutedBy(ranAt time.Time) bool {
+	if d.ended {
+		return ranAt.After(d.until.Add(observation))
+	}
+
+	return ranAt.After(d.until.Add(-QuietAfter))
+}
+
+// merge adds what an entry has observed by now.
+func (d *death) merge(t Testimony, now time.Time) {
 	var first time.Time
 
+	if t.silent() {
+		t.Until = now
+	} else {
+		d.ended = true
+	}
+
 	for fp, sent := range t.Exposed {
 		if first.IsZero() || sent.Before(first) {
 			first = sent
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -31,6 +31,10 @@
 // same death counts as one.
 func (j *Judge) Testify(t Testimony, now time.Time) {
 	if len(t.Exposed) == 0 {
+		if t.silent() {
+			j.Retract(t.Death, t.At, now)
+		}
+
 		return
 	}
 
@@ -40,14 +44,14 @@
 		j.insert(t.Death, d, now)
 	}
 
-	d.merge(t)
+	d.merge(t, now)
 	j.judge(now)
 }
 
 // Retract removes a death that did not happen: the target ran at the time given. What no
 // death convicts any more is no longer blocked.
 func (j *Judge) Retract(d Death, ranAt, now time.Time) {
-	if known := j.deaths[d]; known == nil || !ranAt.After(known.until.Add(observation)) {
+	if known := j.deaths[d]; known == nil || !known.refutedBy(ranAt) {
 		return
 	}
 
--- a/internal/serving/crash/runs.go
+++ b/internal/serving/crash/runs.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
@@ -34,6 +35,9 @@
 	// heardAt is when the target last wrote, brokenAt when a connection to it last broke, and
 	// refusedAt when it first refused connections after that.
 	heardAt, brokenAt, refusedAt time.Time
+	// askedAt is when it was last found quiet, and silentAt when it last proved to be silent,
+	// zero if it has written since.
+	askedAt, silentAt time.Time
 }
 
 // Run is one attempt of a request at a target.
@@ -172,6 +176,76 @@
 	}
 }
 
+// Quiet is an incarnation that has sent nothing for QuietAfter although it runs requests.
+type Quiet struct {
+	Death
+
+	// Again says that it was quiet when it was asked for a connection before.
+	Again bool
+}
+
+// Quiet returns the incarnations that are quiet. Each is returned again only after quietAgain.
+func (r *Runs) Quiet(now time.Time) []Quiet {
+	var out []Quiet
+
+	for on, p := range r.processes {
+		if p.quiet(now) && now.Sub(p.askedAt) >= quietAgain {
+			out = append(out, Quiet{on, now.Sub(p.askedAt) < 2*quietAgain && p.heardAt.Before(p.askedAt)})
+			p.askedAt = now
+		}
+	}
+
+	return out
+}
+
+// quiet reports whether a process has sent nothing for QuietAfter on runs that it may have
+// crashed on.
+func (p *process) quiet(now time.Time) bool {
+	if now.Sub(p.heardAt) < QuietAfter {
+		return false
+	}
+
+	for run := range p.open {
+		if !run.settled() && now.Sub(run.sentAt) >= QuietAfter {
+			return true
+		}
+	}
+
+	return slices.ContainsFunc(p.unanswered, func(run *Run) bool {
+		return run.endedAt.After(p.heardAt) && now.Sub(run.endedAt) <= abandonedPeriod && now.Sub(run.sentAt) >= QuietAfter
+	})
+}
+
+// Silence records that a quiet incarnation proved to be silent, and returns what may have
+// crashed it. It returns false if it has written meanwhile.
+func (r *Runs) Silence(on Death, now time.Time) (Testimony, bool) {
+	p := r.processes[on]
+	if p == nil || !p.quiet(now) {
+		return Testimony{}, false
+	}
+
+	p.silentAt = now
+	t := r.Testimony(on, now)
+	t.Until = time.Time{}
+
+	return t, len(t.Exposed) > 0
+}
+
+// TakeHeard returns, once each, the incarnations that were silent and have written since.
+func (r *Runs) TakeHeard() []Testimony {
+	var out []Testimony
+
+	for on, p := range r.processes {
+		if !p.silentAt.IsZero() && p.heardAt.After(p.silentAt) {
+			p.silentAt = time.Time{}
+
+			out = append(out, Withdrawal(on, p.heardAt))
+		}
+	}
+
+	return out
+}
+
 // Testimony returns what may have crashed an incarnation that has ended.
 func (r *Runs) Testimony(on Death, now time.Time) Testimony {
 	p := r.processes[on]
--- a/internal/serving/crash/verdict.go
+++ b/internal/serving/crash/verdict.go
@@ -106,7 +106,7 @@
 				s = &suspicion{fp: fp, sound: v.sound.last(fp, v.now)}
 			}
 
-			if !d.at.After(s.sound) || v.explained(d, fp) {
+			if !d.endAfter(fp).After(s.sound) || v.explained(d, fp) {
 				continue
 			}
 
@@ -233,7 +233,7 @@
 // targets that fall silent together would look as if they had ended in turn.
 func (s *suspicion) endOf(d *death) time.Time {
 	if s.sound.IsZero() {
-		return d.at
+		return d.endAfter(s.fp)
 	}
 
 	return d.until
--- a/internal/serving/dispatch/acquire.go
+++ b/internal/serving/dispatch/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/serving/origin"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -60,6 +61,9 @@
 	return granted
 }
 
+// Target returns a target that is listed, or nil.
+func (d *Dispatcher) Target(id instance.ID) *router.Target { return d.cfg.Table.Target(id) }
+
 // Entries returns the number of entries, at least 1.
 func (d *Dispatcher) Entries() int { return max(1, d.cfg.Entries()) }
 
--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -146,6 +146,52 @@
 	}
 }
 
+// Quiet returns the incarnations of targets that have sent nothing for a while although they
+// run requests of this entry.
+func (c *Crashes) Quiet() []crash.Quiet {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.runs.Quiet(time.Now())
+}
+
+// Silence records that a quiet incarnation of a target opens no connection either. It may have
+// been crashed; nothing else need prove it.
+func (c *Crashes) Silence(d crash.Death) {
+	c.mu.Lock()
+	now := time.Now()
+	t, silent := c.runs.Silence(d, now)
+
+	if silent {
+		c.judge.Testify(t, now)
+	}
+
+	c.unlock()
+
+	if silent && c.OnDeath != nil {
+		c.OnDeath(t)
+	}
+}
+
+// WithdrawSilences records that targets which were silent have written again.
+func (c *Crashes) WithdrawSilences() {
+	c.mu.Lock()
+	now := time.Now()
+	heard := c.runs.TakeHeard()
+
+	for _, t := range heard {
+		c.judge.Testify(t, now)
+	}
+
+	c.unlock()
+
+	for _, t := range heard {
+		if c.OnDeath != nil {
+			c.OnDeath(t)
+		}
+	}
+}
+
 // Retract records that an incarnation of a target ran at a time, so that it had not ended
 // before.
 func (c *Crashes) Retract(d crash.Death, ranAt time.Time) {
--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -17,6 +17,86 @@
 // fail for a moment refuse them too.
 const confirmAfter = 300 * time.Millisecond
 
+const (
+	// silentDial is how long a connection to a quiet target may take to open, and silentDials
+	// the number of connections that are tried at once, since one first packet may be lost.
+	silentDial  = 100 * time.Millisecond
+	silentDials = 2
+)
+
+// CheckQuiet asks the targets for a connection that have sent nothing for a while although they
+// run requests. It does not wait for them.
+//
+// A target that a request has crashed may be silent until it is back. Without a sign of its
+// death the request would be sent to one target after the other meanwhile.
+func (s *Server) CheckQuiet() {
+	s.Dispatcher.Crashes.WithdrawSilences()
+
+	for _, q := range s.Dispatcher.Crashes.Quiet() {
+		t := s.Dispatcher.Target(q.Target)
+		if t != nil && t.Info().Incarnation == q.Incarnation {
+			go s.checkQuiet(t, q)
+		}
+	}
+}
+
+// checkQuiet records that a quiet target is silent if no connection to it opens. A target that
+// runs a long request opens one at once; one that stays quiet may be another process by now.
+func (s *Server) checkQuiet(t *router.Target, q crash.Quiet) {
+	errs := make(chan error, silentDials)
+
+	for range silentDials {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), silentDial)
+			defer cancel()
+
+			errs <- s.dial(ctx, t)
+		}()
+	}
+
+	for range silentDials {
+		if err := <-errs; !isTimeout(err) {
+			if err == nil && q.Again {
+				s.checkReplaced(t, q.Death)
+			}
+
+			return
+		}
+	}
+
+	s.Log.Warn().Str("target", string(t.ID)).Str("process", q.Incarnation).Msg("target is silent")
+	s.Dispatcher.Crashes.Silence(q.Death)
+}
+
+// reportTimeout bounds the wait for what a target says of itself.
+const reportTimeout = 300 * time.Millisecond
+
+// checkReplaced finds out from the target itself whether it is another process by now. Its row
+// may tell late, or not at all while the store is away.
+func (s *Server) checkReplaced(t *router.Target, death crash.Death) {
+	if s.Process == nil {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+
+	now, err := s.Process(ctx, t)
+	if err != nil || now == "" || now == death.Incarnation {
+		return // It is the same or unknown, which proves nothing.
+	}
+
+	s.Log.Info().Str("target", string(t.ID)).Str("process", death.Incarnation).Str("now", now).Msg("target was replaced")
+	s.Dispatcher.Crashes.Prove(death)
+}
+
+// isTimeout reports whether a connection neither opened nor was refused in time.
+func isTimeout(err error) bool {
+	var netErr net.Error
+
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // markUnreachable is called when no connection to the target could be opened. It
 // records a failure and marks the target's incarnation dead, so that no requests
 // are sent to it.
@@ -77,6 +157,8 @@
 // so that a lost answer alone does not make a request suspect, and if this entry reaches
 // others. It also seems to be dead if ctx ends before the connection is open.
 func (d *delivery) checkCrash(ctx context.Context, t *router.Target, err error) error {
+	death := crash.Death{Target: t.ID, Incarnation: t.Info().Incarnation}
+
 	var failed *FailedError
 	if noTargetFault(err) || errors.As(err, &failed) || ctx.Err() != nil {
 		return err
@@ -92,6 +174,10 @@
 	}
 
 	dialErr := d.dial(ctx, t)
+	if dialErr == nil {
+		go d.checkReplaced(t, death)
+	}
+
 	if dialErr == nil || d.blamesSelf(ctx) {
 		return err
 	}
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -57,6 +57,9 @@
 	// be nil.
 	OnStatement func(statement.Heard)
 	Log         zerolog.Logger
+	// Process asks a target which process it is. It returns an empty text for a target that
+	// does not tell. It may be nil.
+	Process func(ctx context.Context, t *router.Target) (incarnation string, err error)
 	// Metrics may be nil.
 	Metrics tally.Scope
 	// Memory bounds what is held for clients. If nil, there is no bound, and clients
--- a/internal/standin/site/targets.go
+++ b/internal/standin/site/targets.go
@@ -10,6 +10,7 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 	"github.com/fulmarcross/fulmarcross/platform"
 )
@@ -34,7 +35,7 @@
 		return err
 	}
 
-	srv := &http.Server{Handler: platform.WorkerHandler(id, w), ReadHeaderTimeout: time.Second}
+	srv := &http.Server{Handler: platform.WorkerHandler(id, reporting{w, s, id}), ReadHeaderTimeout: time.Second}
 	s.closers = append(s.closers, srv)
 
 	go func() { _ = srv.Serve(l) }() // It ends with the site.
@@ -54,6 +55,25 @@
 	return nil
 }
 
+// reporting is a target that states in its reports when its process started.
+type reporting struct {
+	platform.Worker
+
+	site *Site
+	id   instance.ID
+}
+
+func (r reporting) Report() holder.Report {
+	out := r.Worker.Report()
+
+	r.site.mu.Lock()
+	defer r.site.mu.Unlock()
+
+	out.Born = r.site.targets[r.id].StartedMs
+
+	return out
+}
+
 // BeatEvery is how often targets write to the list.
 const BeatEvery = 100 * time.Millisecond
 
