fix(crash): what is sent to a target after its end did not crash it

Cause: an entry that has not heard of a target's end sends to it; its next process resets the connection, and the request counted among what the former process was exposed to. Change: what was sent after the time by which a target had ended does not count. Result: TestRequestToEndedTarget red before, green after.

--- a/internal/serving/crash/death.go
+++ b/internal/serving/crash/death.go
@@ -16,6 +16,11 @@
 	exposed map[request.Fingerprint]time.Time
 }
 
+// mayBeCausedBy reports whether what has the fingerprint was sent before the target had ended.
+// Entries may send to a target that another process has replaced, or that others know to have
+// ended.
+func (d *death) mayBeCausedBy(fp request.Fingerprint) bool { return !d.exposed[fp].After(d.until) }
+
 // endAfter returns when the target is taken to have ended at the earliest if what has the
 // fingerprint crashed it: after that was sent.
 func (d *death) endAfter(fp request.Fingerprint) time.Time {
--- a/internal/serving/crash/silent_test.go
+++ b/internal/serving/crash/silent_test.go
@@ -91,3 +91,20 @@
 	_, silent = r.Silence(on, at(850))
 	assert.Assert(t, !silent, "it has written")
 }
+
+// TestRequestToEndedTarget guards against a sound request that is blocked because it was sent to targets that had ended before.
+func TestRequestToEndedTarget(t *testing.T) {
+	var j Judge
+
+	for i, target := range []string{"t1", "t2"} {
+		j.Testify(died(target, 1000*i, exact(1)), at(1000*i))
+
+		late := fellSilent(target, 1000*i, 1000*i+900, exact(2))
+		late.Exposed[exact(2)] = at(1000*i + 500)
+		j.Testify(late, at(1000*i+900))
+	}
+
+	assert.Assert(t, isBlocked(&j, exact(1), at(2000)))
+	assert.Assert(t, !isBlocked(&j, exact(2), at(2000)))
+	assert.Assert(t, !j.IsSuspect(fps(exact(2)), at(2000)))
+}
--- a/internal/serving/crash/verdict.go
+++ b/internal/serving/crash/verdict.go
@@ -106,7 +106,7 @@
 				s = &suspicion{fp: fp, sound: v.sound.last(fp, v.now)}
 			}
 
-			if !d.endAfter(fp).After(s.sound) || v.explained(d, fp) {
+			if !d.mayBeCausedBy(fp) || !d.endAfter(fp).After(s.sound) || v.explained(d, fp) {
 				continue
 			}
 
