fix(crash): a block on what many share lets single requests probe it

Cause: a part is convicted before single requests are, and while it is blocked nothing with it runs, so nothing can acquit it. The class: no sound run was taken for guilt.

Change: the first judge grants single requests that may run although a part blocks them, one after 0.2 s, then 1 s and 4 s, three in all, to any entry that asks; a request that is suspected itself, or of which two parts are blocked, is none. One that has not run is taken back. A probe is not retried. A sound one acquits the part at all entries. Meanwhile callers are asked back after a second, not after ten minutes.

--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -56,6 +56,10 @@
 	// told are the numbers of the testimonies up to which the judges were told, by their
 	// processes.
 	told map[judgeProcess]uint64
+	// probes are the probes that this entry has granted of what is blocked, and asked when it
+	// last asked the entry that grants them.
+	probes map[request.Fingerprint]crash.Probes
+	asked  map[request.Fingerprint]time.Time
 	// announced are the fingerprints of which this entry has told others that they are
 	// blocked.
 	announced map[request.Fingerprint]bool
@@ -344,6 +348,7 @@
 // acquit tells all entries that a request with a blocked fingerprint has run soundly.
 func (c *crashes) acquit(fp request.Fingerprint, at time.Time) {
 	c.node.cfg.Log.Info().Uint64("fingerprint", uint64(fp)).Msg("request no longer blocked, a target has answered it")
+	c.forgetProbes(fp)
 	c.node.informAll(func(ctx context.Context, p *peer) error { return p.client.Acquit(ctx, fp, at) })
 	c.removeStored(c.node.workCtx, fp)
 }
@@ -432,6 +437,7 @@
 
 // Acquit implements news.Handler.
 func (n *Node) Acquit(fp request.Fingerprint, at time.Time) {
+	n.crashes.forgetProbes(fp)
 	n.dispatcher.Crashes.RecordSound(fp, at)
 }
 
--- a/internal/fleet/node/crashsilent_test.go
+++ b/internal/fleet/node/crashsilent_test.go
@@ -157,8 +157,6 @@
 	const (
 		stays  = 5 * time.Second
 		length = 20 * time.Second
-		// judged is the time after which sound requests must be served again.
-		judged = 2 * contactTime
 		wanted = 0.98
 	)
 
@@ -188,6 +186,8 @@
 		t.Run(name, func(t *testing.T) {
 			simulateSite(t, site.Options{Entries: 8, Engines: tc.engines, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
 				sound := &soundLoad{site: s, spacing: 100 * time.Millisecond, prompt: func(i int) string { return fmt.Sprintf("p:80,y%d:5", i) }}
+				// Each of the requests may crash two targets, which cut off sound ones.
+				judged := time.Duration(2*tc.crashing)*tc.spacing + contactTime
 
 				if tc.soundBefore {
 					sound.send(t, "before", 5*time.Second)
--- a/internal/fleet/node/node.go
+++ b/internal/fleet/node/node.go
@@ -231,6 +231,8 @@
 		OnQueued: func(string) { signal(n.reportSoon) }, OnReplicaIdle: func() { signal(n.reportIdle) }, OnNotice: n.broadcastNotice, MaxWaiting: maxWaiting,
 	})
 	n.dispatcher.Crashes.OnDeath = n.crashes.observe
+	n.dispatcher.Crashes.MayProbe = n.crashes.mayProbe
+	n.dispatcher.Crashes.EndProbe = func(fps []request.Fingerprint) { go n.crashes.endProbe(fps) }
 	n.dispatcher.Crashes.OnReversal = func(fp request.Fingerprint) { go n.crashes.reverse(fp) }
 	n.dispatcher.Crashes.OnAcquittal = func(fp request.Fingerprint, at time.Time) { go n.crashes.acquit(fp, at) }
 	n.relay = &relay.Server{
--- /dev/null
+++ b/internal/fleet/node/probes.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/membership"
+	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+const (
+	// probeTimeout bounds the question for a probe, for which a request waits, and askInterval
+	// is the time between two questions for the same fingerprint.
+	probeTimeout = 200 * time.Millisecond
+	askInterval  = 100 * time.Millisecond
+)
+
+// mayProbe asks the entry that grants probes whether one request with the fingerprints may run
+// although one of them is blocked. One entry grants them, so that they are bounded over all
+// entries.
+func (c *crashes) mayProbe(ctx context.Context, fps []request.Fingerprint) bool {
+	fp, ok := c.node.dispatcher.Crashes.Probed(fps)
+	if !ok || !c.mayAsk(fp, time.Now()) {
+		return false
+	}
+
+	first := c.firstJudge()
+	if first.ID == c.node.cfg.Self {
+		return c.grantProbe(fps)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	granted := false
+
+	c.node.callPeer(ctx, first.ID, "probe", func(ctx context.Context, p *peer) error {
+		var err error
+
+		granted, err = p.client.Probe(ctx, fps)
+
+		return err
+	})
+
+	return granted
+}
+
+// endProbe tells the entry that grants probes that one has not run.
+func (c *crashes) endProbe(fps []request.Fingerprint) {
+	first := c.firstJudge()
+	if first.ID == c.node.cfg.Self {
+		c.takeBack(fps)
+
+		return
+	}
+
+	c.node.callPeer(c.node.workCtx, first.ID, "probe", func(ctx context.Context, p *peer) error { return p.client.EndProbe(ctx, fps) })
+}
+
+// mayAsk reports whether askInterval has passed since the last question, and records one.
+func (c *crashes) mayAsk(fp request.Fingerprint, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if now.Sub(c.asked[fp]) < askInterval {
+		return false
+	}
+
+	if c.asked == nil || len(c.asked) >= maxProbed {
+		c.asked = make(map[request.Fingerprint]time.Time)
+	}
+
+	c.asked[fp] = now
+
+	return true
+}
+
+// maxProbed bounds the fingerprints whose probes are remembered.
+const maxProbed = 256
+
+// firstJudge returns the entry that grants probes.
+func (c *crashes) firstJudge() membership.Member {
+	return strongest(append(c.node.peers.alive(), c.node.peers.self()), 1)[0]
+}
+
+// grantProbe grants a probe if one is due. It knows more than the entry that asks of what the
+// request is suspected of.
+func (c *crashes) grantProbe(fps []request.Fingerprint) bool {
+	fp, ok := c.node.dispatcher.Crashes.Probed(fps)
+	if !ok {
+		return false
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.probes == nil || len(c.probes) >= maxProbed {
+		c.probes = make(map[request.Fingerprint]crash.Probes)
+	}
+
+	next, granted := c.probes[fp].Grant(time.Now())
+	c.probes[fp] = next
+
+	return granted
+}
+
+// takeBack takes back a probe that has not run.
+func (c *crashes) takeBack(fps []request.Fingerprint) {
+	fp, ok := c.node.dispatcher.Crashes.Probed(fps)
+	if !ok {
+		return
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if p, granted := c.probes[fp]; granted {
+		c.probes[fp] = p.TakeBack()
+	}
+}
+
+// forgetProbes ends the count of probes of a fingerprint that is not blocked any more.
+func (c *crashes) forgetProbes(fp request.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	delete(c.probes, fp)
+}
+
+// Probe implements news.Handler.
+func (n *Node) Probe(fps []request.Fingerprint) bool { return n.crashes.grantProbe(fps) }
+
+// EndProbe implements news.Handler.
+func (n *Node) EndProbe(fps []request.Fingerprint) { n.crashes.takeBack(fps) }
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -24,6 +24,10 @@
 	retention = 20 * time.Minute
 	// blockPeriod is how long a block lasts after the last death that counts for it.
 	blockPeriod = 10 * time.Minute
+	// probation is how long after the last death what is shared may be found to be sound by
+	// probes, and probedAgain after what time its callers may come back meanwhile.
+	probation   = 10 * time.Second
+	probedAgain = time.Second
 	// soundPeriod is the least time for which a sound run is remembered, unless more
 	// than maxSound others are recorded in it.
 	soundPeriod = time.Minute
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -119,13 +119,47 @@
 	for _, fp := range fps {
 		until := j.lastDeath(fp).Add(blockPeriod)
 		if now.Before(until) {
-			return fp, until.Sub(now), true
+			return fp, j.retryAfter(fp, until, now), true
 		}
 	}
 
 	return 0, 0, false
 }
 
+// retryAfter returns after what time a request may be sent again that a fingerprint blocks. A
+// block of what many requests share may end soon, by a probe.
+func (j *Judge) retryAfter(fp request.Fingerprint, until, now time.Time) time.Duration {
+	if !fp.Scope().Single() && now.Sub(j.lastDeath(fp)) < probation {
+		return probedAgain
+	}
+
+	return until.Sub(now)
+}
+
+// Probe returns the one fingerprint that blocks a request which may run to find out whether
+// that is sound. It returns false for any other: one that is suspected itself would crash its
+// target whatever it shares.
+func (j *Judge) Probe(fps []request.Fingerprint, now time.Time) (request.Fingerprint, bool) {
+	var shared []request.Fingerprint
+
+	for _, fp := range fps {
+		blocked := now.Before(j.lastDeath(fp).Add(blockPeriod))
+
+		switch {
+		case fp.Scope().Single() && (blocked || j.suspects[fp]):
+			return 0, false
+		case blocked:
+			shared = append(shared, fp)
+		}
+	}
+
+	if len(shared) != 1 {
+		return 0, false
+	}
+
+	return shared[0], true
+}
+
 // lastDeath returns the last death for which the fingerprint is blocked, or zero. What others
 // may share is blocked by the deaths known here only once that is confirmed.
 func (j *Judge) lastDeath(fp request.Fingerprint) time.Time {
--- /dev/null
+++ b/internal/serving/crash/probes_test.go
@@ -0,0 +1,70 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/request"
+)
+
+// TestProbesAreBounded guards against probes that crash one target after the other.
+func TestProbesAreBounded(t *testing.T) {
+	var (
+		p       Probes
+		granted []int
+	)
+
+	for ms := 0; ms < 60_000; ms += 100 {
+		var ok bool
+		if p, ok = p.Grant(at(ms)); ok {
+			granted = append(granted, ms)
+		}
+	}
+
+	assert.DeepEqual(t, granted, []int{0, 1000, 5000})
+
+	p, ok := p.TakeBack().Grant(at(70_000))
+	assert.Assert(t, ok, "one that has not run is granted again")
+
+	_, ok = p.Grant(at(80_000))
+	assert.Assert(t, !ok)
+}
+
+// TestWhatProbes checks which requests may run although something that they share is blocked.
+func TestWhatProbes(t *testing.T) {
+	shared, other := fp(1, request.ScopePart), fp(2, request.ScopePart)
+
+	var j Judge
+
+	for i, target := range []string{"t1", "t2", "t3"} {
+		j.Testify(died(target, 500*i, exact(i), shared), at(500*i))
+	}
+
+	now := at(1100)
+	assert.Assert(t, isBlocked(&j, shared, now))
+
+	_, left, _ := j.Blocked(fps(exact(9), shared), now)
+	assert.Equal(t, left, probedAgain)
+
+	found, ok := j.Probe(fps(exact(9), shared), now)
+	assert.Assert(t, ok)
+	assert.Equal(t, found, shared)
+
+	_, ok = j.Probe(fps(exact(9), other), now)
+	assert.Assert(t, !ok, "it is not blocked")
+
+	assert.Assert(t, j.Block(exact(8), at(1000), now))
+
+	_, ok = j.Probe(fps(exact(8), shared), now)
+	assert.Assert(t, !ok, "it is blocked itself")
+
+	assert.Assert(t, j.Block(other, at(1000), now))
+
+	_, ok = j.Probe(fps(exact(9), shared, other), now)
+	assert.Assert(t, !ok, "two parts are blocked")
+
+	assert.DeepEqual(t, j.RecordSound(fps(exact(9), shared), at(1200), at(1500)), fps(shared))
+	assert.Assert(t, !isBlocked(&j, shared, at(1500).Add(time.Second)))
+}
--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 	OnConviction func(request.Fingerprint)
 	// OnReversal is called with what they do not convict any more. It may be nil.
 	OnReversal func(request.Fingerprint)
+	// MayProbe asks whether one request may run although something that others have, too, is
+	// blocked. EndProbe is called when such a request has not run. They may be nil.
+	MayProbe func(context.Context, []request.Fingerprint) bool
+	EndProbe func([]request.Fingerprint)
 	// OnAcquittal is called when a request with a blocked fingerprint has run soundly here,
 	// at the time given. It may be nil.
 	OnAcquittal func(request.Fingerprint, time.Time)
@@ -321,6 +326,31 @@
 	return request.Refuse(request.Poisoned, left, "targets have crashed under this request or others like it")
 }
 
+// Probes reports whether the request may run although it is blocked, to find out whether what
+// it shares with others does crash targets.
+//
+// Where several requests that crash targets share something with sound ones, that is blocked
+// for all of them, and nothing could run any more that shows it to be sound.
+func (c *Crashes) Probes(ctx context.Context, req *request.Request) bool {
+	if c.MayProbe == nil {
+		return false
+	}
+
+	fps := req.Fingerprints()
+	_, ok := c.Probed(fps)
+
+	return ok && c.MayProbe(ctx, fps)
+}
+
+// Probed returns the one fingerprint that blocks a request with these, if such a request may run
+// to find out whether that is sound.
+func (c *Crashes) Probed(fps []request.Fingerprint) (request.Fingerprint, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.judge.Probe(fps, time.Now())
+}
+
 // IsSuspect reports whether a target died lately under the request, or the request is
 // blocked.
 func (c *Crashes) IsSuspect(req *request.Request) bool {
--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -192,6 +192,13 @@
 	return err
 }
 
+// endProbe tells that a probe has not run, so that another request may.
+func (d *delivery) endProbe() {
+	if d.runs == 0 && d.Dispatcher.Crashes.EndProbe != nil {
+		d.Dispatcher.Crashes.EndProbe(d.req.Fingerprints())
+	}
+}
+
 // endOf returns how a run ended. A target that answers with a failure has lived on.
 func (d *delivery) endOf(ctx context.Context, err error) crash.Outcome {
 	var failed *FailedError
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -78,7 +78,7 @@
 			return err
 		}
 
-		if refusal := d.Dispatcher.Crashes.Refusal(d.req); refusal != nil {
+		if refusal := d.Dispatcher.Crashes.Refusal(d.req); refusal != nil && !d.probe {
 			// It was blocked while it waited.
 			d.Dispatcher.Release(t, d.req, d.suspect)
 			d.refundRetry()
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -47,6 +47,8 @@
 	runs int
 	// suspect is set if the request may have crashed a target.
 	suspect bool
+	// probe is set if the request runs to find out whether what blocks it is sound.
+	probe bool
 	// exclude lists the target of the last attempt.
 	exclude []instance.ID
 	// headSent is set once the answer's head was sent to the client; lastEvent
@@ -153,9 +155,15 @@
 	})()
 
 	if refusal := d.Dispatcher.Crashes.Refusal(d.req); refusal != nil {
-		d.finish(refusal)
+		if d.probe = d.Dispatcher.Crashes.Probes(ctx, d.req); !d.probe {
+			d.finish(refusal)
 
-		return
+			return
+		}
+
+		d.Log.Info().Str("id", d.info.ID).Uints64("fingerprints", d.fingerprints()).Msg("request probes what is blocked")
+
+		defer d.endProbe()
 	}
 
 	if d.reached(RefusingNewStreams) && d.route.Kind == route.Stream {
--- a/internal/serving/relay/retry.go
+++ b/internal/serving/relay/retry.go
@@ -24,7 +24,7 @@
 		return true
 	}
 
-	return d.route.Retryable() && d.runs < d.route.Attempts
+	return d.route.Retryable() && d.runs < d.route.Attempts && !d.probe
 }
 
 // provedNotRun reports whether the error proves that the target did not run the
--- a/internal/wire/news/crash.go
+++ b/internal/wire/news/crash.go
@@ -48,7 +48,7 @@
 	_ struct{} `cbor:",toarray"`
 
 	Process ProcessMessage
-	// AtMs is unknownAge if it is not known.
+	// AtMs is unknownAge if it is not known, and UntilMs if the target is only silent.
 	AtMs, UntilMs int64
 	Exposed       []FingerprintMessage
 }
@@ -148,11 +148,7 @@
 
 // Inquire is the remote call.
 func (s service) Inquire(in InquiryMessage, out *FindingsMessage) error {
-	var q Inquiry
-
-	for _, fp := range in.Fingerprints {
-		q.Fingerprints = append(q.Fingerprints, request.Fingerprint(fp))
-	}
+	q := Inquiry{Fingerprints: toFingerprints(in.Fingerprints)}
 
 	for _, m := range in.Deaths {
 		q.Deaths = append(q.Deaths, toDeath(m))
@@ -192,6 +188,50 @@
 	return nil
 }
 
+// Probe is the remote call.
+func (s service) Probe(in []uint64, out *bool) error {
+	*out = s.h.Probe(toFingerprints(in))
+
+	return nil
+}
+
+// Probe asks whether one request with the fingerprints may run although it is blocked.
+func (c *Client) Probe(ctx context.Context, fps []request.Fingerprint) (granted bool, err error) {
+	err = c.Call(ctx, serviceName+".Probe", fromFingerprints(fps), &granted)
+
+	return granted, err
+}
+
+// EndProbe is the remote call.
+func (s service) EndProbe(in []uint64, _ *Empty) error {
+	s.h.EndProbe(toFingerprints(in))
+
+	return nil
+}
+
+// EndProbe says that a request that might run has not run.
+func (c *Client) EndProbe(ctx context.Context, fps []request.Fingerprint) error {
+	return c.Call(ctx, serviceName+".EndProbe", fromFingerprints(fps), &Empty{})
+}
+
+func fromFingerprints(fps []request.Fingerprint) []uint64 {
+	out := make([]uint64, len(fps))
+	for i, fp := range fps {
+		out[i] = uint64(fp)
+	}
+
+	return out
+}
+
+func toFingerprints(in []uint64) []request.Fingerprint {
+	out := make([]request.Fingerprint, len(in))
+	for i, fp := range in {
+		out[i] = request.Fingerprint(fp)
+	}
+
+	return out
+}
+
 // Lift ends a block that this entry has found and does not find any more.
 func (c *Client) Lift(ctx context.Context, fp request.Fingerprint) error {
 	return c.Call(ctx, serviceName+".Lift", uint64(fp), &Empty{})
@@ -211,11 +251,7 @@
 
 // Inquire asks an entry what it knows against a conviction.
 func (c *Client) Inquire(ctx context.Context, q Inquiry) (Findings, error) {
-	var in InquiryMessage
-
-	for _, fp := range q.Fingerprints {
-		in.Fingerprints = append(in.Fingerprints, uint64(fp))
-	}
+	in := InquiryMessage{Fingerprints: fromFingerprints(q.Fingerprints)}
 
 	for _, d := range q.Deaths {
 		in.Deaths = append(in.Deaths, fromDeath(d))
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -51,6 +51,7 @@
 	blocked    request.Fingerprint
 	acquitted  request.Fingerprint
 	lifted     request.Fingerprint
+	probeEnded request.Fingerprint
 	testimony  crash.Testimony
 	resumed    []demand.Resumed
 	lending    Lending
@@ -146,6 +147,10 @@
 
 func (e *echo) Lift(fp request.Fingerprint) { e.lifted = fp }
 
+func (e *echo) Probe(fps []request.Fingerprint) bool { return fps[0] == 9 }
+
+func (e *echo) EndProbe(fps []request.Fingerprint) { e.probeEnded = fps[0] }
+
 func (e *echo) Testify(t crash.Testimony) { e.testimony = t }
 
 func (e *echo) Acquit(fp request.Fingerprint, _ time.Time) { e.acquitted = fp }
@@ -422,6 +427,16 @@
 	assert.Equal(t, got.blocked, request.Fingerprint(9))
 	assert.DeepEqual(t, sound, []time.Time{{}, now}, near)
 
+	silent := crash.Testimony{Death: sent.Death, At: sent.At, Exposed: sent.Exposed}
+	assert.NilError(t, c.Testify(t.Context(), []crash.Testimony{silent}))
+	assert.Assert(t, got.testimony.Until.IsZero(), "a target that is only silent")
+
+	granted, err := c.Probe(t.Context(), []request.Fingerprint{9, 8})
+	assert.NilError(t, err)
+	assert.Assert(t, granted)
+	assert.NilError(t, c.EndProbe(t.Context(), []request.Fingerprint{9, 8}))
+	assert.Equal(t, got.probeEnded, request.Fingerprint(9))
+
 	assert.NilError(t, c.Lift(t.Context(), 9))
 	assert.Equal(t, got.lifted, request.Fingerprint(9))
 	assert.NilError(t, c.Acquit(t.Context(), 9, now))
