--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -44,7 +44,7 @@
 	s.cutFromAll(id, how)
 
 	if c.RowExpires {
-		s.expire(id)
+		s.Expire(id)
 	}
 
 	startNext := func() {
@@ -71,8 +71,9 @@
 	s.down[id] = true
 }
 
-// expire has the row of a target removed that writes no more.
-func (s *Site) expire(id instance.ID) {
+// Expire has the row of a target that has ended removed after rowExpiry, unless its next process
+// has started by then.
+func (s *Site) Expire(id instance.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/internal/standin/soak/changes.go
+++ b/internal/standin/soak/changes.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -23,6 +25,11 @@
 	seriesRoutes  = 700
 	seriesPause   = 150 * time.Millisecond
 	seriesPrefix  = "/series-"
+	// dropCount is the number of models that a configuration may lack, from one of the first
+	// dropMost on, for at most dropFor.
+	dropCount = 2
+	dropMost  = 14
+	dropFor   = 4 * time.Second
 )
 
 // series are the series of large configurations.
@@ -64,6 +71,41 @@
 	}
 }
 
+// dropModels is the trouble in which a configuration lacks models that engines hold.
+func (s *soak) dropModels(draw *rand.Rand) event {
+	first := draw.IntN(dropMost)
+
+	var dropped map[string]route.Model
+
+	return event{
+		name: fmt.Sprintf("the configuration lacks models %d to %d", first, first+dropCount-1), most: dropFor,
+		begin: func() {
+			dropped = s.changeModels(func(models map[string]route.Model) {
+				for i := range dropCount {
+					delete(models, site.Model(first+i))
+				}
+			})
+		},
+		end: func() {
+			s.changeModels(func(models map[string]route.Model) { maps.Copy(models, dropped) })
+		},
+	}
+}
+
+// changeModels puts a configuration in force with other models, and returns the former ones.
+func (s *soak) changeModels(change func(map[string]route.Model)) (former map[string]route.Model) {
+	s.site.PutConfig(func(c *route.Config) {
+		service := c.Services[site.Drafting]
+		e := *service.Engine
+		former, e.Models = e.Models, maps.Clone(e.Models)
+		change(e.Models)
+		service.Engine, c.Services = &e, maps.Clone(c.Services)
+		c.Services[site.Drafting] = service
+	})
+
+	return former
+}
+
 // addSeries adds the routes of one change, and removes those of former series.
 func addSeries(c *route.Config, number, change int) {
 	own := fmt.Sprintf("%s%d-", seriesPrefix, number)
--- a/internal/standin/soak/crashes.go
+++ b/internal/standin/soak/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -28,10 +29,14 @@
 	// impatient client waits.
 	crashPause  = 600 * time.Millisecond
 	leavesAfter = 20 * time.Millisecond
-	// downMost is the longest time until an engine that has crashed is back.
-	downMost = 2 * time.Second
+	// downLeast and downMost bound the time until an engine that has crashed is back.
+	downLeast = 50 * time.Millisecond
+	downMost  = 12 * time.Second
 )
 
+// endlessMost is the largest number of answers without end that follow each other.
+const endlessMost = 20
+
 // crashingPart begins the name of a part of a prompt that crashes engines, and crashingBody
 // the body of a request that does.
 const (
@@ -160,7 +165,7 @@
 }
 
 // crashEngines makes all engines crash on the requests that do so: they refuse connections,
-// fall silent, or are back at once.
+// fall silent, or are back at once, and their rows stay or go.
 func (s *soak) crashEngines() {
 	for id, w := range s.site.Workers {
 		w.SetCrash(worker.Crash{
@@ -176,10 +181,14 @@
 
 func (s *soak) crash(id instance.ID) {
 	link := s.targets[id]
-	down := time.Duration(rand.Int64N(int64(downMost))) //nolint:gosec // No secret.
+	down := drawDown()
 
 	s.site.End(id)
 
+	if rand.IntN(2) == 0 { //nolint:gosec,mnd // Half of the rows.
+		s.site.Expire(id)
+	}
+
 	switch rand.IntN(4) { //nolint:gosec,mnd // Mostly refused.
 	case 0:
 		link.set(Silent)
@@ -202,6 +211,13 @@
 	})
 }
 
+// drawDown returns for how long an engine is down, as often for short as for long.
+func drawDown() time.Duration {
+	longest := math.Log(float64(downMost) / float64(downLeast))
+
+	return time.Duration(float64(downLeast) * math.Exp(rand.Float64()*longest)) //nolint:gosec // No secret.
+}
+
 // soundPrompt returns the prompt of a sound request, whose first part crashing ones have too.
 func (s *soak) soundPrompt(id string) string {
 	if !s.Crashes {
@@ -228,6 +244,7 @@
 	body, part := fmt.Sprint(crashingBody, number), fmt.Sprint(crashingPart, number)
 
 	return []event{
+		s.answerWithoutEnd(draw),
 		s.sendCrashing(fmt.Sprintf("a request to %s crashes engines", route), spacing, patience, route, func(n int) (string, string) {
 			return body, fmt.Sprintf("shared:10,new%d:5", n)
 		}),
@@ -237,6 +254,18 @@
 	}
 }
 
+// answerWithoutEnd is the trouble in which a target's next answers are bytes without end.
+func (s *soak) answerWithoutEnd(draw *rand.Rand) event {
+	id := instance.ID(fmt.Sprintf("desk-%d", draw.IntN(len(s.site.Desks))))
+	answers := 1 + draw.IntN(endlessMost)
+
+	return event{
+		name:  fmt.Sprintf("%d answers of %s have no end", answers, id),
+		begin: func() { s.site.Desks[id].SetFaults(worker.Faults{EndlessAnswers: answers}) },
+		end:   func() { s.site.Desks[id].SetFaults(worker.Faults{}) },
+	}
+}
+
 // sendCrashing is a trouble in which clients send the requests that make returns.
 func (s *soak) sendCrashing(name string, spacing, patience time.Duration, route string, request func(n int) (body, prompt string)) event {
 	var clients sync.WaitGroup
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -373,7 +373,7 @@
 	}
 
 	if s.Changes {
-		all = append(all, s.makeSeries())
+		all = append(all, s.makeSeries(), s.dropModels(draw))
 	}
 
 	if s.Software {
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -116,6 +116,12 @@
 		a.Lose()
 	}
 
+	if p.takeEndless() {
+		a.Endless(r.Gone)
+
+		return
+	}
+
 	a.Whole(http.StatusOK, append([]byte("done: "), r.Body...))
 	p.answered(arrived)
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -77,6 +77,8 @@
 	LostOrders int
 	// LostAnswers is the number of next requests that run and are not answered.
 	LostAnswers int
+	// EndlessAnswers is the number of next requests that are answered by bytes without end.
+	EndlessAnswers int
 }
 
 // SetFaults replaces the faults.
@@ -446,6 +448,20 @@
 	return true
 }
 
+// takeEndless reports whether the answer must have no end, and counts it.
+func (w *Worker) takeEndless() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.faults.EndlessAnswers == 0 {
+		return false
+	}
+
+	w.faults.EndlessAnswers--
+
+	return true
+}
+
 // Orders returns the orders that have arrived, in order.
 func (w *Worker) Orders() []Ordered {
 	w.mu.Lock()
