fix(crash): probes are bounded by what reaches targets

A probe that a target rejects is taken back once, and none is sent twice: five had reached targets under one block, where the users allow three requests after the fifth death. Cause: what had not run was taken for not sent.

--- a/internal/fleet/node/probes.go
+++ b/internal/fleet/node/probes.go
@@ -47,15 +47,15 @@
 }
 
 // endProbe tells the entry that grants probes that one has not run.
-func (c *crashes) endProbe(fps []request.Fingerprint) {
+func (c *crashes) endProbe(fps []request.Fingerprint, sent bool) {
 	first := c.firstJudge()
 	if first.ID == c.node.cfg.Self {
-		c.takeBack(fps)
+		c.takeBack(fps, sent)
 
 		return
 	}
 
-	c.node.callPeer(c.node.workCtx, first.ID, "probe", func(ctx context.Context, p *peer) error { return p.client.EndProbe(ctx, fps) })
+	c.node.callPeer(c.node.workCtx, first.ID, "probe", func(ctx context.Context, p *peer) error { return p.client.EndProbe(ctx, fps, sent) })
 }
 
 // mayAsk reports whether askInterval has passed since the last question, and records one.
@@ -106,7 +106,7 @@
 }
 
 // takeBack takes back a probe that has not run.
-func (c *crashes) takeBack(fps []request.Fingerprint) {
+func (c *crashes) takeBack(fps []request.Fingerprint, sent bool) {
 	fp, ok := c.node.dispatcher.Crashes.Probed(fps)
 	if !ok {
 		return
@@ -116,7 +116,7 @@
 	defer c.mu.Unlock()
 
 	if p, granted := c.probes[fp]; granted {
-		c.probes[fp] = p.TakeBack()
+		c.probes[fp] = p.TakeBack(sent)
 	}
 }
 
@@ -132,4 +132,4 @@
 func (n *Node) Probe(fps []request.Fingerprint) bool { return n.crashes.grantProbe(fps) }
 
 // EndProbe implements news.Handler.
-func (n *Node) EndProbe(fps []request.Fingerprint) { n.crashes.takeBack(fps) }
+func (n *Node) EndProbe(fps []request.Fingerprint, sent bool) { n.crashes.takeBack(fps, sent) }
--- a/internal/fleet/node/simulated_test.go
+++ b/internal/fleet/node/simulated_test.go
@@ -34,23 +34,27 @@
 func simulateSite(t *testing.T, opt site.Options, f func(t *testing.T, s *site.Site)) {
 	t.Helper()
 	oneProcessor(t)
+	synctest.Test(t, func(t *testing.T) { playSite(t, opt, f) })
+}
+
+// playSite calls f with a ready site in the test's simulated time.
+func playSite(t *testing.T, opt site.Options, f func(t *testing.T, s *site.Site)) {
+	t.Helper()
 
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 
-		opt.Log = io.Discard
-		opt.Network = cmp.Or(opt.Network, &network.Network{})
+	opt.Log = io.Discard
+	opt.Network = cmp.Or(opt.Network, &network.Network{})
 
-		defer opt.Network.Close()
+	defer opt.Network.Close()
 
-		s, err := site.Start(ctx, opt)
-		assert.NilError(t, err)
+	s, err := site.Start(ctx, opt)
+	assert.NilError(t, err)
 
-		defer s.Close()
+	defer s.Close()
 
-		assert.NilError(t, s.WaitReady(ctx))
-		time.Sleep(settled)
-		f(t, s)
-	})
+	assert.NilError(t, s.WaitReady(ctx))
+	time.Sleep(settled)
+	f(t, s)
 }
--- a/internal/serving/crash/probes.go
+++ b/internal/serving/crash/probes.go
@@ -2,22 +2,34 @@
 
 import "time"
 
+// probePause is the time from a probe that was not sent to the next one.
+const probePause = 200 * time.Millisecond
+
 // probePauses are the times from one probe of what many requests share to the next. There are no
 // further probes: what has crashed a target under each of them crashes targets.
 var probePauses = []time.Duration{probePause, time.Second, 4 * time.Second}
 
-// probePause is the time from a probe that has not run to the next one.
-const probePause = 200 * time.Millisecond
+// maxRejected bounds the probes that targets rejected and that are granted again.
+const maxRejected = 1
 
 // Probes are the probes of one block. The zero value has none.
 type Probes struct {
-	granted int
-	last    time.Time
+	granted, rejected int
+	last              time.Time
 }
 
-// TakeBack returns the probes without one that has not run.
-func (p Probes) TakeBack() Probes {
-	return Probes{granted: max(0, p.granted-1), last: p.last}
+// TakeBack returns the probes without one that has not run. It may have been sent to a target,
+// which rejected it.
+func (p Probes) TakeBack(sent bool) Probes {
+	if sent {
+		p.rejected++
+	}
+
+	if !sent || p.rejected <= maxRejected {
+		p.granted = max(0, p.granted-1)
+	}
+
+	return p
 }
 
 // Grant returns the probes with one more, and whether that is due.
@@ -26,5 +38,7 @@
 		return p, false
 	}
 
-	return Probes{granted: p.granted + 1, last: now}, true
+	p.granted, p.last = p.granted+1, now
+
+	return p, true
 }
--- a/internal/serving/crash/probes_test.go
+++ b/internal/serving/crash/probes_test.go
@@ -25,11 +25,16 @@
 
 	assert.DeepEqual(t, granted, []int{0, 1000, 5000})
 
-	p, ok := p.TakeBack().Grant(at(70_000))
-	assert.Assert(t, ok, "one that has not run is granted again")
+	for _, again := range []struct {
+		sent, granted bool
+	}{{false, true}, {true, true}, {true, false}, {false, true}} {
+		var ok bool
+
+		p, ok = p.TakeBack(again.sent).Grant(at(70_000 + 10_000))
+		assert.Equal(t, ok, again.granted)
 
-	_, ok = p.Grant(at(80_000))
-	assert.Assert(t, !ok)
+		p.last = at(60_000)
+	}
 }
 
 // TestWhatProbes checks which requests may run although something that they share is blocked.
--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -21,9 +21,10 @@
 	// OnReversal is called with what they do not convict any more. It may be nil.
 	OnReversal func(request.Fingerprint)
 	// MayProbe asks whether one request may run although something that others have, too, is
-	// blocked. EndProbe is called when such a request has not run. They may be nil.
+	// blocked. EndProbe is called when such a request has not run, and with whether it was sent
+	// to a target. They may be nil.
 	MayProbe func(context.Context, []request.Fingerprint) bool
-	EndProbe func([]request.Fingerprint)
+	EndProbe func(fps []request.Fingerprint, sent bool)
 	// OnAcquittal is called when a request with a blocked fingerprint has run soundly here,
 	// at the time given. It may be nil.
 	OnAcquittal func(request.Fingerprint, time.Time)
--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -195,7 +195,7 @@
 // endProbe tells that a probe has not run, so that another request may.
 func (d *delivery) endProbe() {
 	if d.runs == 0 && d.Dispatcher.Crashes.EndProbe != nil {
-		d.Dispatcher.Crashes.EndProbe(d.req.Fingerprints())
+		d.Dispatcher.Crashes.EndProbe(d.req.Fingerprints(), d.probeSent)
 	}
 }
 
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -47,8 +47,9 @@
 	runs int
 	// suspect is set if the request may have crashed a target.
 	suspect bool
-	// probe is set if the request runs to find out whether what blocks it is sound.
-	probe bool
+	// probe is set if the request runs to find out whether what blocks it is sound, and
+	// probeSent once it was sent to a target.
+	probe, probeSent bool
 	// exclude lists the target of the last attempt.
 	exclude []instance.ID
 	// headSent is set once the answer's head was sent to the client; lastEvent
--- a/internal/serving/relay/retry.go
+++ b/internal/serving/relay/retry.go
@@ -20,11 +20,17 @@
 		return false
 	}
 
+	if d.probe && !provedNotSent(err) {
+		d.probeSent = true
+
+		return false
+	}
+
 	if provedNotRun(err) {
 		return true
 	}
 
-	return d.route.Retryable() && d.runs < d.route.Attempts && !d.probe
+	return d.route.Retryable() && d.runs < d.route.Attempts
 }
 
 // provedNotRun reports whether the error proves that the target did not run the
--- a/internal/wire/news/crash.go
+++ b/internal/wire/news/crash.go
@@ -68,6 +68,14 @@
 	SoundMs, HeardMs []int64
 }
 
+// EndedProbeMessage says on the wire that a probe has not run.
+type EndedProbeMessage struct {
+	_ struct{} `cbor:",toarray"`
+
+	Fingerprints []uint64
+	Sent         bool
+}
+
 func fromDeath(d crash.Death) ProcessMessage {
 	return ProcessMessage{Target: string(d.Target), Incarnation: d.Incarnation}
 }
@@ -203,15 +211,17 @@
 }
 
 // EndProbe is the remote call.
-func (s service) EndProbe(in []uint64, _ *Empty) error {
-	s.h.EndProbe(toFingerprints(in))
+func (s service) EndProbe(in EndedProbeMessage, _ *Empty) error {
+	s.h.EndProbe(toFingerprints(in.Fingerprints), in.Sent)
 
 	return nil
 }
 
-// EndProbe says that a request that might run has not run.
-func (c *Client) EndProbe(ctx context.Context, fps []request.Fingerprint) error {
-	return c.Call(ctx, serviceName+".EndProbe", fromFingerprints(fps), &Empty{})
+// EndProbe says that a request that might run has not run, and whether it was sent to a target.
+func (c *Client) EndProbe(ctx context.Context, fps []request.Fingerprint, sent bool) error {
+	in := EndedProbeMessage{Fingerprints: fromFingerprints(fps), Sent: sent}
+
+	return c.Call(ctx, serviceName+".EndProbe", in, &Empty{})
 }
 
 func fromFingerprints(fps []request.Fingerprint) []uint64 {
--- a/internal/wire/news/news.go
+++ b/internal/wire/news/news.go
@@ -63,9 +63,10 @@
 	// Lift ends a block that a peer has found and does not find any more.
 	Lift(fp request.Fingerprint)
 	// Probe reports whether one request with the fingerprints may run although it is blocked, to
-	// find out whether what blocks it is sound. EndProbe says that it has not run.
+	// find out whether what blocks it is sound. EndProbe says that it has not run, and whether
+	// it was sent to a target.
 	Probe(fps []request.Fingerprint) bool
-	EndProbe(fps []request.Fingerprint)
+	EndProbe(fps []request.Fingerprint, sent bool)
 	// Acquit says that a request with the fingerprint ran soundly at a time.
 	Acquit(fp request.Fingerprint, at time.Time)
 	// Lend accepts a delegation of a peer's shares of limits.
--- a/internal/wire/news/news_test.go
+++ b/internal/wire/news/news_test.go
@@ -149,7 +149,11 @@
 
 func (e *echo) Probe(fps []request.Fingerprint) bool { return fps[0] == 9 }
 
-func (e *echo) EndProbe(fps []request.Fingerprint) { e.probeEnded = fps[0] }
+func (e *echo) EndProbe(fps []request.Fingerprint, sent bool) {
+	if sent {
+		e.probeEnded = fps[0]
+	}
+}
 
 func (e *echo) Testify(t crash.Testimony) { e.testimony = t }
 
@@ -434,7 +438,7 @@
 	granted, err := c.Probe(t.Context(), []request.Fingerprint{9, 8})
 	assert.NilError(t, err)
 	assert.Assert(t, granted)
-	assert.NilError(t, c.EndProbe(t.Context(), []request.Fingerprint{9, 8}))
+	assert.NilError(t, c.EndProbe(t.Context(), []request.Fingerprint{9, 8}, true))
 	assert.Equal(t, got.probeEnded, request.Fingerprint(9))
 
 	assert.NilError(t, c.Lift(t.Context(), 9))
