--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -34,6 +34,8 @@
 	later []action
 	// drops says that configurations come without some of the models that targets hold.
 	drops bool
+	// twice says that two orders of a former holder that follow each other are late.
+	twice bool
 }
 
 // action is something to be done at a time.
@@ -93,6 +95,12 @@
 		return
 	}
 
+	if s.twice && s.draw.IntN(3) == 0 {
+		s.lateTwice(w, h)
+
+		return
+	}
+
 	switch s.draw.IntN(11) {
 	case 0, 1:
 		s.worker(w).SetFaults(worker.Faults{LateOrders: 1 + s.draw.IntN(3), Late: s.between(2*time.Second, 12*time.Second)})
@@ -117,6 +125,21 @@
 	}
 }
 
+// lateTwice makes an order late, and the one that follows the order's second copy, and then starts
+// the worker and mostly the lease holder anew.
+func (s *roomSchedule) lateTwice(w, h instance.ID) {
+	late := s.between(4*time.Second, 12*time.Second)
+	s.worker(w).SetFaults(worker.Faults{LateOrders: 1, Late: late})
+	s.after(s.between(300*time.Millisecond, 2*time.Second), func() {
+		s.worker(w).SetFaults(worker.Faults{LateOrders: 1, Late: late})
+	})
+	s.after(s.between(2*time.Second, 4*time.Second), func() { s.restartWorker(w) })
+
+	if s.draw.IntN(4) > 0 {
+		s.after(s.between(2*time.Second, 4*time.Second), func() { s.restartHolder(h) })
+	}
+}
+
 // dropModels puts a configuration in force that lacks two models, for some seconds.
 func (s *roomSchedule) dropModels() {
 	all := s.config().Services["s"].Engine.Models
@@ -235,6 +258,13 @@
 	})
 }
 
+// TestTwoLateOrdersOfFormerHolder guards against the same after two orders of a former lease holder that follow each other and reach the target's next process.
+func TestTwoLateOrdersOfFormerHolder(t *testing.T) {
+	schedule.Each(t, schedulePrefix, roomSchedules, 3, func(t *testing.T, draw *rand.Rand) {
+		playRoomSchedule(t, roomSchedule{draw: draw, twice: true})
+	})
+}
+
 // playRoomSchedule plays a schedule to a cluster that is drawn.
 func playRoomSchedule(t *testing.T, s roomSchedule) {
 	t.Helper()
