--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -18,10 +18,10 @@
 const confirmAfter = 300 * time.Millisecond
 
 const (
-	// silentDial is how long a connection to a quiet target may take to open, and silentDials
-	// the number of connections that are tried at once, since one first packet may be lost.
-	silentDial  = 100 * time.Millisecond
-	silentDials = 2
+	// silentDial is how long a connection to a quiet target may take to open. A second one is
+	// tried after secondDial, since one first packet may be lost.
+	silentDial = 120 * time.Millisecond
+	secondDial = 30 * time.Millisecond
 )
 
 // CheckQuiet asks the targets for a connection that have sent nothing for a while although they
@@ -43,29 +43,41 @@
 // checkQuiet records that a quiet target is silent if no connection to it opens. A target that
 // runs a long request opens one at once; one that stays quiet may be another process by now.
 func (s *Server) checkQuiet(t *router.Target, q crash.Quiet) {
-	errs := make(chan error, silentDials)
+	err := s.dialTwice(t)
 
-	for range silentDials {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), silentDial)
-			defer cancel()
+	switch {
+	case isTimeout(err):
+		s.Log.Warn().Str("target", string(t.ID)).Str("process", q.Incarnation).Msg("target is silent")
+		s.Dispatcher.Crashes.Silence(q.Death)
+	case err == nil && q.Again:
+		s.checkReplaced(t, q.Death)
+	}
+}
+
+// dialTwice opens a connection to a target, and tries a second one if the first takes long. It
+// returns the error of the one that ended last if none opened.
+func (s *Server) dialTwice(t *router.Target) error {
+	ctx, cancel := context.WithTimeout(context.Background(), silentDial)
+	defer cancel()
 
-			errs <- s.dial(ctx, t)
-		}()
+	errs := make(chan error, 2) //nolint:mnd // Two connections.
+	dial := func() { errs <- s.dial(ctx, t) }
+
+	go dial()
+
+	select {
+	case err := <-errs:
+		return err
+	case <-time.After(secondDial):
 	}
 
-	for range silentDials {
-		if err := <-errs; !isTimeout(err) {
-			if err == nil && q.Again {
-				s.checkReplaced(t, q.Death)
-			}
+	go dial()
 
-			return
-		}
+	if err := <-errs; !isTimeout(err) {
+		return err
 	}
 
-	s.Log.Warn().Str("target", string(t.ID)).Str("process", q.Incarnation).Msg("target is silent")
-	s.Dispatcher.Crashes.Silence(q.Death)
+	return <-errs
 }
 
 // reportTimeout bounds the wait for what a target says of itself.
