--- a/internal/placement/swap/sum_test.go
+++ b/internal/placement/swap/sum_test.go
@@ -42,11 +42,11 @@
 // TestUnknownSizeIsEvictedFirst guards against models that are evicted in vain beside one of unknown size.
 func TestUnknownSizeIsEvictedFirst(t *testing.T) {
 	v := &Snapshot{Now: now, Engine: engine(8), Demands: nil}
-	target := targetWith("t0", "m5", "dropped", "m6")
+	target := targetWith("t0", "m5", "withdrawn", "m6")
 	v.Targets = []Target{target.withDisk("m0")}
 	v.Demands = []Demand{waiting("m0")}
 
 	round := Decide(v)
 	assert.Equal(t, len(round.Swaps), 1)
-	assert.DeepEqual(t, round.Swaps[0].Unload, []string{"dropped"})
+	assert.DeepEqual(t, round.Swaps[0].Unload, []string{"withdrawn"})
 }
--- a/internal/serving/crash/probes_test.go
+++ b/internal/serving/crash/probes_test.go
@@ -60,6 +60,11 @@
 	_, ok = j.Probe(fps(exact(9), other), now)
 	assert.Assert(t, !ok, "it is not blocked")
 
+	j.Testify(died("t9", 1050, exact(7)), now)
+
+	_, ok = j.Probe(fps(exact(7), shared), now)
+	assert.Assert(t, !ok, "it is suspected itself")
+
 	assert.Assert(t, j.Block(exact(8), at(1000), now))
 
 	_, ok = j.Probe(fps(exact(8), shared), now)
