--- a/internal/placement/holder/world_test.go
+++ b/internal/placement/holder/world_test.go
@@ -573,6 +573,7 @@
 func (cl *cluster) end() {
 	for _, h := range cl.holders {
 		h.gate.Open()
+		h.stop() // Those that were started anew do not end with the cluster.
 	}
 
 	cl.cancel()
