fix(crash): what ran soundly after a death is acquitted of it for good

Cause: a sound run is remembered for one to two minutes, a death for twenty. Once the run was forgotten its death counted again. The class: no sound run known was taken for guilt. Change: a death remembers what ran soundly since. Result: TestAcquittalOutlastsSoundRun red before, green after.

--- a/internal/serving/crash/death.go
+++ b/internal/serving/crash/death.go
@@ -14,12 +14,18 @@
 	ended bool
 	// exposed maps what may have crashed it to when it was sent there.
 	exposed map[request.Fingerprint]time.Time
+	// acquitted is what ran soundly since. It outlasts the memory of the sound run, as the
+	// death does.
+	acquitted map[request.Fingerprint]bool
 }
 
-// mayBeCausedBy reports whether what has the fingerprint was sent before the target had ended.
+// mayBeCausedBy reports whether what has the fingerprint was sent before the target had ended,
+// and has not run soundly since.
 // Entries may send to a target that another process has replaced, or that others know to have
 // ended.
-func (d *death) mayBeCausedBy(fp request.Fingerprint) bool { return !d.exposed[fp].After(d.until) }
+func (d *death) mayBeCausedBy(fp request.Fingerprint) bool {
+	return !d.acquitted[fp] && !d.exposed[fp].After(d.until)
+}
 
 // endAfter returns when the target is taken to have ended at the earliest if what has the
 // fingerprint crashed it: after that was sent.
@@ -31,6 +37,19 @@
 	return d.at
 }
 
+// acquit records that what has the fingerprint ran soundly at a time.
+func (d *death) acquit(fp request.Fingerprint, at time.Time) {
+	if _, exposed := d.exposed[fp]; !exposed || d.endAfter(fp).After(at) {
+		return
+	}
+
+	if d.acquitted == nil {
+		d.acquitted = make(map[request.Fingerprint]bool)
+	}
+
+	d.acquitted[fp] = true
+}
+
 // refutedBy reports whether a target that ran at a time had not ended.
 func (d *death) refutedBy(ranAt time.Time) bool {
 	if d.ended {
--- a/internal/serving/crash/judge.go
+++ b/internal/serving/crash/judge.go
@@ -70,6 +70,10 @@
 	for _, fp := range fps {
 		j.sound.add(fp, at, now)
 
+		for _, d := range j.deaths {
+			d.acquit(fp, at)
+		}
+
 		if !j.lastDeath(fp).IsZero() {
 			blocked = append(blocked, fp)
 		}
--- a/internal/serving/crash/silent_test.go
+++ b/internal/serving/crash/silent_test.go
@@ -108,3 +108,17 @@
 	assert.Assert(t, !isBlocked(&j, exact(2), at(2000)))
 	assert.Assert(t, !j.IsSuspect(fps(exact(2)), at(2000)))
 }
+
+// TestAcquittalOutlastsSoundRun guards against a request that is blocked minutes later because its sound run is remembered for less time than the deaths before it.
+func TestAcquittalOutlastsSoundRun(t *testing.T) {
+	var j Judge
+
+	j.Testify(died("t1", 0, exact(1)), at(0))
+	j.Testify(died("t2", 500, exact(1)), at(500))
+	j.RecordSound(fps(exact(1)), at(1000), at(1100))
+	assert.Assert(t, !isBlocked(&j, exact(1), at(1200)))
+
+	later := at(1000).Add(3 * soundPeriod)
+	j.Testify(died("t3", 200_000, exact(2)), later)
+	assert.Assert(t, !isBlocked(&j, exact(1), later))
+}
