--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -231,6 +231,10 @@
 // everywhere if it stands. An entry that has just started knows neither what has run soundly
 // nor whom to ask.
 func (c *crashes) confirm(ctx context.Context, fp request.Fingerprint) {
+	if _, deaths, convicted := c.node.dispatcher.Crashes.Conviction(fp); convicted {
+		c.node.cfg.Log.Info().Uint64("fingerprint", uint64(fp)).Uint8("scope", uint8(fp.Scope())).Any("targets", targetsOf(deaths)).Msg("request may crash targets, others are asked")
+	}
+
 	if clock.Sleep(ctx, confirmUptime-time.Since(c.node.started)) != nil {
 		return
 	}
--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -317,14 +318,16 @@
 	}
 
 	c.mu.Lock()
-	_, left, blocked := c.judge.Blocked(req.Fingerprints(), time.Now())
+	fp, left, blocked := c.judge.Blocked(req.Fingerprints(), time.Now())
 	c.mu.Unlock()
 
 	if !blocked {
 		return nil
 	}
 
-	return request.Refuse(request.Poisoned, left, "targets have crashed under this request or others like it")
+	why := fmt.Sprintf("targets have crashed under this request or others like it, fingerprint %d", fp)
+
+	return request.Refuse(request.Poisoned, left, why)
 }
 
 // Probes reports whether the request may run although it is blocked, to find out whether what
