--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -34,13 +34,11 @@
 
 	defer watch.Stop()
 
-	if _, err := stream.r.Peek(1); err == nil && d.route.Resumable {
-		watch.Reset(eventTimeout) // What has begun to write writes an event soon.
-	}
+	d.awaitBody(&stream, watch)
 
 	progressAt := time.Now()
 
-	for count := 0; ; count++ {
+	for begun := false; ; {
 		event, id, err := stream.next(buf)
 		buf = event
 
@@ -48,26 +46,20 @@
 			return d.endStream(t, n, a, event, err)
 		}
 
-		switch kind := blockOf(event); {
-		case kind == noEvent && isEventStream(a):
-			a.abandon()
-
-			return &InvalidAnswerError{Reason: "no event"}
-		case kind == aComment && !d.headSent:
-			count--
-
-			continue // The client may be answered by another target.
-		case kind == anEvent:
-			d.Dispatcher.Crashes.WriteRun(a.run)
-
-			progressAt = time.Now()
+		kind, err := d.heed(a, event)
+		if err != nil {
+			return err
 		}
 
 		read := time.Now()
+		if kind == anEvent {
+			progressAt = read
+		}
+
 		pauses.read(read, took)
 		took = 0
 
-		if d.lastEvent != "" && id != "" && !isAfter(id, d.lastEvent) {
+		if d.passesOver(kind, id) {
 			continue
 		}
 
@@ -85,16 +77,54 @@
 			d.lastEvent = id
 		}
 
-		if count == 0 {
+		if !begun {
 			d.recordFirstEvent(t, sent)
 		}
 
+		begun = true
+
 		if d.route.Resumable {
 			watch.Reset(time.Until(progressAt.Add(eventTimeout)))
 		}
 	}
 }
 
+// awaitBody waits for the first byte of a stream's body. What has begun to write is taken to
+// write an event soon.
+func (d *delivery) awaitBody(stream *eventReader, watch *time.Timer) {
+	if _, err := stream.r.Peek(1); err == nil && d.route.Resumable {
+		watch.Reset(eventTimeout)
+	}
+}
+
+// heed returns what a block of a stream is. An event shows that its run is sound, and bytes that
+// are no event end the stream.
+func (d *delivery) heed(a *answer, lines []byte) (block, error) {
+	kind := blockOf(lines)
+
+	if kind == noEvent && isEventStream(a) {
+		a.abandon()
+
+		return kind, &InvalidAnswerError{Reason: "no event"}
+	}
+
+	if kind == anEvent {
+		d.Dispatcher.Crashes.WriteRun(a.run)
+	}
+
+	return kind, nil
+}
+
+// passesOver reports whether a block does not go to the client: an event that it has, or a
+// comment before the first event, since another target may yet answer it.
+func (d *delivery) passesOver(kind block, id string) bool {
+	if kind == aComment && !d.headSent {
+		return true
+	}
+
+	return d.lastEvent != "" && id != "" && !isAfter(id, d.lastEvent)
+}
+
 // isEventStream reports whether the answer states that its body consists of events.
 func isEventStream(a *answer) bool {
 	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
