fix(relay): a silent target is told of sooner

Cause: since the second connection to a quiet target is tried late, and silence was told some 0.32 s after the request, when the next one had been sent. Change: a target is quiet after 100 ms, looked for each 25 ms, and silent if neither connection opens in 80 ms.

--- a/internal/fleet/node/crashes.go
+++ b/internal/fleet/node/crashes.go
@@ -36,7 +36,7 @@
 	confirmTries  = 4
 	confirmRetry  = 300 * time.Millisecond
 	// quietInterval is the time between two searches for targets that have fallen silent.
-	quietInterval = 50 * time.Millisecond
+	quietInterval = 25 * time.Millisecond
 	// testimonySpacing lets the failures of one death be told together.
 	testimonySpacing = 10 * time.Millisecond
 )
--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -18,7 +18,7 @@
 	observation = 500 * time.Millisecond
 	// QuietAfter is how long a target must have sent nothing on the runs of a request until
 	// it is asked for a connection, and quietAgain the time until it is asked again.
-	QuietAfter = 150 * time.Millisecond
+	QuietAfter = 100 * time.Millisecond
 	quietAgain = 500 * time.Millisecond
 	// retention is how long deaths count.
 	retention = 20 * time.Minute
--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -20,8 +20,8 @@
 const (
 	// silentDial is how long a connection to a quiet target may take to open. A second one is
 	// tried after secondDial, since one first packet may be lost.
-	silentDial = 120 * time.Millisecond
-	secondDial = 30 * time.Millisecond
+	silentDial = 80 * time.Millisecond
+	secondDial = 20 * time.Millisecond
 )
 
 // CheckQuiet asks the targets for a connection that have sent nothing for a while although they
