--- a/internal/serving/relay/endless_test.go
+++ b/internal/serving/relay/endless_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,18 +43,26 @@
 // closeTargets returns a function that closes all connections that are opened from now on, and
 // waits until targets have noticed it.
 func (f *fixture) closeTargets() func() {
-	var conns []net.Conn
+	var (
+		mu    sync.Mutex
+		conns []net.Conn
+	)
 
 	f.server.Pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		c, err := f.dial(ctx, address)
 		if err == nil {
+			mu.Lock()
 			conns = append(conns, c)
+			mu.Unlock()
 		}
 
 		return c, err
 	}
 
 	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+
 		for _, c := range conns {
 			_ = c.Close()
 		}
--- a/internal/serving/relay/quiet_test.go
+++ b/internal/serving/relay/quiet_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,9 @@
 		// deaf says that it opens no connections, process what it says of itself.
 		deaf    bool
 		process string
-		silent  int
-		proved  int
-		heard   int
+		silent  int64
+		proved  int64
+		heard   int64
 	}{
 		"takes long":                {process: "1"},
 		"takes long, tells nothing": {},
@@ -45,20 +46,34 @@
 
 				defer f.closeTargets()()
 
-				var silent, proved, heard int
+				var (
+					silent, proved, heard atomic.Int64
+					deaf                  atomic.Bool
+				)
 
 				f.server.Process = func(context.Context, *router.Target) (string, error) { return tc.process, nil }
 				f.server.Dispatcher.Crashes.OnDeath = func(told crash.Testimony) {
 					switch {
 					case len(told.Exposed) == 0:
-						heard++
+						heard.Add(1)
 					case told.Until.IsZero():
-						silent++
+						silent.Add(1)
 					default:
-						proved++
+						proved.Add(1)
 					}
 				}
 
+				open := f.server.Pool.Dial
+				f.server.Pool.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+					if !deaf.Load() {
+						return open(ctx, address)
+					}
+
+					<-ctx.Done()
+
+					return nil, ctx.Err()
+				}
+
 				done := make(chan struct{})
 
 				go func() {
@@ -69,13 +84,7 @@
 
 				time.Sleep(time.Millisecond)
 
-				if tc.deaf {
-					f.server.Pool.Dial = func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
-						<-ctx.Done()
-
-						return nil, ctx.Err()
-					}
-				}
+				deaf.Store(tc.deaf)
 
 				for range 50 {
 					f.server.CheckQuiet()
@@ -83,9 +92,9 @@
 				}
 
 				<-done
-				assert.Equal(t, silent, tc.silent)
-				assert.Equal(t, min(proved, 1), tc.proved)
-				assert.Equal(t, heard, tc.heard)
+				assert.Equal(t, silent.Load(), tc.silent)
+				assert.Equal(t, min(proved.Load(), 1), tc.proved)
+				assert.Equal(t, heard.Load(), tc.heard)
 			})
 		})
 	}
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -83,9 +83,14 @@
 
 		begun = true
 
-		if d.route.Resumable {
-			watch.Reset(time.Until(progressAt.Add(eventTimeout)))
-		}
+		d.watchOn(watch, progressAt)
+	}
+}
+
+// watchOn has the watch fire eventTimeout after the last event, once.
+func (d *delivery) watchOn(watch *time.Timer, lastEventAt time.Time) {
+	if left := time.Until(lastEventAt.Add(eventTimeout)); d.route.Resumable && left > 0 {
+		watch.Reset(left)
 	}
 }
 
