refactor(swap): a target's room is copied by value

roomOf returned a pointer to a copy, and its callers dereferenced it; a room is a value of three fields.

--- a/internal/placement/swap/fill.go
+++ b/internal/placement/swap/fill.go
@@ -133,5 +133,5 @@
 }
 
 func (d *decider) fits(t *Target, m route.Model) bool {
-	return d.roomOf(t).fits(needOf(m))
+	return d.rooms[t.index].fits(needOf(m))
 }
--- a/internal/placement/swap/overload.go
+++ b/internal/placement/swap/overload.go
@@ -378,7 +378,7 @@
 // requests are queued for them: otherwise a model that is rarely used would not be
 // served while others are overloaded.
 func (d *decider) makeRoomByWorth(t *Target, m route.Model, dem Demand) (models []string, cost float64, wait time.Duration, ok bool) {
-	late, left, need := d.isLate(dem, t), d.roomOf(t), needOf(m)
+	late, left, need := d.isLate(dem, t), d.rooms[t.index], needOf(m)
 	value := d.loadValue(dem, d.site.free[t.ID])
 
 	if left.fits(need) {
@@ -410,9 +410,9 @@
 
 	// The first ones may be too small to be of use beside the last.
 	for i, v := range slices.Backward(chosen) {
-		kept := *left
+		kept := left
 		if kept.take(d.sizeOf(&v.ResidentModel)); kept.fits(need) {
-			*left, cost = kept, cost-v.loss
+			left, cost = kept, cost-v.loss
 			chosen = slices.Delete(chosen, i, i+1)
 		}
 	}
--- a/internal/placement/swap/room.go
+++ b/internal/placement/swap/room.go
@@ -42,17 +42,10 @@
 	loss float64
 }
 
-// roomOf returns a copy of a target's room.
-func (d *decider) roomOf(t *Target) *room {
-	r := d.rooms[t.index]
-
-	return &r
-}
-
 // makeRoom returns the models to unload so that the model fits, the total loss
 // of these evictions and the time that the unloads take.
 func (d *decider) makeRoom(t *Target, m route.Model, limits evictionLimits) (models []string, loss float64, wait time.Duration, ok bool) {
-	left, need := d.roomOf(t), needOf(m)
+	left, need := d.rooms[t.index], needOf(m)
 	if left.fits(need) {
 		return nil, 0, 0, true
 	}
--- a/internal/placement/swap/sum.go
+++ b/internal/placement/swap/sum.go
@@ -70,7 +70,7 @@
 			continue
 		}
 
-		left := d.roomOf(t)
+		left := d.rooms[i]
 
 		for _, r := range t.Resident {
 			if slices.Contains(s.Unload, r.Model) {
