--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -351,7 +351,7 @@
 		return errors.Join(&InvalidAnswerError{Reason: "answer cut short"}, err)
 	}
 
-	_ = a.conn.SetReadDeadline(time.Time{}) // Fails only if the connection is closed.
+	a.conn.unboundReads()
 
 	if d.endedWithTarget(t, a) {
 		a.abandon()
--- a/internal/serving/relay/endless.go
+++ b/internal/serving/relay/endless.go
@@ -46,8 +46,8 @@
 	return nil
 }
 
-// headRead ends the bound that awaitHead has set.
-func (c *conn) headRead() { _ = c.SetReadDeadline(time.Time{}) }
+// unboundReads ends a bound on the time of reads.
+func (c *conn) unboundReads() { _ = c.SetReadDeadline(time.Time{}) } // Fails only if the connection is closed.
 
 // headError returns the error of a head that is not whole.
 func headError(err error) error {
@@ -93,7 +93,7 @@
 		return
 	}
 
-	_ = a.conn.SetReadDeadline(time.Time{})
+	a.conn.unboundReads()
 	a.release()
 }
 
--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -203,7 +203,7 @@
 			return nil, headError(err)
 		}
 
-		c.headRead()
+		c.unboundReads()
 		c.limited.N = int64(^uint64(0) >> 1)
 
 		if resp.StatusCode >= http.StatusOK {
