refactor(dispatch): whether a request may probe is judged once where it is asked

Probes judged it, and the function that it calls judged it again with the same lock and the same answer. Behaviour is unchanged; go test ./internal/serving/dispatch passes.

--- a/internal/serving/dispatch/crash.go
+++ b/internal/serving/dispatch/crash.go
@@ -336,14 +336,7 @@
 // Where several requests that crash targets share something with sound ones, that is blocked
 // for all of them, and nothing could run any more that shows it to be sound.
 func (c *Crashes) Probes(ctx context.Context, req *request.Request) bool {
-	if c.MayProbe == nil {
-		return false
-	}
-
-	fps := req.Fingerprints()
-	_, ok := c.Probed(fps)
-
-	return ok && c.MayProbe(ctx, fps)
+	return c.MayProbe != nil && c.MayProbe(ctx, req.Fingerprints())
 }
 
 // Probed returns the one fingerprint that blocks a request with these, if such a request may run
