refactor(standin): counted faults and drawn down times are written once

TakeFault and takeEndless were twins, and the soak and the schedules of crashes drew down times by the same formula. The numbers that are drawn are the same.

--- a/internal/fleet/node/crashschedule_test.go
+++ b/internal/fleet/node/crashschedule_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -44,17 +43,12 @@
 		c.engines, c.entries, c.crash.Down, c.crash.Silent, c.crash.RowExpires, c.store, c.spacing, c.patience, c.path, c.byPart, c.requests, c.soundBefore)
 }
 
-// logUniform draws a duration, as often a short as a long one.
-func logUniform(draw *rand.Rand, least, most time.Duration) time.Duration {
-	return time.Duration(float64(least) * math.Exp(draw.Float64()*math.Log(float64(most)/float64(least)))).Round(time.Millisecond)
-}
-
 func drawCrashes(draw *rand.Rand) crashSchedule {
 	c := crashSchedule{
 		engines: 4 + 4*draw.IntN(3), entries: 3 + draw.IntN(5),
-		crash:   site.Crash{Down: logUniform(draw, 50*time.Millisecond, 12*time.Second), Silent: draw.IntN(2) == 0, RowExpires: draw.IntN(2) == 0},
+		crash:   site.Crash{Down: site.LogUniform(draw.Float64(), 50*time.Millisecond, 12*time.Second).Round(time.Millisecond), Silent: draw.IntN(2) == 0, RowExpires: draw.IntN(2) == 0},
 		store:   storeTrouble(draw.IntN(4)),
-		spacing: logUniform(draw, 100*time.Millisecond, time.Second), patience: 5 * time.Second,
+		spacing: site.LogUniform(draw.Float64(), 100*time.Millisecond, time.Second).Round(time.Millisecond), patience: 5 * time.Second,
 		path: []string{"/note/x", "/dossier/x"}[draw.IntN(2)], byPart: draw.IntN(3) == 0, requests: 1, soundBefore: draw.IntN(2) == 0,
 	}
 
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,11 @@
 	RowExpires bool
 }
 
+// LogUniform returns a duration for a number from [0, 1): as often a short as a long one.
+func LogUniform(draw float64, least, most time.Duration) time.Duration {
+	return time.Duration(float64(least) * math.Exp(draw*math.Log(float64(most)/float64(least))))
+}
+
 // CrashOn makes targets crash on some requests.
 func (s *Site) CrashOn(c Crash) {
 	for id, w := range s.Targets() {
--- a/internal/standin/soak/crashes.go
+++ b/internal/standin/soak/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -181,7 +180,7 @@
 
 func (s *soak) crash(id instance.ID) {
 	link := s.targets[id]
-	down := drawDown()
+	down := site.LogUniform(rand.Float64(), downLeast, downMost) //nolint:gosec // No secret.
 
 	s.site.End(id)
 
@@ -211,13 +210,6 @@
 	})
 }
 
-// drawDown returns for how long an engine is down, as often for short as for long.
-func drawDown() time.Duration {
-	longest := math.Log(float64(downMost) / float64(downLeast))
-
-	return time.Duration(float64(downLeast) * math.Exp(rand.Float64()*longest)) //nolint:gosec // No secret.
-}
-
 // soundPrompt returns the prompt of a sound request, whose first part crashing ones have too.
 func (s *soak) soundPrompt(id string) string {
 	if !s.Crashes {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -435,29 +435,21 @@
 }
 
 // TakeFault reports whether the answer must be lost, and counts it.
-func (w *Worker) TakeFault() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	if w.faults.LostAnswers == 0 {
-		return false
-	}
-
-	w.faults.LostAnswers--
-
-	return true
-}
+func (w *Worker) TakeFault() bool { return w.takeOne(&w.faults.LostAnswers) }
 
 // takeEndless reports whether the answer must have no end, and counts it.
-func (w *Worker) takeEndless() bool {
+func (w *Worker) takeEndless() bool { return w.takeOne(&w.faults.EndlessAnswers) }
+
+// takeOne counts one of the faults that are left of a kind. It reports false if none is.
+func (w *Worker) takeOne(left *int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	if w.faults.EndlessAnswers == 0 {
+	if *left == 0 {
 		return false
 	}
 
-	w.faults.EndlessAnswers--
+	*left--
 
 	return true
 }
