refactor(test): sound requests are sent by the load that the tests on parts have

soundLoad wrote partLoad again. A request counts as served if it is whole, has status 200 and has events, which is what both asked for together. A field that nothing read is gone.

--- a/internal/fleet/node/crashlinks_test.go
+++ b/internal/fleet/node/crashlinks_test.go
@@ -47,9 +47,14 @@
 			t.Run(name+", "+kind, func(t *testing.T) {
 				simulateSite(t, site.Options{Entries: 8, Engines: engines, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
 					draw := rand.New(rand.NewPCG(1, 61)) //nolint:gosec // Seeded.
-					sound := &soundLoad{site: s, spacing: 20 * time.Millisecond, prompt: prompt}
-					sound.send(t, "before", 3*time.Second)
-					assert.Assert(t, sound.take() >= wanted)
+					share := func(name string, length time.Duration) float64 {
+						sound := soundLoad(s, name, 20*time.Millisecond, prompt)
+						sound.send(t, length)
+
+						return sound.share()
+					}
+
+					assert.Assert(t, share("before", 3*time.Second) >= wanted)
 
 					set := func(c network.Cut) {
 						for i, e := range s.Entries {
@@ -62,15 +67,13 @@
 					}
 
 					set(network.Silent)
-					sound.send(t, "meanwhile", away)
 
-					meanwhile := sound.take()
+					meanwhile := share("meanwhile", away)
 
 					set(network.Whole)
 					time.Sleep(contactTime)
-					sound.send(t, "after", 3*time.Second)
 
-					after := sound.take()
+					after := share("after", 3*time.Second)
 					t.Logf("%.3f served meanwhile, %.3f after", meanwhile, after)
 					assert.Assert(t, after >= wanted, "%.3f served", after)
 				})
--- a/internal/fleet/node/crashpart_test.go
+++ b/internal/fleet/node/crashpart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -33,7 +34,6 @@
 
 // partLoad is a load of requests that share the first part of their prompts.
 type partLoad struct {
-	site    *site.Site
 	entries []*site.Entry
 	spacing time.Duration
 	// prompt returns the prompt of each request.
@@ -41,6 +41,8 @@
 	name   string
 	path   string
 	model  int
+	// tokens is the number of events of each answer.
+	tokens int
 
 	mu           sync.Mutex
 	sent, served int
@@ -55,14 +57,14 @@
 	for i := range int(length / l.spacing) {
 		wg.Go(func() {
 			r, err := site.Ask(context.WithoutCancel(t.Context()), l.entries[i%len(l.entries)], l.path, fmt.Sprint("body ", l.name, i), relay.RequestInfo{
-				ID: fmt.Sprintf("%s-%d", l.name, i), Timeout: 4 * time.Second, Model: site.Model(l.model), Prompt: l.prompt(i), TokensIn: 10, TokensOut: 30,
+				ID: fmt.Sprintf("%s-%d", l.name, i), Timeout: 4 * time.Second, Model: site.Model(l.model), Prompt: l.prompt(i), TokensIn: 10, TokensOut: l.tokens,
 			})
 
 			l.mu.Lock()
 			defer l.mu.Unlock()
 
 			l.sent++
-			if err == nil && r.Whole && strings.Contains(r.Body, "data: ") {
+			if err == nil && r.Whole && r.Status == http.StatusOK && strings.Contains(r.Body, "data: ") {
 				l.served++
 			}
 		})
@@ -116,7 +118,7 @@
 		t.Run(name, func(t *testing.T) {
 			simulateSite(t, site.Options{Entries: tc.entries, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
 				sound := func(name string) *partLoad {
-					return &partLoad{site: s, entries: s.Entries, spacing: 100 * time.Millisecond, name: name, path: "/note/x", prompt: func(i int) string { return fmt.Sprintf("first:80,good%d:10,y%d:5", i%5, i) }}
+					return &partLoad{entries: s.Entries, spacing: 100 * time.Millisecond, name: name, path: "/note/x", tokens: 30, prompt: func(i int) string { return fmt.Sprintf("first:80,good%d:10,y%d:5", i%5, i) }}
 				}
 
 				before := sound("before")
@@ -125,7 +127,7 @@
 				tc.crash.On = crashesByPart
 				s.CrashOn(tc.crash)
 
-				bad := &partLoad{site: s, entries: s.Entries, spacing: tc.spacing, name: "bad", path: "/note/x", prompt: tc.prompt}
+				bad := &partLoad{entries: s.Entries, spacing: tc.spacing, name: "bad", path: "/note/x", tokens: 30, prompt: tc.prompt}
 				if tc.one {
 					bad.entries = s.Entries[:1]
 				}
--- a/internal/fleet/node/crashschedule_test.go
+++ b/internal/fleet/node/crashschedule_test.go
@@ -99,10 +99,12 @@
 func (c crashSchedule) play(t *testing.T, s *site.Site) {
 	t.Helper()
 
-	sound := &soundLoad{site: s, spacing: 100 * time.Millisecond, prompt: func(i int) string { return fmt.Sprintf("p:80,good:10,y%d:5", i) }}
+	sound := func(name string) *partLoad {
+		return soundLoad(s, name, 100*time.Millisecond, func(i int) string { return fmt.Sprintf("p:80,good:10,y%d:5", i) })
+	}
+
 	if c.soundBefore {
-		sound.send(t, "before", 3*time.Second)
-		sound.take()
+		sound("before").send(t, 3*time.Second)
 	}
 
 	c.crash.On = crashesTarget
@@ -116,16 +118,17 @@
 
 	wg.Go(func() { c.store.play(s) })
 	wg.Go(func() { sendCrashingBodies(t, s, crashTime, c.spacing, c.patience, c.path, c.request) })
-	sound.send(t, "first", crashTime)
+	sound("first").send(t, crashTime)
 	wg.Wait()
-	sound.take()
 
 	// All targets are back by then.
 	time.Sleep(c.crash.Down)
-	sound.send(t, "after", 4*time.Second)
+
+	after := sound("after")
+	after.send(t, 4*time.Second)
 
 	deaths, broken := s.Crashes(c.rule())
-	share := sound.take()
+	share := after.share()
 	t.Logf("%d deaths, sound %.2f", deaths, share)
 	assert.Equal(t, broken, "")
 	assert.Assert(t, share >= lostShare, "%.2f of the sound requests served", share)
--- a/internal/fleet/node/crashsilent_test.go
+++ b/internal/fleet/node/crashsilent_test.go
@@ -1,17 +1,14 @@
 package node_test
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/fulmarcross/fulmarcross/internal/serving/relay"
 	"github.com/fulmarcross/fulmarcross/internal/standin/rows"
 	"github.com/fulmarcross/fulmarcross/internal/standin/site"
 )
@@ -61,54 +58,9 @@
 	}
 }
 
-// soundLoad sends sound requests to all entries in turn and counts those that were served.
-type soundLoad struct {
-	site    *site.Site
-	spacing time.Duration
-	// prompt returns the prompt of each request.
-	prompt func(i int) string
-
-	mu           sync.Mutex
-	sent, served int
-}
-
-// send sends the requests for a time and waits for their answers.
-func (l *soundLoad) send(t *testing.T, name string, length time.Duration) {
-	t.Helper()
-
-	var wg sync.WaitGroup
-
-	for i := range int(length / l.spacing) {
-		wg.Go(func() {
-			r, err := site.Ask(context.WithoutCancel(t.Context()), l.site.Entries[i%len(l.site.Entries)], "/note/x", fmt.Sprint("sound ", name, i), relay.RequestInfo{
-				ID: fmt.Sprintf("sound-%s-%d", name, i), Timeout: 4 * time.Second, Model: site.Model(0), Prompt: l.prompt(i), TokensIn: 10, TokensOut: 12,
-			})
-
-			l.mu.Lock()
-			defer l.mu.Unlock()
-
-			l.sent++
-
-			if err == nil && r.Whole && r.Status == http.StatusOK {
-				l.served++
-			}
-		})
-
-		time.Sleep(l.spacing)
-	}
-
-	wg.Wait()
-}
-
-// take returns the share of the requests that were served, and counts anew.
-func (l *soundLoad) take() float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	share := float64(l.served) / float64(max(1, l.sent))
-	l.sent, l.served = 0, 0
-
-	return share
+// soundLoad returns a load of sound requests, at all entries in turn.
+func soundLoad(s *site.Site, name string, spacing time.Duration, prompt func(i int) string) *partLoad {
+	return &partLoad{entries: s.Entries, spacing: spacing, name: "sound-" + name, path: "/note/x", tokens: 12, prompt: prompt}
 }
 
 // TestSilentTargetsCrashForLong guards against a request that crashes one target after the other because none of them is known to have ended while it is silent.
@@ -129,9 +81,10 @@
 
 				t.Run(fmt.Sprintf("%s, %d engines, silent for %v", name, engines, down), func(t *testing.T) {
 					simulateSite(t, site.Options{Entries: 8, Engines: engines, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
-						sound := &soundLoad{site: s, spacing: 100 * time.Millisecond, prompt: func(i int) string { return fmt.Sprintf("q:10,y%d:5", i) }}
-						sound.send(t, "before", 5*time.Second)
-						sound.take()
+						sound := func(name string) *partLoad {
+							return soundLoad(s, name, 100*time.Millisecond, func(i int) string { return fmt.Sprintf("q:10,y%d:5", i) })
+						}
+						sound("before").send(t, 5*time.Second)
 
 						s.CrashOn(site.Crash{On: crashesTarget, Down: down, Silent: true, RowExpires: true})
 
@@ -141,12 +94,14 @@
 						wg.Go(func() {
 							sendCrashing(t, s, length, 300*time.Millisecond, stays, "/dossier/x", func(int) string { return "p:10" })
 						})
-						sound.send(t, "beside", length)
+
+						beside := sound("beside")
+						beside.send(t, length)
 						wg.Wait()
 						time.Sleep(stays)
 
 						deaths, broken := s.Crashes(requestRule)
-						t.Logf("%d deaths, sound %.2f", deaths, sound.take())
+						t.Logf("%d deaths, sound %.2f", deaths, beside.share())
 						assert.Equal(t, broken, "")
 						assert.Assert(t, deaths <= mostSilent, "%d deaths", deaths)
 					})
@@ -189,12 +144,14 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			simulateSite(t, site.Options{Entries: 8, Engines: tc.engines, Network: delayed(), Engine: holdingSame}, func(t *testing.T, s *site.Site) {
-				sound := &soundLoad{site: s, spacing: 100 * time.Millisecond, prompt: func(i int) string { return fmt.Sprintf("p:80,y%d:5", i) }}
+				sound := func(name string) *partLoad {
+					return soundLoad(s, name, 100*time.Millisecond, func(i int) string { return fmt.Sprintf("p:80,y%d:5", i) })
+				}
 				// Each of the requests may crash two targets, which cut off sound ones.
 				judged := time.Duration(2*tc.crashing)*tc.spacing + contactTime
 
 				if tc.soundBefore {
-					sound.send(t, "before", 5*time.Second)
+					sound("before").send(t, 5*time.Second)
 				}
 
 				s.CrashOn(site.Crash{On: crashesTarget, Down: 2 * time.Second, Silent: tc.silent, RowExpires: true})
@@ -206,11 +163,12 @@
 						return fmt.Sprint(crashing, i%tc.crashing), fmt.Sprintf("p:80,bad%d:5", i%tc.crashing)
 					})
 				})
-				sound.send(t, "first", judged)
-				sound.take()
-				sound.send(t, "then", length-judged)
+				sound("first").send(t, judged)
+
+				then := sound("then")
+				then.send(t, length-judged)
 
-				share := sound.take()
+				share := then.share()
 
 				wg.Wait()
 				time.Sleep(stays)
