review: an entry whose connections to all workers are reset serves nothing

Code at fault: internal/serving/reach and internal/fleet/node/reach.go: a connection that opens counts as a target reached, so nothing is passed on.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -150,7 +150,7 @@
 		cannotRun("it took too long")
 	})
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*record, bool) (bool, string){"sighup": caseSighup, "turns": caseTurns, "stale": caseStale}
+	cases := map[string]func(*record, bool) (bool, string){"sighup": caseSighup, "turns": caseTurns, "stale": caseStale, "reach": caseReach}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no such case")
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -28,6 +28,7 @@
 	adapterSlots      int
 	store             *store
 	rec               *record
+	gate              *gate
 	born              int64
 
 	mu       sync.Mutex
@@ -55,7 +56,8 @@
 	mux.HandleFunc("POST /api/order", k.order)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", k.id) })
 	mux.HandleFunc("/", k.run)
-	go func() { _ = http.Serve(l, mux) }()
+	k.gate = newGate(l)
+	go func() { _ = http.Serve(k.gate, mux) }()
 	k.heartbeat()
 	go func() {
 		for {
