review: copies of a request that crashes workers crash them twice over

Seen: a request that crashes workers comes at five entries at once, and again 4.2 s later: more than three copies reach workers later than contact_ms after the third crash (BUDGET) and crash three or four more.

Code at fault: internal/serving/crash/verdict.go, convicts and inTurn: deaths at the same time count as one, and two in turn are needed.

--- a/review/harness/gate.go
+++ b/review/harness/gate.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// close resets all connections and ends the listener.
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.Listener.Close()
+	for c := range g.conns {
+		reset(c)
+	}
+}
+
 func reset(c net.Conn) {
 	_ = c.(*net.TCPConn).SetLinger(0)
 	_ = c.Close()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,23 @@
 	began  time.Time
 	lines  []line
 	orders []orderSeen
+	// arrivals and crashes are those of requests that crash workers.
+	arrivals, crashes []time.Time
+}
+
+// arrive records that a request that crashes workers has reached one.
+func (r *record) arrive(id, worker string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, time.Now())
+}
+
+// crashed records that it has crashed one.
+func (r *record) crashed(id, worker string) {
+	r.mu.Lock()
+	r.crashes = append(r.crashes, time.Now())
+	r.mu.Unlock()
+	r.add("crash", id, "worker "+worker+" has crashed")
 }
 
 type line struct {
@@ -150,7 +167,7 @@
 		cannotRun("it took too long")
 	})
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(*record, bool) (bool, string){"sighup": caseSighup, "turns": caseTurns, "stale": caseStale, "reach": caseReach}
+	cases := map[string]func(*record, bool) (bool, string){"sighup": caseSighup, "turns": caseTurns, "stale": caseStale, "reach": caseReach, "crash": caseCrash}
 	play := cases[os.Args[1]]
 	if play == nil {
 		cannotRun("no such case")
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -29,7 +29,11 @@
 	store             *store
 	rec               *record
 	gate              *gate
-	born              int64
+	mux               *http.ServeMux
+	// poison is the body of requests that crash the worker, and down how long it is away then.
+	poison string
+	down   time.Duration
+	born   int64
 
 	mu       sync.Mutex
 	models   map[string]map[string]bool
@@ -40,6 +44,8 @@
 	beat     uint64
 	// draining is set once the worker says that it leaves, ended once it has left.
 	draining, ended bool
+	// away is set while the worker is down after a crash.
+	away bool
 }
 
 func (k *worker) serve() {
@@ -56,6 +62,7 @@
 	mux.HandleFunc("POST /api/order", k.order)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance-Id", k.id) })
 	mux.HandleFunc("/", k.run)
+	k.mux = mux
 	k.gate = newGate(l)
 	go func() { _ = http.Serve(k.gate, mux) }()
 	k.heartbeat()
@@ -67,6 +74,37 @@
 	}()
 }
 
+func (k *worker) process() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.born
+}
+
+// crash ends the worker's process: its connections are reset and its port has no listener. It
+// is back after some time, under the same id, as another process.
+func (k *worker) crash(by string) {
+	k.mu.Lock()
+	if k.away {
+		k.mu.Unlock()
+		return
+	}
+	k.away = true
+	k.mu.Unlock()
+	k.rec.crashed(by, k.id)
+	k.gate.close()
+	time.AfterFunc(k.down, func() {
+		l, err := net.Listen("tcp", k.address)
+		must(err)
+		k.mu.Lock()
+		k.gate, k.away, k.born, k.sequence, k.active = newGate(l), false, time.Now().UnixMilli(), 0, 0
+		k.running = make(map[string]int)
+		g := k.gate
+		k.mu.Unlock()
+		go func() { _ = http.Serve(g, k.mux) }()
+		k.heartbeat()
+	})
+}
+
 // drain reports that the worker leaves. When it returns, the store has accepted that.
 func (k *worker) drain() {
 	k.mu.Lock()
@@ -103,7 +141,7 @@
 
 func (k *worker) heartbeat() {
 	k.mu.Lock()
-	if k.ended {
+	if k.ended || k.away {
 		k.mu.Unlock()
 		return
 	}
@@ -241,7 +279,7 @@
 
 func (k *worker) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	h := w.Header()
 	h.Set("Attempt-Id", id)
 	h.Set("Instance-Id", k.id)
@@ -267,14 +305,23 @@
 	k.active++
 	k.running[key]++
 	k.mu.Unlock()
+	born := k.process()
 	defer func() {
 		k.mu.Lock()
-		k.active--
-		k.running[key]--
-		k.mu.Unlock()
+		defer k.mu.Unlock()
+		if k.born == born {
+			k.active--
+			k.running[key]--
+		}
 	}()
 	h.Set("Server-Stamp", "stamp."+k.id+"."+id)
 	k.rec.add("run", id, "worker "+k.id+" begins to run it")
+	if k.poison != "" && string(body) == k.poison {
+		k.rec.arrive(id, k.id)
+		time.Sleep(60 * time.Millisecond)
+		k.crash(id)
+		return
+	}
 	if k.events == 0 {
 		select {
 		case <-time.After(k.work):
@@ -282,10 +329,10 @@
 			k.rec.add("run", id, "worker "+k.id+": its connection was closed while it worked")
 			return
 		}
-		body := "done " + id
+		text := "done " + id
 		h.Set("Content-Type", "text/plain")
-		h.Set("Content-Length", strconv.Itoa(len(body)))
-		_, _ = io.WriteString(w, body)
+		h.Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = io.WriteString(w, text)
 		k.rec.add("run", id, "worker "+k.id+" has answered")
 		return
 	}
