--- /dev/null
+++ b/review/rig/burst.go
@@ -0,0 +1,3 @@
+package main
+
+func burst() (int, error) { return unable, nil }
