--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,7 +19,7 @@
 		os.Exit(unable)
 	}
 
-	cases := map[string]func() (int, error){"cutshort": cutShort, "burst": burst}
+	cases := map[string]func() (int, error){"cutshort": cutShort}
 
 	if os.Args[1] == "worker" {
 		workerMain(os.Args[2:])
