--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -75,10 +76,20 @@
 	st.put("op", "config", config)
 
 	go s.beat(ctx)
+	go s.closeOnSignal()
 
 	return s, nil
 }
 
+// closeOnSignal ends all processes when this one is told to end.
+func (s *site) closeOnSignal() {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	<-ended
+	s.close()
+	os.Exit(unable)
+}
+
 // logf writes a line to the record.
 func (s *site) logf(format string, args ...any) {
 	s.mu.Lock()
