fix(logbook): a line after Close ends no process

Cause: Close closed the queue, and a goroutine that still logged sent to the closed channel, which panics. Background work of an entry goes on for a moment after its last answer, so a process could end by itself at its planned end.

Change: Close closes a channel of its own; what is written later may be lost.

Callers had their answers by then; the process ended with status 2.

--- a/internal/room/logbook/logbook.go
+++ b/internal/room/logbook/logbook.go
@@ -29,7 +29,8 @@
 type Book struct {
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// closing is closed by Close, and done when all lines of before are written.
+	closing, done chan struct{}
 
 	mu sync.Mutex
 	// windowStart is when the current window of the rate limit began.
@@ -42,7 +43,7 @@
 // goroutine ends when all queued lines are written; while a write to w blocks,
 // it remains, even if Close has returned.
 func New(w io.Writer) *Book {
-	b := &Book{lines: make(chan []byte, queueSize), done: make(chan struct{})}
+	b := &Book{lines: make(chan []byte, queueSize), closing: make(chan struct{}), done: make(chan struct{})}
 
 	go b.run(w)
 
@@ -50,8 +51,7 @@
 }
 
 // Write queues a copy of line, or drops and counts it. It always reports
-// success. It must not be called after Close: sending to the closed queue
-// panics.
+// success. Lines that are written after Close may be lost.
 func (b *Book) Write(line []byte) (int, error) {
 	if !b.allow(time.Now()) {
 		b.dropped.Add(1)
@@ -90,9 +90,9 @@
 const closeWait = 200 * time.Millisecond
 
 // Close waits until the queued lines are written, for closeWait at most. It
-// must be called only once.
+// must be called only once. Goroutines that still log go on unharmed.
 func (b *Book) Close() {
-	close(b.lines)
+	close(b.closing)
 
 	select {
 	case <-b.done:
@@ -100,22 +100,41 @@
 	}
 }
 
-// run writes the queued lines. When lines were dropped since the last report,
-// it appends a report of their number to the next line.
+// run writes the lines until Close, and then those that are queued.
 func (b *Book) run(w io.Writer) {
 	defer close(b.done)
 
 	reported := int64(0)
 
-	for line := range b.lines {
-		if n := b.dropped.Load(); n > reported {
-			line = append(line, fmt.Sprintf("{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", n-reported)...)
-			reported = n
-		}
+	for {
+		select {
+		case line := <-b.lines:
+			reported = b.write(w, line, reported)
 
-		if _, err := w.Write(line); err != nil {
-			// The log itself has failed, so the error is only counted.
-			b.dropped.Add(1)
+			continue
+		case <-b.closing:
 		}
+
+		break
+	}
+
+	for range len(b.lines) {
+		reported = b.write(w, <-b.lines, reported)
 	}
 }
+
+// write writes a line. When lines were dropped since the last report, it appends a report of
+// their number. It returns the number of dropped lines that have been reported.
+func (b *Book) write(w io.Writer, line []byte, reported int64) int64 {
+	if n := b.dropped.Load(); n > reported {
+		line = append(line, fmt.Sprintf("{\"level\":\"warn\",\"dropped\":%d,\"message\":\"log lines dropped\"}\n", n-reported)...)
+		reported = n
+	}
+
+	if _, err := w.Write(line); err != nil {
+		// The log itself has failed, so the error is only counted.
+		b.dropped.Add(1)
+	}
+
+	return reported
+}
--- a/internal/room/logbook/logbook_test.go
+++ b/internal/room/logbook/logbook_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,3 +74,24 @@
 		assert.Assert(t, strings.Contains(out.String(), "y\n"))
 	})
 }
+
+// TestWritesAfterClose guards against a panic that ends a process while goroutines that have not ended still log.
+func TestWritesAfterClose(t *testing.T) {
+	for range 200 {
+		b := New(io.Discard)
+
+		var writers sync.WaitGroup
+
+		for range 4 {
+			writers.Go(func() {
+				for range 50 {
+					_, err := b.Write([]byte("line\n"))
+					assert.Check(t, err)
+				}
+			})
+		}
+
+		b.Close()
+		writers.Wait()
+	}
+}
