fix(member): SIGHUP during the drain ends no process

What callers saw: an entry that had got SIGTERM and still answered requests died at once when SIGHUP came within its grace period.

Cause: the reloader returned as soon as the first SIGTERM had come and gave its handler of SIGHUP back, so that the default action ended the process. The same held for a moment after the start, until the settings were loaded, and at the end, for SIGTERM too.

Change: all signals are handled from the first line of Run until the process is gone, and no handler is given back. What changes during the drain is taken in: the limit on retries holds until the last answer. A broken file then leaves the settings as they are, as at any time.

--- a/internal/cli/member/member.go
+++ b/internal/cli/member/member.go
@@ -3,14 +3,11 @@
 package member
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -88,6 +85,8 @@
 
 // Run serves until a signal stops it.
 func (serveCommand) Run(stdout io.Writer) error {
+	signals := handleSignals()
+
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(memoryLimit)
 
@@ -106,9 +105,6 @@
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(book).Hook(uptime{started: time.Now()}).With().Timestamp().Str("node", string(s.Name)).Logger()
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-
 	store := &platform.Store{Address: s.Store, HTTP: client()}
 	engines := &platform.Engines{HTTP: client()}
 	n := node.New(node.Config{
@@ -123,9 +119,9 @@
 	store.OnEra, store.OnEraError = n.HearEra, n.HearEraError
 
 	r := reloader{path: path, last: *s, log: log, apply: func(s *Settings) { n.SetRetryLimit(s.Allowance) }}
-	go r.run(ctx)
+	go r.run(signals.reload)
 
-	return n.Run(ctx)
+	return n.Run(signals.stop)
 }
 
 // heapLimit returns the heap above which the collector works harder.
--- a/internal/cli/member/reload.go
+++ b/internal/cli/member/reload.go
@@ -1,11 +1,8 @@
 package member
 
 import (
-	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,20 +21,14 @@
 	apply func(s *Settings)
 }
 
-func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-
-	defer signal.Stop(hup)
-
+// run looks at the file at each signal and from time to time. It never returns: what changes
+// while requests are answered after SIGTERM is taken in too.
+func (r *reloader) run(reload <-chan os.Signal) {
 	t := time.NewTicker(lookEvery)
-	defer t.Stop()
 
 	for {
 		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
+		case <-reload:
 		case <-t.C:
 		}
 
