fix(member): a log that nobody reads ends no process

What callers saw: nothing in the reports; found by the table of signals. Once the reader of an entry's log had ended, the next line of the log ended the process by SIGPIPE, with all that it had read.

Related path: the commands stop gracefully at SIGHUP, the end of their terminal, as at SIGTERM; before, it ended 'fulmarcross serve' at once.

Result: case 'nobody reads the log' of TestSignalsLoseNoAnswer: no answer without the change, a whole one with it.

--- a/internal/cli/command/command.go
+++ b/internal/cli/command/command.go
@@ -90,7 +90,7 @@
 		return exitUsage
 	}
 
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 
 	level, _ := zerolog.ParseLevel(all.LogLevel)
--- a/internal/cli/command/servecmd.go
+++ b/internal/cli/command/servecmd.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -27,6 +29,9 @@
 		return err
 	}
 
+	// A log that nobody reads any more does not end an entry.
+	signal.Ignore(syscall.SIGPIPE)
+
 	return e.Run(ctx)
 }
 
--- a/internal/cli/member/signals.go
+++ b/internal/cli/member/signals.go
@@ -16,13 +16,15 @@
 }
 
 // handleSignals handles the signals until the process has ended: no handler is ever given back.
-// The default action of each would end the process while it still answers requests.
+// The default action of each would end the process while it still answers requests. A log that
+// nobody reads any more is no reason to end either.
 func handleSignals() signals {
 	ctx, cancel := context.WithCancel(context.Background())
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 
 	go func() {
 		<-stop
--- a/internal/cli/member/signals_test.go
+++ b/internal/cli/member/signals_test.go
@@ -157,8 +157,8 @@
 		ready, draining []syscall.Signal
 		// last are sent when the process says that it has stopped.
 		last []syscall.Signal
-		// broken says that the settings file is broken meanwhile.
-		broken bool
+		// broken says that the settings file is broken meanwhile, and deaf that nobody reads the log.
+		broken, deaf bool
 	}{
 		"sigterm alone":                 {},
 		"sighup while ready":            {ready: []syscall.Signal{hup, hup, hup}},
@@ -168,6 +168,8 @@
 		"broken settings in the drain":  {draining: []syscall.Signal{hup}, broken: true},
 		"second sigterm":                {draining: []syscall.Signal{term, term, syscall.SIGINT}},
 		"sigterm and sighup by turns":   {draining: []syscall.Signal{hup, term, hup, term}},
+		"sigpipe":                       {ready: []syscall.Signal{syscall.SIGPIPE}, draining: []syscall.Signal{syscall.SIGPIPE}},
+		"nobody reads the log":          {ready: []syscall.Signal{hup}, draining: []syscall.Signal{hup}, deaf: true},
 		"sighup in the last moment":     {last: []syscall.Signal{hup, hup}},
 		"sigterm in the last moment":    {last: []syscall.Signal{term, term}},
 	} {
@@ -184,6 +186,10 @@
 			p.signal(hup) // It must not end one that has just started either.
 			p.awaitServing()
 
+			if tc.deaf {
+				assert.NilError(t, p.log.Close())
+			}
+
 			wrong := p.ask()
 
 			time.Sleep(500 * time.Millisecond)
