fix(holder): a holder that comes back waits from its own last order

Cause: earliestOrder regarded the former lease and the start of this process, not the orders that this same process had sent in an earlier term. After a lease that was released it let a long-running process order at once. Two related ways in: a term that was handed on before it might order, then taken by the instance's next process, and one whose acquisition was answered late.

Change: package holder keeps when its last order ended, in all terms. Whether a term still waits stands in the lease's row, so that the instance's next process knows. A release chooses a successor that has not held the lease lately.

--- a/internal/placement/holder/era.go
+++ b/internal/placement/holder/era.go
@@ -31,6 +31,7 @@
 
 	next := h.nextTerm(row, current)
 	sent := clock.Now()
+	next.Waits = h.waits(sent)
 
 	version, err := row.Acquire(ctx, next, current)
 	if err != nil {
@@ -42,6 +43,7 @@
 
 	if h.lease.Token == held.Token {
 		h.hold(lease.Holding{Record: next, Version: version, FenceVersion: version, RenewalSent: sent})
+		h.ordersFromToken = next.Token
 		h.cfg.Log.Info().Uint64("token", next.Token).Uint64("formerToken", held.Token).Stringer("row", version).Msg("lease carried over")
 	}
 
@@ -65,6 +67,7 @@
 	case current.InEra:
 		// An earlier call acquired it, and its answer was lost.
 		h.hold(lease.Holding{Record: current.Record, Version: current.Version, FenceVersion: current.Version, RenewalSent: h.lease.RenewalSent})
+		h.ordersFromToken = current.Record.Token
 
 		return false
 	}
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -34,10 +34,8 @@
 	Engines Engines
 	Timing  lease.Timing
 	// TurnPause is the time within which orders of two holders must not
-	// alternate. A new holder sends none until TurnPause after its process has
-	// started and, if the former holder did not release the lease, until
-	// TurnPause - Timing.Duration + clockSlack after it acquired the lease.
-	// earliestOrder has the exception.
+	// alternate: those that arrive first and last at an engine are so far apart if
+	// another holder's arrive between them. See earliestOrder.
 	TurnPause time.Duration
 	// Targets returns the known targets. Routes returns the configuration in
 	// force, or nil.
@@ -82,7 +80,11 @@
 	// inventoryBy it waits for engines that have not reported which models
 	// they hold.
 	ordersFrom, inventoryBy time.Time
-	demand                  demand.Reports
+	// ordersFromToken is the token of the term that ordersFrom belongs to.
+	ordersFromToken uint64
+	sentOrders      sentOrders
+	formerHolders   formerHolders
+	demand          demand.Reports
 	resumed                 demand.ResumedModels
 	// shortRates and longRates are the request rates by model, smoothed over
 	// shortRateSpan and longRateSpan.
@@ -316,6 +318,7 @@
 
 	now := clock.Now()
 	h.snapshot, h.snapshotAt = next, now
+	h.formerHolders.record(next.Holder, now)
 
 	observed := lease.Record{Cell: cell, Holder: next.Holder, Process: next.Process, Token: next.Token, Released: next.Successor != "", Successor: next.Successor}
 	h.watch.Observe(next.LeaseVersion, observed, now)
--- a/internal/placement/holder/leaseterm.go
+++ b/internal/placement/holder/leaseterm.go
@@ -110,6 +110,13 @@
 	next := h.nextTerm(row, current)
 	sent := clock.Now()
 
+	h.mu.Lock()
+	h.formerHolders.record(former.Holder, sent)
+	ordersFrom := h.earliestOrder(former, sent)
+	h.mu.Unlock()
+
+	next.Waits = ordersFrom.After(sent)
+
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.Duration/2)
 	defer cancel()
 
@@ -122,11 +129,10 @@
 
 	h.mu.Lock()
 	h.hold(lease.Holding{Record: next, Version: version, FenceVersion: version, RenewalSent: sent})
-	h.ordersFrom = h.earliestOrder(former, sent)
+	h.ordersFrom, h.ordersFromToken = ordersFrom, next.Token
 	h.inventoryBy = clock.Later(h.ordersFrom, sent.Add(inventoryWait))
 	h.termBegan = sent
 	h.adoptSnapshot()
-	ordersFrom := h.ordersFrom
 	h.mu.Unlock()
 
 	h.cfg.Log.Info().Uint64("token", next.Token).Str("former", string(former.Holder)).Bool("released", former.Released).
@@ -144,38 +150,6 @@
 	}
 }
 
-// earliestOrder returns the time from which this holder may send orders, where
-// former is the lease before and now the time at which it was acquired.
-//
-// If this instance held the lease last, no other instance can have sent orders
-// since, and this holder need not wait: orders of one instance count as orders
-// of one holder.
-//
-// Otherwise it waits for TurnPause after the start of its process, since the
-// previous process of this instance may have sent orders shortly before it
-// stopped, even if another entry has held the lease since. It need not wait
-// longer if the lease was never held, or if the former holder released it and
-// so has no orders in flight. Any other former holder may have sent its last
-// order right before its lease expired, so the first order is also at least
-// TurnPause - Timing.Duration + clockSlack after now. If Timing.Duration exceeds
-// clockSlack, less than TurnPause may pass between the two orders.
-func (h *Holder) earliestOrder(former lease.Record, now time.Time) time.Time {
-	if former.Token != 0 && former.Holder == h.cfg.Self {
-		return now
-	}
-
-	first := h.started.Add(h.cfg.TurnPause)
-	if former.Token == 0 || former.Released {
-		return first
-	}
-
-	return clock.Later(first, now.Add(h.cfg.TurnPause-h.cfg.Timing.Duration+clockSlack))
-}
-
-// clockSlack allows for the clock difference between two instances and the
-// time an order is in transit.
-const clockSlack = 400 * time.Millisecond
-
 // leaseRow returns the row of the lease in an era of the store.
 func (h *Holder) leaseRow(era uint64) leaserow.Row {
 	return leaserow.Row{Table: h.cfg.Table, Cell: cell, Process: h.cfg.Process, Era: era}
@@ -216,6 +190,7 @@
 	next := held.Record
 	next.WriteID = uuid.NewString()
 	sent := clock.Now()
+	next.Waits = h.waits(sent)
 
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.Timing.Renew)
 	defer cancel()
@@ -285,7 +260,11 @@
 		return
 	}
 
-	h.release(ctx, ranked(peers)[0])
+	h.mu.Lock()
+	successor := h.formerHolders.successor(ranked(peers), clock.Now(), h.turnPause())
+	h.mu.Unlock()
+
+	h.release(ctx, successor)
 }
 
 // HandOver does the same to the successor, while this entry goes on: it may hold the lease
@@ -329,7 +308,7 @@
 
 	next := held.Record
 	next.Released, next.WriteID = true, uuid.NewString()
-	next.Successor = successor
+	next.Successor, next.Waits = successor, h.waits(clock.Now())
 
 	h.mu.Lock()
 	version := h.lease.Version
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -213,6 +213,7 @@
 	}
 
 	o.Sequence, o.Token, o.Holder = eng.sequence, h.lease.Token, h.cfg.Self
+	h.sentOrders.begin()
 
 	return true
 }
@@ -221,6 +222,13 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+
+		h.sentOrders.end(clock.Now())
+	}()
+
 	return h.cfg.Engines.Order(ctx, eng.origin, o)
 }
 
--- a/internal/placement/holder/world_test.go
+++ b/internal/placement/holder/world_test.go
@@ -144,7 +144,9 @@
 	*holder.Holder
 
 	gate pause.Gate
-	stop context.CancelFunc
+	// store stops the calls to the store alone.
+	store pause.Gate
+	stop  context.CancelFunc
 }
 
 func engine() *route.Engine {
@@ -195,10 +197,17 @@
 
 // startAs starts the Holder of an entry with the given process name.
 func (cl *cluster) startAs(ctx context.Context, id instance.ID, process string) {
+	cl.startAt(ctx, id, process, 1)
+}
+
+// startAt does the same where the entry's clock takes rate times as long as others.
+func (cl *cluster) startAt(ctx context.Context, id instance.ID, process string, rate float64) {
 	ctx, stop := context.WithCancel(ctx)
 	h := &testHolder{stop: stop}
+	own := func(d time.Duration) time.Duration { return time.Duration(float64(d) * rate) }
 	h.Holder = holder.New(holder.Config{
-		Self: id, Process: process, Table: gatedTable{&cl.table, &h.gate}, Engines: gatedEngines{cl, &h.gate}, Timing: timing, TurnPause: turnPause,
+		Self: id, Process: process, Table: gatedTable{&cl.table, &h.gate, &h.store}, Engines: gatedEngines{cl, &h.gate}, TurnPause: own(turnPause),
+		Timing:  lease.Timing{Duration: own(timing.Duration), Renew: own(timing.Renew), Poll: own(timing.Poll), Stagger: own(timing.Stagger)},
 		Targets: cl.targetsSince(time.Now()), Routes: cl.config, Peers: func() []holder.Candidate { return cl.candidates(id) },
 		Publish: func(snapshot holder.Snapshot) { cl.publish(id, snapshot) }, Log: zerolog.Nop(),
 	})
@@ -371,11 +380,20 @@
 type gatedTable struct {
 	*platform.Platform
 
-	gate *pause.Gate
+	gate, store *pause.Gate
 }
 
-func (g gatedTable) Read(ctx context.Context, keys ...string) ([]table.Row, error) {
+// wait waits until the client is not paused and calls get through.
+func (g gatedTable) wait(ctx context.Context) error {
 	if err := g.gate.Wait(ctx); err != nil {
+		return err
+	}
+
+	return g.store.Wait(ctx)
+}
+
+func (g gatedTable) Read(ctx context.Context, keys ...string) ([]table.Row, error) {
+	if err := g.wait(ctx); err != nil {
 		return nil, err
 	}
 
@@ -383,7 +401,7 @@
 }
 
 func (g gatedTable) Commit(ctx context.Context, tx table.Transaction) (revision.Number, error) {
-	if err := g.gate.Wait(ctx); err != nil {
+	if err := g.wait(ctx); err != nil {
 		return 0, err
 	}
 
@@ -573,6 +591,7 @@
 func (cl *cluster) end() {
 	for _, h := range cl.holders {
 		h.gate.Open()
+		h.store.Open()
 		h.stop() // Those that were started anew do not end with the cluster.
 	}
 
--- a/internal/placement/lease/lease.go
+++ b/internal/placement/lease/lease.go
@@ -25,6 +25,9 @@
 	Released bool
 	// Successor is the instance that the releasing holder chose to take over.
 	Successor instance.ID
+	// Waits says that the holder must not send orders yet: another instance may have sent
+	// orders since this one sent its own last ones.
+	Waits bool
 	// WriteID is unique to the write of this record.
 	WriteID string
 }
@@ -69,6 +72,12 @@
 // lengthen it.
 const maxClockDrift = 0.02
 
+// Lengthened returns the duration that a process must wait by its own clock so that d has passed
+// by any other.
+func Lengthened(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - maxClockDrift))
+}
+
 // Holding is the holder's own state of its lease. The zero value is not held.
 type Holding struct {
 	Record
--- a/internal/wire/record/record.go
+++ b/internal/wire/record/record.go
@@ -90,6 +90,7 @@
 	Token     uint64 `json:"token"`
 	Released  bool   `json:"released,omitempty"`
 	Successor string `json:"successor,omitempty"`
+	Waits     bool   `json:"waits,omitempty"`
 	WriteID   string `json:"writeId"`
 }
 
@@ -101,6 +102,7 @@
 		Token:     r.Token,
 		Released:  r.Released,
 		Successor: string(r.Successor),
+		Waits:     r.Waits,
 		WriteID:   r.WriteID,
 	})
 }
@@ -119,6 +121,7 @@
 		Token:     row.Token,
 		Released:  row.Released,
 		Successor: instance.ID(row.Successor),
+		Waits:     row.Waits,
 		WriteID:   row.WriteID,
 	}, nil
 }
