fix(frame): a call waits for another one's dial no longer than it may last

Cause: calls to a peer that had no connection queued on a mutex while the first of them dialled. A dial to a peer without power hangs for up to a second, and a call with 300 ms waited for it, then for its own. The entry's read of the list waits for such a call after an announcement.

Change: the others wait for the dial's end or for their own context.

--- a/internal/wire/frame/caller.go
+++ b/internal/wire/frame/caller.go
@@ -29,11 +29,10 @@
 	// Count, if set, is told the size of each message that is sent or received.
 	Count func(method string, bytes int)
 
-	// dialing lets one call dial at a time. Nothing else waits for it.
-	dialing sync.Mutex
-
 	mu     sync.Mutex
 	client *rpc.Client
+	// dialing is closed when the call that dials has ended. It is nil if none does.
+	dialing chan struct{}
 	// closes counts the calls of Close, so that a connection that was being
 	// dialled then is closed as well.
 	closes int
@@ -49,38 +48,64 @@
 
 func (e *TimeoutError) Error() string { return "frame: " + e.Method + ": no answer in time" }
 
-// current returns the connection, if there is one.
-func (c *Caller) current() (*rpc.Client, int) {
+// begin returns the connection, if there is one, or what to wait for while another call dials.
+// Otherwise the caller has to dial, and to call end then.
+func (c *Caller) begin() (client *rpc.Client, dialing <-chan struct{}, closes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.client, c.closes
+	if c.client == nil && c.dialing == nil {
+		c.dialing = make(chan struct{})
+
+		return nil, nil, c.closes
+	}
+
+	return c.client, c.dialing, c.closes
 }
 
-// connect returns the connection, dialled if need be.
+// end ends a dial.
+func (c *Caller) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	close(c.dialing)
+	c.dialing = nil
+}
+
+// connect returns the connection, dialled if need be. One call dials at a time, and the others
+// wait for it no longer than their own contexts last.
 //
-// It guards against a peer that lost power: a dial to it hangs for a second,
-// and whoever closes the way to it because it has a new process must not wait
-// for that.
+// It guards against a peer that lost power: a dial to it hangs for a second, and whoever closes
+// the way to it because it has a new process, or has less time, must not wait for that.
 func (c *Caller) connect(ctx context.Context) (*rpc.Client, error) {
-	if client, _ := c.current(); client != nil {
-		return client, nil
+	for {
+		client, dialing, closes := c.begin()
+
+		switch {
+		case client != nil:
+			return client, nil
+		case dialing == nil:
+			return c.dialOnce(ctx, closes)
+		}
+
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-dialing:
+		}
 	}
+}
 
-	c.dialing.Lock()
-	defer c.dialing.Unlock()
-
-	client, closes := c.current()
-	if client != nil {
-		return client, nil
-	}
+// dialOnce dials and keeps the connection.
+func (c *Caller) dialOnce(ctx context.Context, closes int) (*rpc.Client, error) {
+	defer c.end()
 
 	conn, err := c.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
 
-	client = rpc.NewClientWithCodec(clientCodec{newFrames(conn), c.Count})
+	client := rpc.NewClientWithCodec(clientCodec{newFrames(conn), c.Count})
 	if err := c.keep(client, closes); err != nil {
 		_ = client.Close()
 
--- a/internal/wire/frame/caller_test.go
+++ b/internal/wire/frame/caller_test.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"errors"
@@ -9,6 +10,7 @@
 	"net/rpc"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -50,16 +52,42 @@
 		closed *ClosedError
 	)
 
-	_, before := c.current()
+	_, _, before := c.begin()
+	c.end()
 
 	c.Close()
 	assert.Assert(t, errors.As(c.keep(&rpc.Client{}, before), &closed))
 
-	client, now := c.current()
-	assert.Assert(t, client == nil)
+	client, dialing, now := c.begin()
+	c.end()
+	assert.Assert(t, client == nil && dialing == nil)
 	assert.NilError(t, c.keep(&rpc.Client{}, now))
 }
 
+// TestCallOutlastsItsContext guards against a call that waits for another call's dial to a silent peer for longer than its own context lasts.
+func TestCallOutlastsItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &Caller{Dial: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+			<-ctx.Done()
+
+			return nil, ctx.Err()
+		}}
+
+		go func() { _ = c.Call(t.Context(), "Peer.Greet", 1, new(int)) }() // Its dial hangs.
+
+		synctest.Wait()
+
+		ctx, cancel := context.WithTimeout(t.Context(), dialTimeout/10)
+		defer cancel()
+
+		began := time.Now()
+
+		assert.Assert(t, c.Call(ctx, "Peer.Greet", 1, new(int)) != nil)
+		assert.Equal(t, time.Since(began), dialTimeout/10)
+		time.Sleep(dialTimeout)
+	})
+}
+
 // Echo answers with what it is given.
 type Echo struct{}
 
