fix(node): each entry reads the store in time by itself when the holder is gone

Cause: among more than eight listed entries, dead ones too, an entry without a holder drew by lot whether it reads, so nothing bounded the time to its next read; meanwhile it relied on its peers, asked one after the other. An announced configuration that no peer sends also waited for silent peers, 0.9 s each, before the store was read.

Change: no draw. Each entry reads every 0.6 s, the first time within 0.1 s after the loss, by a phase. Intervals grow only where all would make more than 1,000 reads a second together (half of what the smallest store allows): above 300 entries. A timer, not the end of a query to a peer, has the store read for an announced configuration. The list is read 0.15 s, not 0.4 s, after the holder did not send it.

--- a/internal/fleet/node/configuration.go
+++ b/internal/fleet/node/configuration.go
@@ -150,21 +150,37 @@
 		tries = 0
 	}
 
-	progressAt := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	progress := make(chan struct{}, 1)
+	go n.readStoreWithout(ctx, progress)
 
 	for i := 0; ctx.Err() == nil && n.configOutdated(); i++ {
 		q := n.configSource(i, tries)
 		for q != nil && n.configOutdated() && n.fetchConfigPart(ctx, q) {
-			progressAt = time.Now()
+			signal(progress)
 		}
 
-		if time.Since(progressAt) >= storeReadDelay {
-			progressAt = time.Now()
+		_ = clock.Sleep(ctx, jitter(configFetchInterval)) // The loop checks ctx.
+	}
+}
+
+// readStoreWithout has the store read whenever there was no progress for storeReadDelay, until
+// ctx ends. It waits for no peer: each of those that are silent would take partTimeout.
+func (n *Node) readStoreWithout(ctx context.Context, progress <-chan struct{}) {
+	t := time.NewTicker(storeReadDelay)
+	defer t.Stop()
 
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-progress:
+			t.Reset(storeReadDelay)
+		case <-t.C:
 			signal(n.refreshConfig)
 		}
-
-		_ = clock.Sleep(ctx, jitter(configFetchInterval)) // The loop checks ctx.
 	}
 }
 
--- a/internal/fleet/node/pace.go
+++ b/internal/fleet/node/pace.go
@@ -7,9 +7,8 @@
 )
 
 // fullRateEntries is the largest number of entries at which each reads the
-// store at the interval of a single entry. Where there are more, each reads
-// less often, so that the total rate stays the same, and receives changes from
-// the others.
+// store at the interval of a single entry. Where there are more, each that has a
+// lease holder reads less often, so that the total rate stays the same.
 const fullRateEntries = 8
 
 // scaleInterval returns the interval at which each of the entries reads the
@@ -27,6 +26,8 @@
 	// holding reports that this entry holds the lease, and led that another
 	// entry does and announces changes.
 	holding, led bool
+	// alone is for how long neither has been so.
+	alone time.Duration
 }
 
 // polling contains the intervals between two reads of the store: by the lease
@@ -39,15 +40,40 @@
 	longPoll bool
 }
 
+const (
+	// aloneInterval is the time between two reads of one kind by each of many
+	// entries without a holder.
+	aloneInterval = 600 * time.Millisecond
+	// aloneSpread is the time after the loss of the holder over which the first
+	// reads of many entries spread.
+	aloneSpread = 100 * time.Millisecond
+	// maxReadRate is how many reads a second many entries without a holder make
+	// together: half of what the smallest of the users' stores allows.
+	maxReadRate = 1000
+	// readKinds are the reads that each entry makes: of the configuration and of
+	// the list.
+	readKinds = 2
+)
+
+// manyInterval returns the interval at which each of many entries without a
+// holder reads the store. It grows only where they would exceed maxReadRate.
+func manyInterval(entries int) time.Duration {
+	return max(aloneInterval, readKinds*time.Duration(entries)*time.Second/maxReadRate)
+}
+
+// manySpread returns the time over which their first reads spread.
+func manySpread(entries int) time.Duration {
+	return manyInterval(entries) - aloneInterval + aloneSpread
+}
+
 // due reports whether an entry must read the store again when its last read was
-// sinceRead ago. It is evaluated at each pollTick, with a random number from
-// [0, 1).
+// sinceRead ago. It is evaluated at each pollTick. The phase, from [0, 1), is
+// where the entry stands among the others when they have lost their holder: the
+// last read of each is long ago then, and all would read at once.
 //
-// This limits the load when hundreds of entries lose their holder, or their
-// holder loses the store: otherwise each would read as often as a single one.
-// The random number prevents entries whose last read is long ago from reading
-// all at once.
-func (p polling) due(sinceRead time.Duration, s pollState, random float64) bool {
+// Each entry's reads have a bound of their own. An entry that relied on others
+// to read, or on a draw, could miss a change for any time while they are gone.
+func (p polling) due(sinceRead time.Duration, s pollState, phase float64) bool {
 	switch {
 	case s.holding:
 		return p.longPoll || sinceRead >= p.holding
@@ -56,7 +82,7 @@
 	case s.entries <= fullRateEntries:
 		return p.longPoll || sinceRead >= p.alone
 	default:
-		return sinceRead >= p.alone && random < float64(pollTick)/float64(scaleInterval(p.alone, s.entries))
+		return sinceRead >= manyInterval(s.entries) && s.alone >= time.Duration(phase*float64(manySpread(s.entries)))
 	}
 }
 
@@ -76,7 +102,9 @@
 		entries = max(entries, worstCaseEntries)
 	}
 
-	return pollState{entries: entries, holding: n.holder.Holding(), led: n.led()}
+	until := n.ledUntil()
+
+	return pollState{entries: entries, holding: n.holder.Holding(), led: time.Now().Before(until), alone: time.Since(until)}
 }
 
 // jitter varies d by up to a tenth either way, so that entries do not call in
@@ -106,16 +134,16 @@
 	}
 }
 
-// waitForNextRead waits until the next read of the store is due. It also ends
+// waitForNextRead waits until the next read of the store is due after the last one. It also ends
 // when the holder announces a change that fetch cannot get without the store.
-func (n *Node) waitForNextRead(ctx context.Context, p polling, refresh <-chan struct{}, fetch func(context.Context) bool) {
-	lastRead := time.Now()
+func (n *Node) waitForNextRead(ctx context.Context, lastRead time.Time, p polling, refresh <-chan struct{}, fetch func(context.Context) bool) {
 	p = p.jittered()
+	phase := rand.Float64() //nolint:gosec // No secret.
 	t := time.NewTicker(pollTick)
 
 	defer t.Stop()
 
-	for !p.due(time.Since(lastRead), n.pollState(), rand.Float64()) { //nolint:gosec // No secret.
+	for !p.due(time.Since(lastRead), n.pollState(), phase) {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/fleet/node/watch.go
+++ b/internal/fleet/node/watch.go
@@ -36,9 +36,9 @@
 	// has announced a newer list but the list cannot be fetched from it: when a
 	// site starts, all targets register within seconds, and all entries would
 	// read the list after each.
-	targetsReadDelay = 400 * time.Millisecond
+	targetsReadDelay = 150 * time.Millisecond
 	// pollTick is how often an entry checks whether a read of the store is due.
-	pollTick = 200 * time.Millisecond
+	pollTick = 100 * time.Millisecond
 	// maxHolderStoreAge is the age of the holder's last read of the store from
 	// which the other entries no longer rely on the holder. The holder reads
 	// every 0.5 s and announces every 0.4 s; if its reads fail, the others
@@ -65,13 +65,14 @@
 	var status storeStatus
 
 	for ctx.Err() == nil {
+		began := time.Now()
 		found, err := n.readConfig(ctx)
 		status.record(n, "configuration", err)
 		n.setReadsFail(&n.configReadsFail, status.lost)
 
 		if err != nil {
 			n.resumeConfig(err)
-			n.waitAfterFailure(ctx, &status, err, configPolling, n.refreshConfig, storeOnly)
+			n.waitAfterFailure(ctx, began, &status, err, configPolling, n.refreshConfig, storeOnly)
 
 			continue
 		}
@@ -81,7 +82,7 @@
 			_ = clock.Sleep(ctx, jitter(minBackoff)/10) //nolint:mnd // Avoids a busy loop on an empty store.
 		}
 
-		n.waitForNextRead(ctx, configPolling, n.refreshConfig, storeOnly)
+		n.waitForNextRead(ctx, time.Now(), configPolling, n.refreshConfig, storeOnly)
 	}
 }
 
@@ -172,10 +173,10 @@
 }
 
 // waitAfterFailure waits after a failed call. Where there are many entries, it
-// also waits for the next regular read, because the other entries detect that
-// the store answers again. If the error is lost history, it waits only for
+// also waits for the next regular read, so that a store that answers again is
+// not flooded. If the error is lost history, it waits only for
 // rereadDelay: the store has answered, and what it said was of no use.
-func (n *Node) waitAfterFailure(ctx context.Context, status *storeStatus, err error, p polling, refresh <-chan struct{}, fetch func(context.Context) bool) {
+func (n *Node) waitAfterFailure(ctx context.Context, lastRead time.Time, status *storeStatus, err error, p polling, refresh <-chan struct{}, fetch func(context.Context) bool) {
 	if historyGone(err) {
 		_ = clock.Sleep(ctx, jitter(rereadDelay)) // The caller's loop checks ctx.
 
@@ -185,25 +186,31 @@
 	_ = clock.Sleep(ctx, status.backoff()) // The caller's loop checks ctx.
 
 	if n.pollState().entries > fullRateEntries {
-		n.waitForNextRead(ctx, p, refresh, fetch)
+		n.waitForNextRead(ctx, lastRead, p, refresh, fetch)
 	}
 }
 
-// led reports whether another entry holds the lease and reads the store, so
-// that it announces changes.
+// ledUntil returns until when this entry may rely on another one that holds the
+// lease and reads the store, so that it announces changes. The time is past if
+// there is none.
 //
 // It guards against a store that answers this entry but not the holder: this
 // entry would rely on the holder, and a change that was reported to the
 // operators as in force would stay unnoticed until the holder's calls had timed
 // out. The holder's announcements must arrive, too. What the holder knows is dated from when this entry asked for it, so that messages
 // that take long do not make it newer.
-func (n *Node) led() bool {
+func (n *Node) ledUntil() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	announced := !n.holderReceived.IsZero() && n.holderState.StoreAge+time.Since(n.holderReceived) < maxHolderStoreAge
+	switch {
+	case n.holderState.Holder == n.cfg.Self, n.holderReceived.IsZero():
+		return time.Time{}
+	case n.holderState.StoreFails:
+		return n.holderReceived
+	}
 
-	return n.holderState.Holder != n.cfg.Self && !n.holderState.StoreFails && announced && time.Since(n.holderAsOf) < maxHolderStoreAge
+	return clock.Earlier(n.holderReceived.Add(-n.holderState.StoreAge), n.holderAsOf).Add(maxHolderStoreAge)
 }
 
 // fetchTargets fetches the newest list from the holder. If that fails, it waits
@@ -238,7 +245,7 @@
 			n.recordStoreFailure(err)
 
 			after = resumeVersion(err, after)
-			n.waitAfterFailure(ctx, &status, err, targetsPolling, n.refreshList, n.fetchTargets)
+			n.waitAfterFailure(ctx, began, &status, err, targetsPolling, n.refreshList, n.fetchTargets)
 
 			continue
 		}
@@ -250,7 +257,7 @@
 			after = 0
 		}
 
-		n.waitForNextRead(ctx, targetsPolling, n.refreshList, n.fetchTargets)
+		n.waitForNextRead(ctx, time.Now(), targetsPolling, n.refreshList, n.fetchTargets)
 	}
 }
 
