fix(relay): a stream whose target stops after its head does not look whole

Cause: the wait for a stream's first byte peeked at the body and dropped the error. net/http tells that a body of stated length lacks its end once; the next read returned a plain end of file, which is the end of a whole stream. So a target that stopped right after its head, or after the blank line, and closed its connection gave an empty stream that looked whole. Heads that are cut earlier are errors in net/http, at every byte: ruled out by the same test.

Change: the error of the first read ends the stream.

Evidence: TestAnswerCutAtAnyByte cuts answers at every byte (with a length, in chunks, with a trailer, after an interim answer, CRLF and LF; target alive, ended, leaving; closed or reset; new and kept connections). Before: a stream with a length, cut after its head, looked whole in all of its fates. Now only the uncut answer does.

--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -34,7 +34,9 @@
 
 	defer watch.Stop()
 
-	d.awaitBody(&stream, watch)
+	if err := d.awaitBody(&stream, watch); err != nil {
+		return d.endStream(t, n, a, nil, err)
+	}
 
 	progressAt := time.Now()
 
@@ -95,11 +97,18 @@
 }
 
 // awaitBody waits for the first byte of a stream's body. What has begun to write is taken to
-// write an event soon.
-func (d *delivery) awaitBody(stream *eventReader, watch *time.Timer) {
-	if _, err := stream.r.Peek(1); err == nil && d.route.Resumable {
+// write an event soon. An error must be kept: a body whose end was missed once then ends like a
+// whole one.
+func (d *delivery) awaitBody(stream *eventReader, watch *time.Timer) error {
+	if _, err := stream.r.Peek(1); err != nil {
+		return err
+	}
+
+	if d.route.Resumable {
 		watch.Reset(eventTimeout)
 	}
+
+	return nil
 }
 
 // heed returns what a block of a stream is. An event shows that its run is sound, and bytes that
