fix(relay): an answer without a length whose target leaves or says nothing is not taken as whole

Cause: endedWithTarget took such an answer for whole unless a dial to the target failed, and made no dial if the target leaves: the one kind of target whose end is announced amid its runs. One that stops right after its head and lives on gave an empty answer that looked whole.

Change: the dial decides for targets that leave, too, and an answer without a length that has nothing after its head is not whole.

--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -238,15 +238,18 @@
 	return out
 }
 
-// endedWithTarget reports whether an answer that states no length ended because its target
-// did, so that it may look whole and lack its end. A target that leaves may end right after
-// its last answer.
-func (d *delivery) endedWithTarget(t *router.Target, a *answer) bool {
-	if a.framed() || a.run == nil || t.Leaving() {
+// mayLackEnd reports whether an answer that states no length may lack its end, though its connection
+// was closed and not reset. empty says that nothing followed its head.
+//
+// Such an answer looks the same if its target stopped after the head or ended amid it. So it is taken
+// as whole only if there is something of it and its target lives on, one that leaves too: targets are
+// taken away while they answer.
+func (d *delivery) mayLackEnd(t *router.Target, a *answer, empty bool) bool {
+	if a.framed() || a.run == nil {
 		return false
 	}
 
-	return d.dial(d.r.Context(), t) != nil
+	return empty || d.dial(d.r.Context(), t) != nil
 }
 
 // dial opens a connection to the target and keeps it for the next request. It fails if the
--- a/internal/serving/relay/cutanswer_test.go
+++ b/internal/serving/relay/cutanswer_test.go
@@ -131,8 +131,11 @@
 		"chunks":                     {plain, ok + "Transfer-Encoding: chunked\r\n\r\n" + chunk("do") + chunk("ne") + "0\r\n\r\n", "done", false},
 		"chunks and a trailer":       {plain, ok + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n" + chunk("done") + "0\r\nSum: 1\r\n\r\n", "done", false},
 		"length, after an interim":   {plain, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok + "Content-Length: 4\r\n\r\ndone", "done", false},
+		"neither":                    {plain, ok + "\r\ndone", "done", true},
+		"neither, lines end with LF": {plain, strings.ReplaceAll(ok, "\r\n", "\n") + "\ndone", "done", true},
 		"stream, length":             {events, stated + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(three)) + three, three, false},
 		"stream, chunks":             {events, stated + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)) + chunk(event(2)+event(3)) + "0\r\n\r\n", three, false},
+		"stream, neither":            {events, stated + "\r\n" + three, three, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, what := range fates {
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -353,10 +353,10 @@
 
 	a.conn.unboundReads()
 
-	if d.endedWithTarget(t, a) {
+	if d.mayLackEnd(t, a, len(body) == 0) {
 		a.abandon()
 
-		return fmt.Errorf("target %s: ended with its answer: %w", t.ID, io.ErrUnexpectedEOF)
+		return fmt.Errorf("target %s: answer without length may lack its end: %w", t.ID, io.ErrUnexpectedEOF)
 	}
 
 	a.release()
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -35,7 +35,7 @@
 	defer watch.Stop()
 
 	if err := d.awaitBody(&stream, watch); err != nil {
-		return d.endStream(t, n, a, nil, err)
+		return d.endStream(t, n, a, streamEnd{err: err})
 	}
 
 	progressAt := time.Now()
@@ -45,7 +45,7 @@
 		buf = event
 
 		if err != nil {
-			return d.endStream(t, n, a, event, err)
+			return d.endStream(t, n, a, streamEnd{err: err, rest: event, begun: begun})
 		}
 
 		kind, err := d.heed(a, event)
@@ -167,27 +167,36 @@
 	t.RecordSuccess(time.Since(sent), t.InFlight())
 }
 
+// streamEnd is how a target's stream ended.
+type streamEnd struct {
+	err error
+	// rest is what followed the last whole event.
+	rest []byte
+	// begun says that there was an event.
+	begun bool
+}
+
 // endStream handles the end of a stream, which is complete or cut off. A stream
 // that does not state its own length counts as complete if its connection ends
 // between two events and its target lives on.
-func (d *delivery) endStream(t *router.Target, n int, a *answer, rest []byte, err error) error {
-	if !errors.Is(err, io.EOF) || !a.framed() && len(rest) > 0 {
+func (d *delivery) endStream(t *router.Target, n int, a *answer, end streamEnd) error {
+	if !errors.Is(end.err, io.EOF) || !a.framed() && len(end.rest) > 0 {
 		a.abandon()
 
-		return fmt.Errorf("target %s: stream cut off: %w", t.ID, err)
+		return fmt.Errorf("target %s: stream cut off: %w", t.ID, end.err)
 	}
 
-	if d.endedWithTarget(t, a) {
+	if d.mayLackEnd(t, a, !end.begun) {
 		a.abandon()
 
-		return fmt.Errorf("target %s: ended with its stream: %w", t.ID, io.ErrUnexpectedEOF)
+		return fmt.Errorf("target %s: stream without length may lack its end: %w", t.ID, io.ErrUnexpectedEOF)
 	}
 
 	a.release()
 	d.attemptLog.Record(n, request.Completed)
 
-	if len(rest) > 0 || !d.headSent {
-		return d.writeEvent(a, rest)
+	if len(end.rest) > 0 || !d.headSent {
+		return d.writeEvent(a, end.rest)
 	}
 
 	return nil
