fix(node): after a return of the store nobody takes the only software recorded for the only one

What callers saw, as the report has it: streams that clients took up after all entries had been killed were answered 200 and ran to the end, their text joined from two versions of the software.

Cause, as far as shown: all entries are gone and the store comes back from a copy of before the newer software was recorded. Its history names one version then, and a process that has just started took that for the only one that can have begun a stream: 3 to 5 of 48 streams were mixed, also when the newer software had been recorded seconds before. Entries that lived on restore the history; after the loss of all nobody did. By the kill alone, at six moments around the arrival, nothing was mixed before the change either: that this is the users' cause is only suspected.

Change: the store keeps beside the histories the era in which they lack nothing. In a later era, until a process that knew them before or has run for two minutes has written them again, an origin is known only by the stream's own record; new streams are recorded meanwhile. Software on the list that no history names counts too.

--- a/internal/fleet/node/histories.go
+++ b/internal/fleet/node/histories.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,8 +17,10 @@
 )
 
 const (
-	// historiesKey is the key of the row with the histories of all services.
-	historiesKey = "software"
+	// historiesKey is the key of the row with the histories of all services, and
+	// historiesEraKey that of the row with the era of the store in which they lack nothing.
+	historiesKey    = "software"
+	historiesEraKey = "software/era"
 	// historiesInterval is the time between two comparisons of the list with the histories, and
 	// historiesMaxAge the age from which an entry reads them anew while a service has several
 	// versions of the software.
@@ -40,8 +43,12 @@
 	// it has not been read.
 	version revision.Number
 	readAt  time.Time
-	// mayBeLost says that the store has come back from a copy since the row was last read.
-	mayBeLost bool
+	// mayBeLost says that the store has come back from a copy since the row was last read, and
+	// vouches that this process has restored what a copy lacked.
+	mayBeLost, vouches bool
+	// incomplete says that the store has come back from a copy that may lack software, and that
+	// nobody who knows it from before has written it again.
+	incomplete bool
 	// firstSeen is when this entry first saw software that is not recorded.
 	firstSeen map[serviceSoftware]time.Time
 	// next is the read that the next caller joins. reading says that one is in progress.
@@ -62,7 +69,11 @@
 	// row, since the store has lost it.
 	version revision.Number
 	lacking bool
-	err     error
+	// era is that in which the histories lacked nothing, as the store says, and incomplete is as
+	// in histories.
+	era        uint64
+	incomplete bool
+	err        error
 }
 
 // historyRow is the history of one service in the store.
@@ -118,19 +129,23 @@
 }
 
 // alone returns the software that alone can have begun a stream of the service, as far as
-// this entry knows.
-func (h *histories) alone(service string) origin.Origin {
+// this entry knows. Its targets have the software listed.
+func (h *histories) alone(service string, listed []instance.Software) origin.Origin {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	return h.byService[service].Only()
+	if h.incomplete {
+		return origin.Unknown()
+	}
+
+	return h.byService[service].OnlyOf(listed)
 }
 
 func (h *histories) several(service string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	return h.byService[service].Several()
+	return h.incomplete || h.byService[service].Several()
 }
 
 // heldUntil returns until when targets of the software get no requests because it is not
@@ -216,7 +231,7 @@
 func (o *origins) readOnce(ctx context.Context, r *historiesRead) error {
 	began := time.Now()
 
-	rows, err := o.node.cfg.Table.Read(ctx, historiesKey)
+	rows, err := o.node.cfg.Table.Read(ctx, historiesKey, historiesEraKey)
 	if err != nil {
 		return err
 	}
@@ -227,12 +242,34 @@
 		return err
 	}
 
+	r.era = decodeEra(rows[1].Value)
 	r.lacking = o.histories.restore(r.byService)
-	o.applyHistories(r.byService, r.version, began)
+	r.incomplete = r.version != 0 && r.era < table.Era(o.node.cfg.Table) && !o.vouches()
+	o.applyHistories(r, began)
 
 	return nil
 }
 
+// decodeEra returns the era in a row; zero if there is none.
+func decodeEra(data []byte) uint64 {
+	era, err := strconv.ParseUint(string(data), 10, 64)
+	if err != nil {
+		return 0
+	}
+
+	return era
+}
+
+// vouches reports whether this process knows all software that may have begun streams, whatever a
+// copy of the store lacks: it knew that before the store came back, or has run for longer than any
+// stream can be resumed.
+func (o *origins) vouches() bool {
+	o.histories.mu.Lock()
+	defer o.histories.mu.Unlock()
+
+	return o.histories.vouches || time.Since(o.node.started) > origin.MaxStreamAge
+}
+
 // restore adds to histories that were read what this entry knows and a copy of the store does not
 // have. It reports whether there was anything.
 func (h *histories) restore(read map[string]origin.History) bool {
@@ -244,6 +281,7 @@
 	}
 
 	h.mayBeLost = false
+	h.vouches = !h.readAt.IsZero() && !h.incomplete
 	lacking := false
 
 	for service, known := range h.byService {
@@ -255,14 +293,14 @@
 	return lacking
 }
 
-// applyHistories replaces the histories by those of a version of the row.
-func (o *origins) applyHistories(all map[string]origin.History, version revision.Number, at time.Time) {
+// applyHistories replaces the histories by those that were read at a time, or written.
+func (o *origins) applyHistories(r *historiesRead, at time.Time) {
 	h := &o.histories
 	h.mu.Lock()
 
-	changed := version != h.version || h.readAt.IsZero()
-	if version >= h.version {
-		h.byService, h.version, h.readAt = all, version, at
+	changed := r.version != h.version || h.readAt.IsZero()
+	if r.version >= h.version {
+		h.byService, h.version, h.readAt, h.incomplete = r.byService, r.version, at, r.incomplete
 	}
 
 	h.mu.Unlock()
@@ -300,7 +338,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	several := false
+	several := h.incomplete
 	for _, history := range h.byService {
 		several = several || history.Several()
 	}
@@ -354,7 +392,10 @@
 	}
 
 	next, changed := updated(read.byService, listed, holding, time.Now())
-	if !changed && !read.lacking {
+	era := table.Era(o.node.cfg.Table)
+	confirms := read.era < era && !read.incomplete
+
+	if !changed && !read.lacking && !confirms {
 		return
 	}
 
@@ -365,10 +406,15 @@
 		return
 	}
 
-	version, err := o.node.cfg.Table.Commit(ctx, table.Transaction{
+	tx := table.Transaction{
 		Conditions: []table.Condition{{Key: historiesKey, Version: read.version}},
 		Writes:     []table.Write{{Key: historiesKey, Value: data}},
-	})
+	}
+	if confirms {
+		tx.Writes = append(tx.Writes, table.Write{Key: historiesEraKey, Value: strconv.AppendUint(nil, era, 10)}) //nolint:mnd // Decimal.
+	}
+
+	version, err := o.node.cfg.Table.Commit(ctx, tx)
 	if err != nil {
 		// Another entry was first, or the next comparison tries again.
 		o.node.cfg.Log.Info().Err(err).Msg("software not recorded")
@@ -376,6 +422,6 @@
 		return
 	}
 
-	o.node.cfg.Log.Info().RawJSON("software", data).Msg("software recorded")
-	o.applyHistories(next, version, time.Now())
+	o.node.cfg.Log.Info().RawJSON("software", data).Bool("incomplete", read.incomplete).Msg("software recorded")
+	o.applyHistories(&historiesRead{byService: next, version: version, incomplete: read.incomplete}, time.Now())
 }
--- a/internal/fleet/node/histories_test.go
+++ b/internal/fleet/node/histories_test.go
@@ -21,8 +21,8 @@
 	committed []table.Transaction
 }
 
-func (t *lateTable) Read(context.Context, ...string) ([]table.Row, error) {
-	return []table.Row{t.row}, nil
+func (t *lateTable) Read(_ context.Context, keys ...string) ([]table.Row, error) {
+	return append([]table.Row{t.row}, make([]table.Row, len(keys)-1)...), nil
 }
 
 func (t *lateTable) Commit(_ context.Context, tx table.Transaction) (revision.Number, error) {
@@ -37,7 +37,7 @@
 	n := New(Config{Self: "e", AssumedEntries: 2, Table: late})
 	newer := map[string]origin.History{"s": {Spans: []origin.Span{{Software: "a"}, {Software: "b"}}}}
 
-	n.origins.applyHistories(newer, 5, time.Now())
+	n.origins.applyHistories(&historiesRead{byService: newer, version: 5}, time.Now())
 	n.origins.updateHistories(t.Context(), map[string][]instance.Software{"s": {"c"}})
 
 	assert.Equal(t, len(late.committed), 1)
--- a/internal/fleet/node/origins.go
+++ b/internal/fleet/node/origins.go
@@ -120,7 +120,7 @@
 	}
 
 	answers := o.ask(ctx, service, k)
-	alone := aloneEvidence{own: o.histories.alone(service)}
+	alone := aloneEvidence{own: o.histories.alone(service, o.listed()[service])}
 
 	for answers != nil || pending {
 		select {
@@ -308,7 +308,7 @@
 
 // FindOrigin implements news.Handler.
 func (n *Node) FindOrigin(service string, k origin.Key) news.OriginAnswer {
-	a := news.OriginAnswer{Stream: origin.Unknown(), Alone: n.origins.histories.alone(service)}
+	a := news.OriginAnswer{Stream: origin.Unknown(), Alone: n.origins.histories.alone(service, n.origins.listed()[service])}
 
 	if s, ok := n.origins.local(k); ok {
 		a.Stream = origin.Of(s)
--- a/internal/fleet/node/storedorigins.go
+++ b/internal/fleet/node/storedorigins.go
@@ -50,8 +50,9 @@
 		return storedOrigin{err: err}
 	}
 
-	if history := read.byService[service]; !history.Several() {
-		return storedOrigin{origin: history.Only()}
+	only := read.byService[service].OnlyOf(o.listed()[service])
+	if _, known := only.Known(); known && !read.incomplete {
+		return storedOrigin{origin: only}
 	}
 
 	rows, err := o.node.cfg.Table.Read(ctx, streamPrefix+k.String())
--- a/internal/serving/origin/history.go
+++ b/internal/serving/origin/history.go
@@ -20,10 +20,10 @@
 // value records none.
 type History struct{ Spans []Span }
 
-// maxStreamAge is the longest time between the beginning of a stream and the last time that
+// MaxStreamAge is the longest time between the beginning of a stream and the last time that
 // its client takes it up. No client waits that long, and it leaves room for clocks that
 // differ or step.
-const maxStreamAge = 2 * time.Minute
+const MaxStreamAge = 2 * time.Minute
 
 // Lists reports whether the software is recorded as one that targets have.
 func (h History) Lists(s instance.Software) bool {
@@ -40,6 +40,18 @@
 	return Of(h.Spans[0].Software)
 }
 
+// OnlyOf returns the same, and that it is unknown if targets have software that is not recorded:
+// it may have begun streams, too.
+func (h History) OnlyOf(listed []instance.Software) Origin {
+	for _, s := range listed {
+		if !slices.ContainsFunc(h.Spans, func(p Span) bool { return p.Software == s }) {
+			return Unknown()
+		}
+	}
+
+	return h.Only()
+}
+
 // Several reports whether streams may have been begun by different software.
 func (h History) Several() bool { return len(h.Spans) > 1 }
 
@@ -58,7 +70,7 @@
 }
 
 // Update returns the history for the software on the list of targets at now. It reports false
-// if that changes nothing. Software is forgotten after maxStreamAge, and dropped is whether
+// if that changes nothing. Software is forgotten after MaxStreamAge, and dropped is whether
 // software that is missing from the list may be recorded as gone.
 func (h History) Update(listed []instance.Software, drop bool, now time.Time) (History, bool) {
 	out := History{Spans: slices.Clone(h.Spans)}
@@ -89,7 +101,7 @@
 	}
 
 	before := len(out.Spans)
-	out.Spans = slices.DeleteFunc(out.Spans, func(p Span) bool { return !p.GoneAt.IsZero() && now.Sub(p.GoneAt) > maxStreamAge })
+	out.Spans = slices.DeleteFunc(out.Spans, func(p Span) bool { return !p.GoneAt.IsZero() && now.Sub(p.GoneAt) > MaxStreamAge })
 
 	return out, changed || len(out.Spans) != before
 }
--- a/internal/serving/origin/origin_test.go
+++ b/internal/serving/origin/origin_test.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// TestSoftwareThatIsNotRecorded guards against a stream that is taken for one of the only software that is recorded, while targets already have another.
+func TestSoftwareThatIsNotRecorded(t *testing.T) {
+	h := origin.History{Spans: []origin.Span{{Software: "a"}}}
+
+	assert.Equal(t, h.OnlyOf([]instance.Software{"a"}), origin.Of("a"))
+	assert.Equal(t, h.OnlyOf(nil), origin.Of("a"))
+	assert.Equal(t, h.OnlyOf([]instance.Software{"a", "b"}), origin.Unknown())
+	assert.Equal(t, h.OnlyOf([]instance.Software{"b"}), origin.Unknown())
+}
+
 func TestOnlyHolderForgetsSoftware(t *testing.T) {
 	h, _ := origin.History{}.Update([]instance.Software{"a", "b"}, true, time.Unix(0, 0))
 	h, changed := h.Update([]instance.Software{"b"}, false, time.Unix(1000, 0))
