fix(relay): retries of all entries stay within the limit in every window

Change: besides its bucket an entry counts its own requests and retries of the last window and keeps its part of the limit in it; the burst counts once the process has run for a window. Requests are credited as they arrive, at the first entry only.

--- a/internal/serving/relay/budget.go
+++ b/internal/serving/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -42,6 +43,8 @@
 type bucket struct {
 	tokens  float64
 	updated time.Time
+	// recent counts this process's requests and retries of the last window.
+	recent recentCounts
 }
 
 // SetLimit replaces the limit after a change of the settings.
@@ -60,14 +63,16 @@
 	b.entryShare = 1 / float64(max(1, entries))
 }
 
-// Credit credits the service's bucket for the first attempt of a request: with
-// Limit.Ratio, reduced by usableFraction.
+// Credit credits the service's bucket for a request that a client has sent: with
+// Limit.Ratio, reduced by usableFraction. The limit counts requests by when they were
+// sent, so one that is queued must not be credited later.
 func (b *RetryBudgets) Credit(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	bk := b.bucket(service, now)
 	bk.tokens = min(bk.tokens+b.Limit.Ratio*usableFraction, b.capacity())
+	bk.recent.at(now, b.Limit.Window).requests++
 }
 
 // TryDebit reports whether a request to the service may be retried, and
@@ -77,15 +82,36 @@
 	defer b.mu.Unlock()
 
 	bk := b.bucket(service, now)
-	if bk.tokens < 1 {
+	if bk.tokens < 1 || !b.withinWindow(bk, now) {
 		return false
 	}
 
 	bk.tokens--
+	bk.recent.at(now, b.Limit.Window).retries++
 
 	return true
 }
 
+// withinWindow reports whether one more retry keeps this entry's part of the limit in the window
+// that ends now. A bucket alone does not where the entry's share of the burst is less than one
+// token, which each bucket holds all the same, and after a restart, since the former process may
+// have spent the share.
+func (b *RetryBudgets) withinWindow(bk *bucket, now time.Time) bool {
+	if b.Limit.Window <= 0 {
+		return true
+	}
+
+	requests, retries := bk.recent.sum(now, b.Limit.Window)
+	allowed := b.Limit.Ratio * usableFraction * requests
+
+	if b.Started.IsZero() || now.Sub(b.Started) >= b.Limit.Window {
+		share := b.Limit.Burst * b.entryShare
+		allowed += max(usableFraction*share, math.Floor(share))
+	}
+
+	return retries+1 <= allowed
+}
+
 // Refund returns the token of a retry that was not sent.
 func (b *RetryBudgets) Refund(service string, now time.Time) {
 	b.mu.Lock()
@@ -93,6 +119,7 @@
 
 	bk := b.bucket(service, now)
 	bk.tokens = min(bk.tokens+1, b.capacity())
+	bk.recent.at(now, b.Limit.Window).retries--
 }
 
 // halfBurst is half of this entry's share of the burst: the capacity of a bucket
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -194,10 +194,6 @@
 	n := d.attemptLog.Begin()
 	sent := time.Now()
 
-	if n == 0 {
-		d.Budgets.Credit(d.service, sent)
-	}
-
 	out := &outgoing{
 		method: d.r.Method, uri: d.r.RequestURI, host: d.r.Host, id: d.info.ID,
 		header: d.Protocol.Outgoing(d.r.Header, Attempt{
--- a/internal/serving/relay/server.go
+++ b/internal/serving/relay/server.go
@@ -210,6 +210,10 @@
 	d.runs, d.charged = d.passed.runs, d.passed.charged
 	d.service = rt.Pick(rand.Float64()) //nolint:gosec // Not a secret.
 
+	if !d.passed.on { // The entry that passes it on has counted it.
+		s.Budgets.Credit(d.service, time.Now())
+	}
+
 	if d.refuseShort() {
 		return
 	}
