fix(relay): a request that was passed on runs at no more targets than its route allows

Cause: an entry that passes a request on counted one run, however often the neighbour had run it.

Change: a neighbour that gives no whole answer is taken to have used all attempts. In the head of a stream it tells how often it ran the request, and what fails after that is retried by the entry that counts the runs.

--- a/internal/serving/relay/exchange.go
+++ b/internal/serving/relay/exchange.go
@@ -51,8 +51,10 @@
 	pool     *Pool
 	// origin is the software of the target that answered.
 	origin origin.Origin
-	// run is the run that the answer is of, or nil if another entry sent it.
-	run *crash.Run
+	// run is the run that the answer is of, or nil if another entry sent it. passedRuns is how often
+	// that entry may have run the request.
+	run        *crash.Run
+	passedRuns int
 	// stop ends the watch on the request's context. It returns false if the
 	// context has already ended, which closes the connection.
 	stop func() bool
--- a/internal/serving/relay/passon.go
+++ b/internal/serving/relay/passon.go
@@ -45,7 +45,8 @@
 // The headers between two entries. Those of a request count only on the listener for
 // entries.
 const (
-	// headerRuns is the number of attempts that may have run the request.
+	// headerRuns is the number of attempts that may have run the request. In an answer it counts
+	// those up to its head; afterwards the entry that has passed the request on retries it.
 	headerRuns = "Fulmarcross-Runs"
 	// headerCharged is set if the request has been charged to its team's limit.
 	headerCharged = "Fulmarcross-Charged"
@@ -144,7 +145,7 @@
 
 				continue
 			case err != nil:
-				d.runs++
+				d.countUnknownRuns()
 
 				return err
 			}
@@ -158,6 +159,10 @@
 	return request.Refuse(request.NoTarget, defaultRetryAfter, "no target of the service is reached from here")
 }
 
+// countUnknownRuns counts the runs of a neighbour that does not tell them any more. It may have used
+// all attempts.
+func (d *delivery) countUnknownRuns() { d.runs = max(d.runs+1, d.route.Attempts) }
+
 // passTo sends the request to a neighbour and returns the head of its answer.
 func (d *delivery) passTo(ctx context.Context, nb Neighbour) (*answer, error) {
 	header := d.Protocol.Onward(d.r.Header, time.Until(d.deadline), d.lastEvent)
@@ -191,6 +196,8 @@
 
 	a.pool, a.stop, a.Close = d.Pool, stop, true
 	a.origin = originOfPassed(a)
+	a.passedRuns, _ = strconv.Atoi(a.Header.Get(headerRuns)) // Entries of older software do not tell.
+	a.Header.Del(headerRuns)
 
 	return a, nil
 }
@@ -214,7 +221,7 @@
 // from a target, and the neighbour's own unchanged.
 func (d *delivery) deliverPassed(nb Neighbour, n int, a *answer, sent time.Time) error {
 	if a.info.Signed && d.route.Kind == route.Stream && a.StatusCode == http.StatusOK {
-		d.runs++
+		d.runs = max(d.runs+1, a.passedRuns)
 
 		return d.forwardStream(&router.Target{ID: nb.ID}, n, a, sent)
 	}
@@ -224,8 +231,7 @@
 	switch {
 	case err != nil || len(body) == maxAnswerBytes:
 		a.abandon()
-
-		d.runs++
+		d.countUnknownRuns()
 
 		return errors.Join(&InvalidAnswerError{Reason: "answer cut short"}, err)
 	case d.headSent:
--- a/internal/serving/relay/passon_test.go
+++ b/internal/serving/relay/passon_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,3 +203,30 @@
 		f.close()
 	})
 }
+
+// TestNeighbourFailsAmidRuns guards against a request that runs at more targets than its route allows, because a neighbour that had used its attempts fails before it tells.
+func TestNeighbourFailsAmidRuns(t *testing.T) {
+	for name, silent := range map[string]neighbourScript{
+		"no answer": func(*http.Request, io.Writer) {},
+		"answer cut short": func(_ *http.Request, w io.Writer) {
+			_, _ = io.WriteString(w, fmt.Sprintf(head, "200 OK")+"Content-Length: 9\r\n\r\ndo")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var passedOn atomic.Int64
+
+				count := func(r *http.Request, w io.Writer) {
+					passedOn.Add(1)
+					silent(r, w)
+				}
+				f := newFixture(t, nil, route.Route{Kind: route.Idempotent, Timeout: 5 * time.Second, Attempts: 2})
+				f.withNeighbours(count, count, count)
+
+				rec, _ := f.do(t.Context(), "body")
+				assert.Equal(t, rec.Code, http.StatusBadGateway)
+				assert.Equal(t, passedOn.Load(), int64(1))
+			})
+		})
+	}
+}
--- a/internal/serving/relay/retry.go
+++ b/internal/serving/relay/retry.go
@@ -11,6 +11,10 @@
 
 // mayRetry reports whether the request may be retried after err.
 func (d *delivery) mayRetry(ctx context.Context, err error) bool {
+	if d.passed.on && d.headSent {
+		return false // The neighbour retries it, which counts the runs.
+	}
+
 	if noTargetFault(err) || ctx.Err() != nil || d.attemptLog.Count() >= maxAttempts || d.reached(RefusingUnstarted) && !d.headSent {
 		return false
 	}
--- a/internal/serving/relay/stream.go
+++ b/internal/serving/relay/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -151,7 +152,7 @@
 // A target under load may pause for seconds and then go on. If no retry is left,
 // closing its connection would lose the rest of the answer.
 func (d *delivery) closeStalled(a *answer) {
-	if d.runs >= d.route.Attempts || d.reached(Draining) || !d.Budgets.TryDebit(d.service, time.Now()) {
+	if d.runs >= d.route.Attempts || d.passed.on || d.reached(Draining) || !d.Budgets.TryDebit(d.service, time.Now()) {
 		return
 	}
 
@@ -215,6 +216,10 @@
 			h.Set(headerSoftware, string(software))
 		}
 
+		if d.passed.on {
+			h.Set(headerRuns, strconv.Itoa(d.runs))
+		}
+
 		d.w.WriteHeader(a.StatusCode)
 
 		d.headSent = true
