test(soak): signals in series, herds, holders in turn, cut heads, retries, attempts and time left

In every soak: processes that end by themselves, requests that ran and got no answer, windows of retries, targets per request, time handed on.

--- a/internal/cli/command/soakcmd.go
+++ b/internal/cli/command/soakcmd.go
@@ -26,6 +26,10 @@
 	Software bool          `help:"Engines of several versions of the software serve side by side, and clients take streams up."`
 	Crashes  bool          `help:"Requests, and parts of prompts, also crash engines."`
 	Returns  bool          `help:"The store also comes back from copies, and targets leave by the list alone."`
+	Signals  bool          `help:"SIGHUP also follows SIGTERM, and most or all entries are killed at once."`
+	Turns    bool          `help:"Lease holders also lose the store and are stopped in turn."`
+	Heads    bool          `help:"Targets also stop within the heads of their answers."`
+	Retries  bool          `help:"The limit on retries is small."`
 	Verbose  bool          `help:"Print each trouble."`
 }
 
@@ -47,7 +51,7 @@
 
 	for seed := c.Seed; seed < c.Seed+uint64(max(1, c.Seeds)); seed++ { //nolint:gosec // Small.
 		opt := soak.Options{
-			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Crashes: c.Crashes, Returns: c.Returns, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Traces: s.err,
+			Seed: seed, Entries: c.Entries, Length: c.For, RateLimits: c.Limits, Statements: c.Rests, Load: c.Load, Reach: c.Reach, Changes: c.Changes, Software: c.Software, Crashes: c.Crashes, Returns: c.Returns, Signals: c.Signals, Turns: c.Turns, Heads: c.Heads, Retries: c.Retries, Command: []string{entry, "serve"}, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Traces: s.err,
 		}
 		if c.Verbose {
 			opt.Progress = s.err
--- a/internal/cli/member/signals_test.go
+++ b/internal/cli/member/signals_test.go
@@ -160,18 +160,18 @@
 		// broken says that the settings file is broken meanwhile, and deaf that nobody reads the log.
 		broken, deaf bool
 	}{
-		"sigterm alone":                 {},
-		"sighup while ready":            {ready: []syscall.Signal{hup, hup, hup}},
-		"sighup while draining":         {draining: []syscall.Signal{hup}},
-		"sighup again and again":        {ready: []syscall.Signal{hup}, draining: []syscall.Signal{hup, hup, hup, hup}},
-		"broken settings while ready":   {ready: []syscall.Signal{hup}, broken: true},
-		"broken settings in the drain":  {draining: []syscall.Signal{hup}, broken: true},
-		"second sigterm":                {draining: []syscall.Signal{term, term, syscall.SIGINT}},
-		"sigterm and sighup by turns":   {draining: []syscall.Signal{hup, term, hup, term}},
-		"sigpipe":                       {ready: []syscall.Signal{syscall.SIGPIPE}, draining: []syscall.Signal{syscall.SIGPIPE}},
-		"nobody reads the log":          {ready: []syscall.Signal{hup}, draining: []syscall.Signal{hup}, deaf: true},
-		"sighup in the last moment":     {last: []syscall.Signal{hup, hup}},
-		"sigterm in the last moment":    {last: []syscall.Signal{term, term}},
+		"sigterm alone":                {},
+		"sighup while ready":           {ready: []syscall.Signal{hup, hup, hup}},
+		"sighup while draining":        {draining: []syscall.Signal{hup}},
+		"sighup again and again":       {ready: []syscall.Signal{hup}, draining: []syscall.Signal{hup, hup, hup, hup}},
+		"broken settings while ready":  {ready: []syscall.Signal{hup}, broken: true},
+		"broken settings in the drain": {draining: []syscall.Signal{hup}, broken: true},
+		"second sigterm":               {draining: []syscall.Signal{term, term, syscall.SIGINT}},
+		"sigterm and sighup by turns":  {draining: []syscall.Signal{hup, term, hup, term}},
+		"sigpipe":                      {ready: []syscall.Signal{syscall.SIGPIPE}, draining: []syscall.Signal{syscall.SIGPIPE}},
+		"nobody reads the log":         {ready: []syscall.Signal{hup}, draining: []syscall.Signal{hup}, deaf: true},
+		"sighup in the last moment":    {last: []syscall.Signal{hup, hup}},
+		"sigterm in the last moment":   {last: []syscall.Signal{term, term}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -85,7 +85,7 @@
 	sentOrders      sentOrders
 	formerHolders   formerHolders
 	demand          demand.Reports
-	resumed                 demand.ResumedModels
+	resumed         demand.ResumedModels
 	// shortRates and longRates are the request rates by model, smoothed over
 	// shortRateSpan and longRateSpan.
 	shortRates, longRates rates
--- a/internal/standin/soak/changes.go
+++ b/internal/standin/soak/changes.go
@@ -128,7 +128,7 @@
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callFor}
 	id := fmt.Sprintf("ready-%s/series-%d", p.name, number)
 
-	s.book.send(id)
+	s.book.send(id, path)
 
 	r, err := site.AskOn(s.ctx, c, p.callers, path, "", relay.RequestInfo{ID: id, Timeout: callFor, Credentials: credentials(free)})
 	if err != nil || r.Status != http.StatusNotFound || s.excuses.overlap(p.name, began.Add(-contact), time.Now()) {
--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -52,18 +52,21 @@
 	// sent is when clients sent each request, and served whether it was answered.
 	sent   map[string]time.Time
 	served map[string]bool
+	// paths are the paths of requests.
+	paths map[string]string
+	lost  lost
 }
 
 // send records that a client sends a request.
-func (b *book) send(id string) {
+func (b *book) send(id, path string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
 	if b.sent == nil {
-		b.sent = make(map[string]time.Time)
+		b.sent, b.paths = make(map[string]time.Time), make(map[string]string)
 	}
 
-	b.sent[id] = time.Now()
+	b.sent[id], b.paths[id] = time.Now(), path
 }
 
 func (b *book) sentAt(id string) (time.Time, bool) {
@@ -119,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callFor)
 	defer cancel()
 
-	s.book.send(id)
+	s.book.send(id, k.path)
 
 	r, err := site.AskOn(ctx, c, p.callers, k.path, k.body, relay.RequestInfo{
 		ID: id, Timeout: callFor, Model: k.model, Prompt: s.soundPrompt(id), TokensIn: 10, TokensOut: tokens, Credentials: credentials(team),
@@ -140,6 +143,7 @@
 	switch {
 	case err != nil:
 		b.seen.Unknown++
+		b.lost.note(id, k, err)
 	case r.Status == http.StatusServiceUnavailable, r.Status == http.StatusTooManyRequests, r.Status == http.StatusUnauthorized:
 		b.seen.Refused++
 		b.refused = append(b.refused, id)
@@ -297,7 +301,7 @@
 	for n := 0; ; n++ {
 		id := fmt.Sprintf("%s-%d-%d", readyID(p.name, k.path), n, time.Now().UnixNano())
 
-		s.book.send(id)
+		s.book.send(id, k.path)
 
 		c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		r, err := site.AskOn(ctx, c, p.callers, k.path, k.body, relay.RequestInfo{
--- a/internal/standin/soak/process.go
+++ b/internal/standin/soak/process.go
@@ -24,18 +24,32 @@
 	// env is added to the process's environment.
 	env     []string
 	callers netip.AddrPort
+	metrics netip.AddrPort
 	log     *os.File
+	// path is the settings file, and settings what it says.
+	path     string
+	settings map[string]any
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
 	// ended is closed when cmd has ended.
 	ended chan struct{}
 	over  bool
+	// ends are how processes ended that nobody had killed.
+	ends []string
 }
 
-// newProcess writes the settings of an entry that uses the store at an address. If bounded
-// is set, its memory is bounded.
-func newProcess(dir string, i int, bounded bool, command, env []string, store netip.AddrPort, seed netip.AddrPort) (*process, netip.AddrPort, error) {
+// entryOptions are what the settings of an entry say besides addresses.
+type entryOptions struct {
+	number int
+	// bounded says that its memory is bounded.
+	bounded   bool
+	burst     float64
+	turnPause time.Duration
+}
+
+// newProcess writes the settings of an entry that uses the store at an address.
+func newProcess(dir string, opt entryOptions, command, env []string, store netip.AddrPort, seed netip.AddrPort) (*process, netip.AddrPort, error) {
 	var at [4]netip.AddrPort
 
 	for j := range at {
@@ -45,16 +59,16 @@
 		}
 	}
 
-	name := fmt.Sprintf("entry-%d", i)
+	name := fmt.Sprintf("entry-%d", opt.number)
 	settings := map[string]any{
 		"name": name, "dataCentre": "dc", "callers": at[0].String(), "readiness": at[1].String(), "peers": at[2].String(), "metrics": at[3].String(),
 		"store": store.String(), "seeds": []string{seed.String()}, "strength": 1,
 		"bounds": map[string]any{
-			"graceSeconds": grace.Seconds(), "turnPauseMs": turnPause.Milliseconds(), "repeatRatio": 0.2, "repeatBurst": 54, "repeatWindowSeconds": 10, //nolint:mnd // As on the users' sites.
+			"graceSeconds": grace.Seconds(), "turnPauseMs": opt.turnPause.Milliseconds(), "repeatRatio": retryRatio, "repeatBurst": opt.burst, "repeatWindowSeconds": retryWindow.Seconds(),
 		},
 	}
 
-	if bounded {
+	if opt.bounded {
 		settings["memoryMB"], settings["rules"] = boundedMemoryMB, []string{platform.RuleBoundedMemory}
 	}
 
@@ -62,19 +76,23 @@
 		settings["seeds"] = []string{at[2].String()}
 	}
 
-	text, err := json.Marshal(settings)
-	if err != nil {
-		return nil, at[0], err
-	}
-
 	path := filepath.Join(dir, name+".json")
-	if err := os.WriteFile(path, text, 0o600); err != nil { //nolint:mnd // For this user.
+	if err := writeSettings(path, settings); err != nil {
 		return nil, at[0], err
 	}
 
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 
-	return &process{name: name, command: command, env: append(env, platform.SettingsVariable+"="+path), callers: at[0], log: log}, at[2], err
+	return &process{name: name, command: command, env: append(env, platform.SettingsVariable+"="+path), callers: at[0], metrics: at[3], log: log, path: path, settings: settings}, at[2], err
+}
+
+func writeSettings(path string, settings map[string]any) error {
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+
+	return os.WriteFile(path, text, 0o600) //nolint:mnd // For this user.
 }
 
 // start starts the process and restarts it whenever it ends.
@@ -98,8 +116,9 @@
 	p.cmd, p.ended = cmd, ended
 
 	go func() {
-		_ = cmd.Wait() // How it ended stands in its log.
+		_ = cmd.Wait()
 
+		p.noteEnd(cmd.ProcessState)
 		close(ended)
 		time.Sleep(restartAfter)
 
@@ -109,6 +128,25 @@
 	return nil
 }
 
+// panicked is the exit code of a process that ended by a panic.
+const panicked = 2
+
+// noteEnd notes a process that ended by a signal or a panic, unless it was killed or asked for its
+// stacks.
+func (p *process) noteEnd(state *os.ProcessState) {
+	status, ok := state.Sys().(syscall.WaitStatus)
+	if !ok {
+		return
+	}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if status.Signaled() && status.Signal() != syscall.SIGKILL || status.ExitStatus() == panicked && !p.over {
+		p.ends = append(p.ends, fmt.Sprintf("%s ended by itself: %s", p.name, state))
+	}
+}
+
 // started reports whether the process has ever been started.
 func (p *process) started() bool {
 	p.mu.Lock()
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -67,6 +67,14 @@
 	Crashes bool
 	// Returns has the store come back from copies, and targets leave by the list alone.
 	Returns bool
+	// Signals adds SIGHUP after SIGTERM, most entries that are killed at once, and all of them.
+	Signals bool
+	// Turns adds lease holders in turn.
+	Turns bool
+	// Heads adds answers that end within their heads.
+	Heads bool
+	// Retries makes the limit on retries small.
+	Retries bool
 	// Command starts an entry, with Env added to its environment.
 	Command, Env []string
 	// Dir is the directory for settings and logs.
@@ -95,6 +103,10 @@
 	streams   streams
 	crashes   crashes
 	returns   returns
+	// harmed are the times in which processes were killed or frozen, and thawed when they were
+	// thawed.
+	harmed excuses
+	thawed thaws
 	// heal counts the faults that have not ended.
 	heal  sync.WaitGroup
 	began time.Time
@@ -144,6 +156,12 @@
 		}
 	}
 
+	if s.Turns {
+		for i, p := range s.processes {
+			callers.Go(func() { s.callAdapters(calls, p, i*callersEach+1) })
+		}
+	}
+
 	if s.Software {
 		for i := range streamClients {
 			callers.Go(func() { s.takeUp(calls, i) })
@@ -168,6 +186,12 @@
 	r.Broken = append(r.Broken, s.streams.broken()...)
 	r.Broken = append(r.Broken, s.crashes.broken(s.excuses.overlap)...)
 	r.Broken = append(r.Broken, s.reachedLeaving()...)
+	r.Broken = append(r.Broken, s.endedAlone()...)
+	r.Broken = append(r.Broken, s.lostAnswers()...)
+	r.Broken = append(r.Broken, s.tooManyRetries()...)
+	r.Broken = append(r.Broken, s.tooManyTargets()...)
+	r.Broken = append(r.Broken, s.tooMuchTime()...)
+	r.Broken = append(r.Broken, s.turns()...)
 	r.Crashed = s.crashes.deaths()
 	r.Taken, r.GoneOn, r.Mixed = s.streams.taken, s.streams.goneOn, s.streams.mixed
 
@@ -227,7 +251,7 @@
 			return err
 		}
 
-		p, peers, err := newProcess(s.Dir, i, s.Load && i%2 == 1, s.Command, s.Env, store, seed)
+		p, peers, err := newProcess(s.Dir, s.entryOptions(i), s.Command, s.Env, store, seed)
 		if err != nil {
 			return err
 		}
@@ -341,9 +365,9 @@
 	link := linkTroubles[draw.IntN(len(linkTroubles))]
 
 	all := []event{
-		{name: p.name + " is killed", begin: func() { p.signal(syscall.SIGKILL) }, excuses: p.name, after: backAfter},
+		{name: p.name + " is killed", begin: func() { s.kill(p) }, excuses: p.name, after: backAfter},
 		{name: p.name + " is stopped", begin: func() { p.signal(syscall.SIGTERM) }, excuses: p.name, after: stoppedAfter},
-		{name: p.name + " is paused", begin: func() { p.signal(syscall.SIGSTOP) }, end: func() { p.signal(syscall.SIGCONT) }, excuses: p.name},
+		{name: p.name + " is paused", begin: func() { s.freeze(p) }, end: func() { s.thaw(p) }, excuses: p.name},
 		storeTrouble(s.processes[store].name, s.stores[store], link),
 		linkTrouble("to "+string(engine), s.targets[engine], link, engine),
 		linkTrouble("to "+string(desk), s.targets[desk], link, desk),
@@ -388,5 +412,17 @@
 		all = append(all, s.makeReturns(draw, desk)...)
 	}
 
+	if s.Signals {
+		all = append(all, s.makeSignals(draw, p)...)
+	}
+
+	if s.Turns {
+		all = append(all, s.holdersInTurn(), s.holdersInTurn())
+	}
+
+	if s.Heads {
+		all = append(all, s.cutHeads(engine, desk), s.cutHeads(engine, desk))
+	}
+
 	return all[draw.IntN(len(all))]
 }
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -14,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/cli/member"
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/holder"
 	"github.com/fulmarcross/fulmarcross/internal/standin/site"
 	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
 )
@@ -73,7 +75,7 @@
 	store, err := site.Free()
 	assert.NilError(t, err)
 
-	p, _, err := newProcess(t.TempDir(), 0, false, []string{self}, []string{asEntry + "=1"}, store, netip.AddrPort{})
+	p, _, err := newProcess(t.TempDir(), entryOptions{turnPause: turnPause, burst: retryBurst}, []string{self}, []string{asEntry + "=1"}, store, netip.AddrPort{})
 	assert.NilError(t, err)
 	assert.NilError(t, p.start())
 
@@ -398,3 +400,51 @@
 		})
 	}
 }
+
+// TestSoakSignals plays one short seed in which SIGHUP follows SIGTERM, most or all entries are
+// killed at once, holders are stopped in turn, and targets stop within the heads of answers.
+func TestSoakSignals(t *testing.T) {
+	t.Parallel()
+
+	r := play(t, Options{Seed: 5, Entries: 4, Length: 12 * time.Second, Signals: true, Turns: true, Heads: true, Retries: true})
+	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
+	assert.Assert(t, r.Answered > 0)
+}
+
+// TestRetriesAreJudged guards against a soak that passes over retries beyond the limit.
+func TestRetriesAreJudged(t *testing.T) {
+	start := time.Unix(1000, 0)
+	times := func(n int, from time.Duration) (out []time.Time) {
+		for i := range n {
+			out = append(out, start.Add(from+time.Duration(i)*time.Millisecond))
+		}
+
+		return out
+	}
+
+	for name, tc := range map[string]struct {
+		retries, sent []time.Time
+		over          bool
+	}{
+		"the burst":                     {times(8, 0), nil, false},
+		"one more":                      {times(9, 0), nil, true},
+		"one more, for five requests":   {times(9, 0), times(5, time.Second), false},
+		"requests of the window before": {times(9, 0), times(5, -9*time.Second), false},
+		"requests of long ago":          {times(9, 0), times(50, -21*time.Second), true},
+		"in two windows":                {append(times(8, 0), times(8, 11*time.Second)...), nil, false},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, overLimit(tc.retries, tc.sent, smallBurst) != "", tc.over) })
+	}
+}
+
+// TestTurnsAreJudged guards against a soak that passes over holders that take turns.
+func TestTurnsAreJudged(t *testing.T) {
+	start := time.Unix(1000, 0)
+	order := func(id instance.ID, at time.Duration) worker.Ordered {
+		return worker.Ordered{Order: holder.Order{Holder: id}, At: start.Add(at)}
+	}
+
+	assert.Equal(t, turnsIn([]worker.Ordered{order("a", 0), order("b", time.Second), order("a", 3*time.Second)}), "")
+	assert.Equal(t, turnsIn([]worker.Ordered{order("a", 0), order("a", time.Second), order("b", 2*time.Second)}), "")
+	assert.Assert(t, turnsIn([]worker.Ordered{order("a", 0), order("b", time.Second), order("a", 2*time.Second)}) != "")
+}
--- a/internal/standin/soak/software.go
+++ b/internal/standin/soak/software.go
@@ -140,7 +140,7 @@
 			atMost = 1 + draw.IntN(streamTokens)
 		}
 
-		s.book.send(ask.ID)
+		s.book.send(ask.ID, "/note/x")
 
 		began := time.Now()
 		r, _ := site.AskFor(ctx, &site.Entry{Callers: p.callers}, atMost, "/note/x", "text"+id, ask) // The events that arrived count.
--- /dev/null
+++ b/internal/standin/soak/turns.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/standin/site"
+	"github.com/fulmarcross/fulmarcross/internal/standin/worker"
+)
+
+const (
+	// usersTurnPause is the time within which holders must not take turns on the users' sites.
+	usersTurnPause = 3 * time.Second
+	// thawTime is for how long after its sender was thawed, or its link healed, an order does not
+	// count.
+	thawTime = 300 * time.Millisecond
+	// takeOver is the longest time that another entry takes to hold the lease.
+	takeOver = 6 * time.Second
+	// orderPoll is the time between two looks at the newest order.
+	orderPoll = 10 * time.Millisecond
+)
+
+// holds reports whether the process says that it holds the lease.
+func (p *process) holds() bool {
+	c := http.Client{Timeout: thawTime}
+
+	resp, err := c.Get("http://" + p.metrics.String() + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+
+	page, _ := io.ReadAll(resp.Body) // What is read of it counts.
+
+	return strings.Contains(string(page), "_holds_lease 1\n")
+}
+
+// holder returns the number of the process that holds the lease, or -1.
+func (s *soak) holder() int { return slices.IndexFunc(s.processes, (*process).holds) }
+
+// lastOrderer returns the number of the process that sent the newest order, or -1.
+func (s *soak) lastOrderer() int {
+	var newest worker.Ordered
+
+	for _, w := range s.site.Workers {
+		if orders := w.Orders(); len(orders) > 0 && orders[len(orders)-1].At.After(newest.At) {
+			newest = orders[len(orders)-1]
+		}
+	}
+
+	return slices.IndexFunc(s.processes, func(p *process) bool { return p.name == string(newest.Holder) })
+}
+
+// awaitOtherOrderer waits until another process than the first sends orders, for takeOver at most.
+func (s *soak) awaitOtherOrderer(first int) (second int, ok bool) {
+	for end := time.Now().Add(takeOver); time.Now().Before(end); time.Sleep(orderPoll) {
+		if second = s.lastOrderer(); second >= 0 && second != first {
+			return second, true
+		}
+	}
+
+	return -1, false
+}
+
+// holdersInTurn is the trouble in which the lease holder loses the store until another entry sends
+// orders, which is then stopped.
+func (s *soak) holdersInTurn() event {
+	return event{
+		name: "the lease holder loses the store, and the next one is stopped",
+		begin: func() {
+			first := s.holder()
+			if first < 0 {
+				return
+			}
+
+			began := time.Now()
+
+			s.stores[first].set(Silent)
+
+			second, ok := s.awaitOtherOrderer(first)
+
+			s.stores[first].set(Calm)
+			s.excuses.add(storeOf(s.processes[first].name), began, time.Now())
+			s.thawed.add(s.processes[first].name)
+
+			if ok {
+				s.processes[second].signal(syscall.SIGTERM)
+				s.excuses.add(s.processes[second].name, began, time.Now().Add(stoppedAfter))
+			}
+		},
+	}
+}
+
+const (
+	// adapterNumbers begins the numbers of requests for adapters, so that their ids differ from
+	// others of the same client.
+	adapterNumbers = 1_000_000
+	// adapters is the number of adapters that clients ask for, and adapterPause the pause between
+	// two requests.
+	adapters     = 40
+	adapterPause = 20 * time.Millisecond
+)
+
+// callAdapters is one client that asks for many adapters, which keeps orders coming.
+func (s *soak) callAdapters(ctx context.Context, p *process, caller int) {
+	draw := rand.New(rand.NewPCG(s.Seed, uint64(adapterNumbers+caller))) //nolint:gosec // No secret, and small.
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+
+	defer c.CloseIdleConnections()
+
+	for n := adapterNumbers; ctx.Err() == nil; n++ {
+		model := fmt.Sprintf("%s/a%d", site.Model(draw.IntN(2)), draw.IntN(adapters)) //nolint:mnd // Busy ones.
+		s.ask(ctx, c, p, free, fmt.Sprintf("soak-%s-%d-%d", free, caller, n), kind{path: "/note/x", body: "text", model: model, whole: stream})
+		time.Sleep(adapterPause)
+	}
+}
+
+// turns describes the orders of holders that take turns.
+func (s *soak) turns() []string {
+	if !s.Turns {
+		return nil
+	}
+
+	var out []string
+
+	for id, w := range s.site.Workers {
+		orders := slices.DeleteFunc(w.Orders(), func(o worker.Ordered) bool {
+			return o.Late || s.thawed.justBefore(string(o.Holder), o.At, thawTime)
+		})
+
+		if text := turnsIn(orders); text != "" {
+			out = append(out, string(id)+": "+text)
+		}
+	}
+
+	return out
+}
+
+// turnsIn describes the first order of a holder that follows too soon on another one of it, with
+// another holder's between them.
+func turnsIn(orders []worker.Ordered) string {
+	for i, last := range orders {
+		between := instance.ID("")
+
+		for j := i - 1; j >= 0 && last.At.Sub(orders[j].At) < usersTurnPause; j-- {
+			switch {
+			case orders[j].Holder != last.Holder:
+				between = orders[j].Holder
+			case between != "":
+				return fmt.Sprintf("orders of %s, %s and %s within %v", last.Holder, between, last.Holder, last.At.Sub(orders[j].At).Round(time.Millisecond))
+			}
+		}
+	}
+
+	return ""
+}
+
+// cutHeads is the trouble in which targets stop within the heads of some answers.
+func (s *soak) cutHeads(engine, desk instance.ID) event {
+	const answers = 20
+
+	return event{
+		name: fmt.Sprintf("%s and %s stop within the heads of %d answers", engine, desk, answers),
+		begin: func() {
+			s.site.Workers[engine].SetFaults(worker.Faults{CutHeads: answers})
+			s.site.Desks[desk].SetFaults(worker.Faults{CutHeads: answers})
+		},
+		end: func() {
+			s.site.Workers[engine].SetFaults(worker.Faults{})
+			s.site.Desks[desk].SetFaults(worker.Faults{})
+		},
+	}
+}
--- a/internal/standin/worker/limits.go
+++ b/internal/standin/worker/limits.go
@@ -36,6 +36,8 @@
 type arrival struct {
 	id string
 	at time.Time
+	// timeout is what the sender says is left.
+	timeout time.Duration
 	// stated is set if its answer states a limit, and answered is when the answer
 	// began.
 	stated   bool
@@ -57,7 +59,7 @@
 }
 
 // arrive records a request and makes its answer state the limit.
-func (w *Worker) arrive(id string, a *platform.Answer) *arrival {
+func (w *Worker) arrive(r platform.Request, a *platform.Answer) *arrival {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -65,12 +67,33 @@
 	limit := w.limits.at(now)
 	a.StateRateLimit(limit)
 
-	in := &arrival{id: id, at: now, stated: limit.Stated, leaving: w.states.leaving, process: w.states.process}
+	in := &arrival{id: r.ID, at: now, timeout: r.Timeout, stated: limit.Stated, leaving: w.states.leaving, process: w.states.process}
 	w.limits.arrivals = append(w.limits.arrivals, in)
 
 	return in
 }
 
+// Arrival is a request that has arrived at a target, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
+	// Timeout is what the sender says is left.
+	Timeout time.Duration
+}
+
+// Arrivals returns the requests that have arrived, in order.
+func (w *Worker) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	out := make([]Arrival, len(w.limits.arrivals))
+	for i, a := range w.limits.arrivals {
+		out[i] = Arrival{ID: a.id, At: a.at, Timeout: a.timeout}
+	}
+
+	return out
+}
+
 // answered records that the answer to a request has begun.
 func (w *Worker) answered(in *arrival) {
 	w.mu.Lock()
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -18,7 +18,7 @@
 
 // Serve implements platform.Worker.
 func (w *Worker) Serve(r platform.Request, a *platform.Answer) {
-	arrived := w.arrive(r.ID, a)
+	arrived := w.arrive(r, a)
 
 	w.arriveCrashing(r)
 
@@ -40,6 +40,10 @@
 
 	w.crashOn(r, a, step)
 
+	if w.takeCutHead() {
+		a.CutHead()
+	}
+
 	first, _ := strconv.Atoi(r.LastEvent) // A stream that is not resumed begins at the first event.
 
 	last := events
@@ -94,7 +98,7 @@
 
 // Serve implements platform.Worker.
 func (p *Plain) Serve(r platform.Request, a *platform.Answer) {
-	arrived := p.arrive(r.ID, a)
+	arrived := p.arrive(r, a)
 
 	p.arriveCrashing(r)
 
@@ -116,6 +120,10 @@
 		a.Lose()
 	}
 
+	if p.takeCutHead() {
+		a.CutHead()
+	}
+
 	if p.takeEndless() {
 		a.Endless(r.Gone)
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -79,6 +79,8 @@
 	LostAnswers int
 	// EndlessAnswers is the number of next requests that are answered by bytes without end.
 	EndlessAnswers int
+	// CutHeads is the number of next requests that run and whose answers end within their heads.
+	CutHeads int
 }
 
 // SetFaults replaces the faults.
@@ -440,6 +442,9 @@
 // takeEndless reports whether the answer must have no end, and counts it.
 func (w *Worker) takeEndless() bool { return w.takeOne(&w.faults.EndlessAnswers) }
 
+// takeCutHead reports whether the answer must end within its head, and counts it.
+func (w *Worker) takeCutHead() bool { return w.takeOne(&w.faults.CutHeads) }
+
 // takeOne counts one of the faults that are left of a kind. It reports false if none is.
 func (w *Worker) takeOne(left *int) bool {
 	w.mu.Lock()
