--- a/internal/serving/relay/budget.go
+++ b/internal/serving/relay/budget.go
@@ -94,21 +94,22 @@
 
 // withinWindow reports whether one more retry keeps this entry's part of the limit in the window
 // that ends now. A bucket alone does not where the entry's share of the burst is less than one
-// token, which each bucket holds all the same, and after a restart, since the former process may
-// have spent the share.
+// token, which each bucket holds all the same. After a start the share accrues, since the former
+// process may have spent its own.
 func (b *RetryBudgets) withinWindow(bk *bucket, now time.Time) bool {
 	if b.Limit.Window <= 0 {
 		return true
 	}
 
 	requests, retries := bk.recent.sum(now, b.Limit.Window)
-	allowed := b.Limit.Ratio * usableFraction * requests
+	share := b.Limit.Burst * b.entryShare
 
-	if b.Started.IsZero() || now.Sub(b.Started) >= b.Limit.Window {
-		share := b.Limit.Burst * b.entryShare
-		allowed += max(usableFraction*share, math.Floor(share))
+	if age := now.Sub(b.Started); !b.Started.IsZero() && age < b.Limit.Window {
+		share *= float64(age) / float64(b.Limit.Window)
 	}
 
+	allowed := b.Limit.Ratio*usableFraction*requests + max(usableFraction*share, math.Floor(share))
+
 	return retries+1 <= allowed
 }
 
