--- a/internal/cli/member/signals_test.go
+++ b/internal/cli/member/signals_test.go
@@ -94,7 +94,9 @@
 	defer close(p.lines)
 
 	for s := bufio.NewScanner(p.log); s.Scan(); {
-		var line struct{ Message string }
+		var line struct {
+			Message string `json:"message"`
+		}
 		if json.Unmarshal(s.Bytes(), &line) == nil {
 			p.lines <- line.Message
 		}
--- a/internal/placement/holder/turns.go
+++ b/internal/placement/holder/turns.go
@@ -60,7 +60,7 @@
 	}
 
 	first := h.started.Add(h.turnPause())
-	if ended, any := h.sentOrders.endBy(now); any {
+	if ended, sent := h.sentOrders.endBy(now); sent {
 		first = clock.Later(first, ended.Add(h.turnPause()))
 	}
 
@@ -93,9 +93,9 @@
 
 // successor returns the first of the candidates that has not held the lease for the time of
 // pause. Others must wait before they send orders; if there are only such, it is the first.
-func (f formerHolders) successor(candidates []instance.ID, now time.Time, pause time.Duration) instance.ID {
+func (f *formerHolders) successor(candidates []instance.ID, now time.Time, pause time.Duration) instance.ID {
 	for _, id := range candidates {
-		if at, held := f[id]; !held || now.Sub(at) >= pause {
+		if at, held := (*f)[id]; !held || now.Sub(at) >= pause {
 			return id
 		}
 	}
--- a/internal/placement/holder/turnschedule_test.go
+++ b/internal/placement/holder/turnschedule_test.go
@@ -82,6 +82,7 @@
 		h.gate.Close()
 		s.after(s.between(200*time.Millisecond, 6*time.Second), func() {
 			s.thawed[id] = append(s.thawed[id], time.Now())
+
 			h.gate.Open()
 		})
 	}
@@ -249,6 +250,7 @@
 
 	h.store.Open()
 	time.Sleep(100 * time.Millisecond)
+
 	from := back(s, first, second)
 	began := time.Now()
 
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -148,25 +149,7 @@
 	s.began = time.Now()
 	calls, stop := context.WithCancel(ctx)
 
-	var callers sync.WaitGroup
-
-	for i, p := range s.processes {
-		for j := range callersEach {
-			callers.Go(func() { s.call(calls, p, i*callersEach+j) })
-		}
-	}
-
-	if s.Turns {
-		for i, p := range s.processes {
-			callers.Go(func() { s.callAdapters(calls, p, i*callersEach+1) })
-		}
-	}
-
-	if s.Software {
-		for i := range streamClients {
-			callers.Go(func() { s.takeUp(calls, i) })
-		}
-	}
+	callers := s.startCallers(calls)
 
 	s.trouble(ctx)
 	s.heal.Wait()
@@ -179,25 +162,45 @@
 	callers.Wait()
 
 	r := s.book.report(s.site, recovered)
-	r.Broken = append(r.Broken, s.exceeded()...)
-	r.Broken = append(r.Broken, s.unheard()...)
-	r.Broken = append(r.Broken, s.cuts.broken(&s.book, &s.excuses)...)
-	r.Broken = append(r.Broken, s.series.found()...)
-	r.Broken = append(r.Broken, s.streams.broken()...)
-	r.Broken = append(r.Broken, s.crashes.broken(s.excuses.overlap)...)
-	r.Broken = append(r.Broken, s.reachedLeaving()...)
-	r.Broken = append(r.Broken, s.endedAlone()...)
-	r.Broken = append(r.Broken, s.lostAnswers()...)
-	r.Broken = append(r.Broken, s.tooManyRetries()...)
-	r.Broken = append(r.Broken, s.tooManyTargets()...)
-	r.Broken = append(r.Broken, s.tooMuchTime()...)
-	r.Broken = append(r.Broken, s.turns()...)
+	r.Broken = append(r.Broken, s.broken()...)
 	r.Crashed = s.crashes.deaths()
 	r.Taken, r.GoneOn, r.Mixed = s.streams.taken, s.streams.goneOn, s.streams.mixed
 
 	return r, ctx.Err()
 }
 
+// startCallers starts the clients, which end with ctx.
+func (s *soak) startCallers(ctx context.Context) *sync.WaitGroup {
+	var callers sync.WaitGroup
+
+	for i, p := range s.processes {
+		for j := range callersEach {
+			callers.Go(func() { s.call(ctx, p, i*callersEach+j) })
+		}
+
+		if s.Turns {
+			callers.Go(func() { s.callAdapters(ctx, p, i*callersEach+1) })
+		}
+	}
+
+	if s.Software {
+		for i := range streamClients {
+			callers.Go(func() { s.takeUp(ctx, i) })
+		}
+	}
+
+	return &callers
+}
+
+// broken describes what broke the rules, after all requests have ended.
+func (s *soak) broken() []string {
+	return slices.Concat(
+		s.exceeded(), s.unheard(), s.cuts.broken(&s.book, &s.excuses), s.series.found(), s.streams.broken(),
+		s.crashes.broken(s.excuses.overlap), s.reachedLeaving(), s.endedAlone(), s.lostAnswers(), s.tooManyRetries(),
+		s.tooManyTargets(), s.tooMuchTime(), s.turns(),
+	)
+}
+
 func (s *soak) siteOptions() site.Options {
 	o := site.Options{Log: io.Discard, Front: s.front, Teams: teams(), Keys: keys}
 
