--- a/internal/fleet/node/histories.go
+++ b/internal/fleet/node/histories.go
@@ -69,9 +69,10 @@
 	// row, since the store has lost it.
 	version revision.Number
 	lacking bool
-	// era is that in which the histories lacked nothing, as the store says, and incomplete is as
-	// in histories.
+	// era is that in which the histories lacked nothing, as the store says, if eraStored is set.
+	// incomplete is as in histories.
 	era        uint64
+	eraStored  bool
 	incomplete bool
 	err        error
 }
@@ -242,7 +243,7 @@
 		return err
 	}
 
-	r.era = decodeEra(rows[1].Value)
+	r.era, r.eraStored = decodeEra(rows[1].Value), rows[1].Version != 0
 	r.lacking = o.histories.restore(r.byService)
 	r.incomplete = r.version != 0 && r.era < table.Era(o.node.cfg.Table) && !o.vouches()
 	o.applyHistories(r, began)
@@ -393,7 +394,7 @@
 
 	next, changed := updated(read.byService, listed, holding, time.Now())
 	era := table.Era(o.node.cfg.Table)
-	confirms := read.era < era && !read.incomplete
+	confirms := !read.incomplete && (!read.eraStored || read.era < era)
 
 	if !changed && !read.lacking && !confirms {
 		return
