fix(relay): a target's port may outlast its answer's connection

A process that is killed closes its descriptors one after the other, the port not first, so that the dial right after the end of the answer was accepted.

Change: the dial is made 30 ms later. Only answers without a length wait.

--- a/internal/serving/relay/crash.go
+++ b/internal/serving/relay/crash.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/serving/crash"
 	"github.com/fulmarcross/fulmarcross/internal/serving/request"
 	"github.com/fulmarcross/fulmarcross/internal/serving/router"
@@ -249,9 +250,19 @@
 		return false
 	}
 
-	return empty || d.dial(d.r.Context(), t) != nil
+	if empty {
+		return true
+	}
+
+	_ = clock.Sleep(d.r.Context(), portDelay) // The dial checks the context.
+
+	return d.dial(d.r.Context(), t) != nil
 }
 
+// portDelay is how long a process that is killed may accept connections after its others have been
+// closed.
+const portDelay = 30 * time.Millisecond
+
 // dial opens a connection to the target and keeps it for the next request. It fails if the
 // target accepts none.
 func (s *Server) dial(ctx context.Context, t *router.Target) error {
--- a/internal/serving/relay/unframed_test.go
+++ b/internal/serving/relay/unframed_test.go
@@ -87,3 +87,19 @@
 		})
 	}
 }
+
+// TestPortOutlastsConnections guards against a target that is killed and whose port accepts connections for a moment after its answer's connection was closed.
+func TestPortOutlastsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var f *fixture
+
+		f = newFixture(t, func(_ int, c call, w io.Writer, conn net.Conn) {
+			time.AfterFunc(10*time.Millisecond, func() { f.stop(c.target, fate{ends: true}) })
+			unframed(&f, c, w, conn, event(1)+event(2), false)
+		}, route.Route{Kind: route.Stream, Timeout: 5 * time.Second})
+		defer f.close()
+
+		_, aborted := f.do(t.Context(), "body")
+		assert.Assert(t, aborted)
+	})
+}
