--- a/internal/standin/soak/check.go
+++ b/internal/standin/soak/check.go
@@ -286,6 +286,7 @@
 		}
 
 		if unserved[p.name] != nil {
+			s.harmed.add(p.name, time.Now().Add(-contact), time.Now().Add(startTime)) // Its stacks end it.
 			_, _ = fmt.Fprintf(s.Traces, "%s does not serve:\n%s\n", p.name, p.stacks())
 		}
 	}
