--- a/internal/placement/holder/turns_test.go
+++ b/internal/placement/holder/turns_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
+	"github.com/fulmarcross/fulmarcross/internal/placement/lease"
 )
 
 // TestSuccessorHasNothingToWaitFor guards against a release to an entry that must wait before it orders, though another need not.
@@ -36,3 +37,16 @@
 		})
 	}
 }
+
+// TestNextProcessOfHolderThatWaits guards against a process that orders at once because the former one of its instance held the lease, though that one had to wait yet.
+func TestNextProcessOfHolderThatWaits(t *testing.T) {
+	const pause = 3 * time.Second
+
+	h := New(Config{Self: "a", Process: "second", TurnPause: pause})
+	former := lease.Record{Holder: "a", Process: "first", Token: 2}
+
+	assert.Equal(t, h.earliestOrder(former, h.started), h.started)
+
+	former.Waits = true
+	assert.Assert(t, !h.earliestOrder(former, h.started).Before(h.started.Add(pause)))
+}
