--- a/internal/placement/holder/turnschedule_test.go
+++ b/internal/placement/holder/turnschedule_test.go
@@ -140,26 +140,9 @@
 
 // turns returns the orders of holders that follow too soon, with another holder's between them.
 func (s *turnSchedule) turns(all []worker.Ordered) []string {
-	var out []string
-
-	orders := slices.DeleteFunc(all, func(o worker.Ordered) bool {
+	return worker.TurnsIn(turnPause, slices.DeleteFunc(all, func(o worker.Ordered) bool {
 		return slices.ContainsFunc(s.thawed[o.Holder], func(at time.Time) bool { return !o.At.Before(at) && o.At.Sub(at) < thaw })
-	})
-
-	for i, last := range orders {
-		between := instance.ID("")
-
-		for j := i - 1; j >= 0 && last.At.Sub(orders[j].At) < turnPause; j-- {
-			switch {
-			case orders[j].Holder != last.Holder:
-				between = orders[j].Holder
-			case between != "":
-				out = append(out, fmt.Sprintf("%s, %s and %s within %v, tokens %d and %d", last.Holder, between, last.Holder, last.At.Sub(orders[j].At), orders[j].Token, last.Token))
-			}
-		}
-	}
-
-	return out
+	}))
 }
 
 // TestHoldersTakeTurns guards against orders of a holder that comes back too soon after another's, in seeded schedules.
--- a/internal/standin/soak/planned.go
+++ b/internal/standin/soak/planned.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -31,7 +29,7 @@
 
 func (s *soak) thaw(p *process) {
 	p.signal(syscall.SIGCONT)
-	s.thawed.add(p.name)
+	s.thawed.add(p.name, time.Now(), time.Now().Add(thawTime))
 	s.harmed.add(p.name, time.Now().Add(-troubleMost), time.Now())
 }
 
@@ -126,28 +124,3 @@
 
 	return out
 }
-
-// thaws are when processes were thawed.
-type thaws struct {
-	mu sync.Mutex
-	at map[string][]time.Time
-}
-
-func (t *thaws) add(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	if t.at == nil {
-		t.at = make(map[string][]time.Time)
-	}
-
-	t.at[name] = append(t.at[name], time.Now())
-}
-
-// justBefore reports whether the process was thawed at most so long before a time.
-func (t *thaws) justBefore(name string, at time.Time, most time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-
-	return slices.ContainsFunc(t.at[name], func(thawed time.Time) bool { return !at.Before(thawed) && at.Sub(thawed) < most })
-}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -104,10 +104,9 @@
 	streams   streams
 	crashes   crashes
 	returns   returns
-	// harmed are the times in which processes were killed or frozen, and thawed when they were
-	// thawed.
-	harmed excuses
-	thawed thaws
+	// harmed are the times in which processes were killed or frozen, and thawed those right after
+	// they were thawed.
+	harmed, thawed excuses
 	// heal counts the faults that have not ended.
 	heal  sync.WaitGroup
 	began time.Time
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -444,9 +444,9 @@
 		return worker.Ordered{Order: holder.Order{Holder: id}, At: start.Add(at)}
 	}
 
-	assert.Equal(t, turnsIn([]worker.Ordered{order("a", 0), order("b", time.Second), order("a", 3*time.Second)}), "")
-	assert.Equal(t, turnsIn([]worker.Ordered{order("a", 0), order("a", time.Second), order("b", 2*time.Second)}), "")
-	assert.Assert(t, turnsIn([]worker.Ordered{order("a", 0), order("b", time.Second), order("a", 2*time.Second)}) != "")
+	assert.Equal(t, len(worker.TurnsIn(usersTurnPause, []worker.Ordered{order("a", 0), order("b", time.Second), order("a", 3*time.Second)})), 0)
+	assert.Equal(t, len(worker.TurnsIn(usersTurnPause, []worker.Ordered{order("a", 0), order("a", time.Second), order("b", 2*time.Second)})), 0)
+	assert.Equal(t, len(worker.TurnsIn(usersTurnPause, []worker.Ordered{order("a", 0), order("b", time.Second), order("a", 2*time.Second)})), 1)
 }
 
 // TestTimeLeftIsJudged guards against a soak that passes over targets that are given more time than is left.
--- a/internal/standin/soak/turns.go
+++ b/internal/standin/soak/turns.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -28,24 +26,18 @@
 	orderPoll = 10 * time.Millisecond
 )
 
-// holds reports whether the process says that it holds the lease.
-func (p *process) holds() bool {
-	c := http.Client{Timeout: thawTime}
-
-	resp, err := c.Get("http://" + p.metrics.String() + "/metrics")
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
+// holder returns the number of the process that holds the lease, or -1.
+func (s *soak) holder() int {
+	return slices.IndexFunc(s.processes, func(p *process) bool {
+		ctx, cancel := context.WithTimeout(s.ctx, thawTime)
+		defer cancel()
 
-	page, _ := io.ReadAll(resp.Body) // What is read of it counts.
+		holds, err := s.site.Holds(ctx, &site.Entry{Metrics: p.metrics})
 
-	return strings.Contains(string(page), "_holds_lease 1\n")
+		return err == nil && holds // One that has ended does not answer.
+	})
 }
 
-// holder returns the number of the process that holds the lease, or -1.
-func (s *soak) holder() int { return slices.IndexFunc(s.processes, (*process).holds) }
-
 // lastOrderer returns the number of the process that sent the newest order, or -1.
 func (s *soak) lastOrderer() int {
 	var newest worker.Ordered
@@ -89,7 +81,7 @@
 
 			s.stores[first].set(Calm)
 			s.excuses.add(storeOf(s.processes[first].name), began, time.Now())
-			s.thawed.add(s.processes[first].name)
+			s.thawed.add(s.processes[first].name, time.Now(), time.Now().Add(thawTime))
 
 			if ok {
 				s.processes[second].signal(syscall.SIGTERM)
@@ -133,10 +125,10 @@
 
 	for id, w := range s.site.Workers {
 		orders := slices.DeleteFunc(w.Orders(), func(o worker.Ordered) bool {
-			return o.Late || s.thawed.justBefore(string(o.Holder), o.At, thawTime)
+			return o.Late || s.thawed.overlap(string(o.Holder), o.At, o.At.Add(1))
 		})
 
-		if text := turnsIn(orders); text != "" {
+		for _, text := range worker.TurnsIn(usersTurnPause, orders) {
 			out = append(out, string(id)+": "+text)
 		}
 	}
@@ -144,25 +136,6 @@
 	return out
 }
 
-// turnsIn describes the first order of a holder that follows too soon on another one of it, with
-// another holder's between them.
-func turnsIn(orders []worker.Ordered) string {
-	for i, last := range orders {
-		between := instance.ID("")
-
-		for j := i - 1; j >= 0 && last.At.Sub(orders[j].At) < usersTurnPause; j-- {
-			switch {
-			case orders[j].Holder != last.Holder:
-				between = orders[j].Holder
-			case between != "":
-				return fmt.Sprintf("orders of %s, %s and %s within %v", last.Holder, between, last.Holder, last.At.Sub(orders[j].At).Round(time.Millisecond))
-			}
-		}
-	}
-
-	return ""
-}
-
 // cutHeads is the trouble in which targets stop within the heads of some answers.
 func (s *soak) cutHeads(engine, desk instance.ID) event {
 	const answers = 20
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -4,6 +4,7 @@
 package worker
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -502,25 +503,31 @@
 	return out
 }
 
-// Turns returns the orders of holders that follow within span an order of another
-// holder, which itself follows an earlier order of theirs.
+// Turns returns the turns in the orders of each of the workers.
 func Turns(span time.Duration, workers ...*Worker) []string {
 	var out []string
-
 	for _, w := range workers {
-		orders := w.Orders()
+		out = append(out, TurnsIn(span, w.Orders())...)
+	}
+
+	return out
+}
+
+// TurnsIn describes the orders of holders that follow within span an order of another
+// holder, which itself follows an earlier order of theirs.
+func TurnsIn(span time.Duration, orders []Ordered) []string {
+	var out []string
 
-		for i, last := range orders {
-			between := false
+	for i, last := range orders {
+		between := instance.ID("")
 
-			for j := i - 1; j >= 0 && last.At.Sub(orders[j].At) < span; j-- {
-				if orders[j].Holder != last.Holder {
-					between = true
-				} else if between {
-					out = append(out, string(last.Holder)+" again for "+last.Model)
+		for j := i - 1; j >= 0 && last.At.Sub(orders[j].At) < span; j-- {
+			if orders[j].Holder != last.Holder {
+				between = orders[j].Holder
+			} else if between != "" {
+				out = append(out, fmt.Sprintf("%s, %s and %s again within %v, tokens %d and %d", last.Holder, between, last.Holder, last.At.Sub(orders[j].At), orders[j].Token, last.Token))
 
-					break
-				}
+				break
 			}
 		}
 	}
