test: answers of former calls and old models of reports are taken for what is so

These tests are red on the present code: calls to an engine share connections, so that an answer that is sent twice is read as the next call's; and a report counts from 350 ms on, although the models in it may be some hundred milliseconds older than the sequence.

--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -36,6 +37,11 @@
 	drops bool
 	// twice says that two orders of a former holder that follow each other are late.
 	twice bool
+	// modelsAge is how much older models in reports are than the rest; zero means that it is drawn.
+	modelsAge time.Duration
+	// lateReports and lateOutcomes are the shares of reports and of orders that get the former
+	// answer of their engine.
+	lateReports, lateOutcomes float64
 }
 
 // action is something to be done at a time.
@@ -217,7 +223,9 @@
 	s.mu.Lock()
 	s.rowsAge = s.between(1, 1500*time.Millisecond)
 	s.mu.Unlock()
-	s.ageModels(s.between(1, 300*time.Millisecond))
+	s.ageModels(cmp.Or(s.modelsAge, s.between(1, 300*time.Millisecond)))
+	s.answers.reports, s.answers.orders = s.lateReports, s.lateOutcomes
+	s.answers.draw = rand.New(rand.NewPCG(s.draw.Uint64(), 1)) //nolint:gosec // Seeded.
 	time.Sleep(5 * time.Second)
 
 	for began := time.Now(); time.Since(began) < length; {
@@ -265,6 +273,36 @@
 	})
 }
 
+// TestAnswersOfFormerCalls guards against the same where the answer to one call to a target stands where the next one's is expected.
+func TestAnswersOfFormerCalls(t *testing.T) {
+	for name, tc := range map[string]struct{ reports, orders float64 }{
+		"1 in 100 reports":  {reports: 0.01},
+		"3 in 100 reports":  {reports: 0.03},
+		"10 in 100 reports": {reports: 0.1},
+		"1 in 100 orders":   {orders: 0.01},
+		"3 in 100 orders":   {orders: 0.03},
+		"10 in 100 orders":  {orders: 0.1},
+		"10 in 100 of both": {reports: 0.1, orders: 0.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			schedule.Each(t, schedulePrefix, roomSchedules, 4, func(t *testing.T, draw *rand.Rand) {
+				playRoomSchedule(t, roomSchedule{draw: draw, lateReports: tc.reports, lateOutcomes: tc.orders})
+			})
+		})
+	}
+}
+
+// TestModelsOlderThanTheRest guards against the same where the models in reports are older than the sequence beside them.
+func TestModelsOlderThanTheRest(t *testing.T) {
+	for _, age := range []time.Duration{340 * time.Millisecond, 450 * time.Millisecond, 700 * time.Millisecond, 950 * time.Millisecond} {
+		t.Run(age.String(), func(t *testing.T) {
+			schedule.Each(t, schedulePrefix, roomSchedules, 5, func(t *testing.T, draw *rand.Rand) {
+				playRoomSchedule(t, roomSchedule{draw: draw, modelsAge: age})
+			})
+		})
+	}
+}
+
 // playRoomSchedule plays a schedule to a cluster that is drawn.
 func playRoomSchedule(t *testing.T, s roomSchedule) {
 	t.Helper()
--- a/internal/placement/holder/world_test.go
+++ b/internal/placement/holder/world_test.go
@@ -75,6 +75,7 @@
 	replaced     map[instance.ID]time.Time
 	ended        atomic.Bool
 	formerModels map[instance.ID][]formerModels
+	answers      lateAnswers
 }
 
 // reportDelay is how much longer a request for a report takes to its engine, and the
@@ -470,13 +471,15 @@
 	time.Sleep(callTime + e.cl.orderDelay())
 
 	out, answered := e.cl.worker(t.ID).Order(o)
+
+	told, answered := e.cl.answers.order(t.ID, out, answered)
 	if !answered {
 		<-ctx.Done()
 
 		return holder.Rejected, errNoAnswer
 	}
 
-	return out, nil
+	return told, nil
 }
 
 func (e gatedEngines) Report(ctx context.Context, t inventory.Target) (holder.Report, error) {
@@ -498,7 +501,7 @@
 	e.cl.age(t.ID, &r)
 	time.Sleep(delay.back)
 
-	return r, nil
+	return e.cl.answers.report(t.ID, r)
 }
 
 // ask reports demand for models to the holders until one accepts the report.
