fix(node): without the store, only all known entries together tell the only software

An entry that the store refuses took one other entry's agreement for proof that its service has one software. Two entries that are cut off together agree, though neither knows of the newer software that is listed for the others.

Now every entry that is known, heard or not, must say the same; callers at one time share the question.

One entry that stands still alone was not shown to mix streams, before or after.

--- a/internal/fleet/node/origins.go
+++ b/internal/fleet/node/origins.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
@@ -42,6 +44,9 @@
 	shareSoon, storeSoon, listChanged chan struct{}
 	histories                         histories
 
+	// agreements are the questions to all entries that are under way, by service.
+	agreements singleflight.Group
+
 	mu   sync.Mutex
 	book origin.Book
 	// unwanted are the streams whose rows in the store are to be removed.
@@ -120,7 +125,11 @@
 	}
 
 	answers := o.ask(ctx, service, k)
-	alone := aloneEvidence{own: o.histories.alone(service, o.listed()[service])}
+
+	var agreed <-chan singleflight.Result
+	if pending || inStore.err != nil {
+		agreed = o.agree(service)
+	}
 
 	for answers != nil || pending {
 		select {
@@ -134,8 +143,6 @@
 			if _, known := a.Stream.Known(); known {
 				return origin.Finding{Origin: a.Stream, Source: origin.SourceEntry}
 			}
-
-			alone.add(a.Alone)
 		case inStore = <-stored:
 			pending = false
 
@@ -146,33 +153,12 @@
 	}
 
 	if inStore.err != nil {
-		return origin.Finding{Origin: alone.origin(), Source: origin.SourceAlone}
+		return origin.Finding{Origin: awaitAgreement(ctx, agreed), Source: origin.SourceAlone}
 	}
 
 	return origin.Finding{Origin: origin.Unknown(), Source: origin.SourceNone}
 }
 
-// aloneEvidence judges, without the store, whether only one software can have begun a stream.
-// An entry cannot know that by itself: it may be cut off while others use new software.
-type aloneEvidence struct {
-	own     origin.Origin
-	others  int
-	against bool
-}
-
-func (e *aloneEvidence) add(o origin.Origin) {
-	e.others++
-	e.against = e.against || o != e.own
-}
-
-func (e *aloneEvidence) origin() origin.Origin {
-	if e.others == 0 || e.against {
-		return origin.Unknown()
-	}
-
-	return e.own
-}
-
 // ask asks the entries that may have been told of a stream. The channel is closed when all
 // have answered or failed to.
 func (o *origins) ask(ctx context.Context, service string, k origin.Key) <-chan news.OriginAnswer {
