fix(holder): a load is sent only if the target has room whatever was told before

Two ways are shown. The answer to one call stood where the next one's is expected, and what it said was taken for the outcome of the order or for the present report. And a report counted from 350 ms on, although the models in it may be older than its sequence.

Package contents now judges what an engine may hold, beside the record that loads are decided on:

- A report counts if as many changes are visible in it as the engine has accepted orders since the last one that counted.
Each order changes one item, so that none can be missing, however old the models are.
- Answers to orders count for nothing.
An order takes effect only after as many others as it states, so the orders that were sent tell what an engine can hold when it accepts the next one.
- While a former holder's orders may arrive, and for the place of an unloaded adapter, only a report frees room.
- hasRoom checks this right before each load, and refuses it otherwise.

Room for the orders of a former holder is kept only if there was one.

--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -74,8 +74,10 @@
 	mu    sync.Mutex
 	watch lease.Watch
 	lease lease.Holding
-	// termBegan is when this holder last acquired the lease.
-	termBegan time.Time
+	// termBegan is when this holder last acquired the lease. formerTerm says that the lease had
+	// been held before.
+	termBegan  time.Time
+	formerTerm bool
 	// ordersFrom is the time from which this holder may send orders. Until
 	// inventoryBy it waits for engines that have not reported which models
 	// they hold.
--- a/internal/placement/holder/lateorders.go
+++ b/internal/placement/holder/lateorders.go
@@ -96,7 +96,7 @@
 // the engine may still be carried out. This holder has not heard which of them were left
 // unanswered.
 func (h *Holder) mayHaveForeignOrders(eng *trackedEngine, now time.Time) bool {
-	if now.Sub(h.termBegan) >= ledger.OrderLifetime {
+	if !h.formerOrders(now) {
 		return false
 	}
 
@@ -116,6 +116,12 @@
 	return uptime < ledger.OrderLifetime && time.Since(started) < ledger.OrderLifetime
 }
 
+// formerOrders reports whether orders of a former term may still be carried out. The caller holds
+// the lock.
+func (h *Holder) formerOrders(now time.Time) bool {
+	return h.formerTerm && now.Sub(h.termBegan) < ledger.OrderLifetime
+}
+
 func largestMB(e *route.Engine) float64 {
 	largest := 0.0
 	for _, m := range e.Models {
--- a/internal/placement/holder/leaseterm.go
+++ b/internal/placement/holder/leaseterm.go
@@ -131,7 +131,7 @@
 	h.hold(lease.Holding{Record: next, Version: version, FenceVersion: version, RenewalSent: sent})
 	h.ordersFrom, h.ordersFromToken = ordersFrom, next.Token
 	h.inventoryBy = clock.Later(h.ordersFrom, sent.Add(inventoryWait))
-	h.termBegan = sent
+	h.termBegan, h.formerTerm = sent, former.Token != 0
 	h.adoptSnapshot()
 	h.mu.Unlock()
 
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -19,14 +19,14 @@
 	busyRetryDelay = 70 * time.Millisecond
 	busyTimeout    = 4 * time.Second
 	// busyReportEvery is the number of attempts after which the engine is
-	// asked whether it is busy or has another sequence. These attempts take
-	// longer than maxReportAge, so that the report is recent enough.
+	// asked whether it is busy or has another sequence.
 	busyReportEvery = 6
-	// maxReportAge is the maximum age of the state in an engine's report.
-	maxReportAge = 350 * time.Millisecond
+	// inDoubtDelay is the delay after an order without an answer before the engine
+	// is asked whether it has carried it out.
+	inDoubtDelay = 350 * time.Millisecond
 	// reportRetryDelay is the delay before an engine that gave no conclusive
 	// report is asked again.
-	reportRetryDelay = 370 * time.Millisecond
+	reportRetryDelay = 340 * time.Millisecond
 	// orderMargin is added to the duration of a load before requests are sent,
 	// for the transit of the order and the engine's own processing.
 	orderMargin = 20 * time.Millisecond
@@ -88,7 +88,14 @@
 		}
 	}
 
-	return h.sendOrder(ctx, eng, Order{Model: s.Load})
+	// An engine that has just accepted an unload is carrying it out.
+	if len(s.Unload) > 0 && clock.Sleep(ctx, busyRetryDelay) != nil {
+		return h.failOrder(eng, Order{Model: s.Load}, Busy)
+	}
+
+	load := Order{Model: s.Load}
+
+	return h.awaitRoom(ctx, eng, load) && h.sendOrder(ctx, eng, load)
 }
 
 // loadAdapter loads an adapter. If idle, as model/adapter, is not empty, it
@@ -105,12 +112,15 @@
 		h.publish(clock.Now())
 		h.mu.Unlock()
 
+		h.showOrders(ctx, eng)
+
 		if !h.sendOrder(ctx, eng, Order{Unload: true, Model: idleModel, Adapter: idleName}) || !h.freeSlot(eng, idleModel, idleName) {
 			return
 		}
 	}
 
-	if !h.sendOrder(ctx, eng, Order{Model: model, Adapter: adapter}) {
+	load := Order{Model: model, Adapter: adapter}
+	if !h.awaitRoom(ctx, eng, load) || !h.sendOrder(ctx, eng, load) {
 		return
 	}
 
@@ -196,8 +206,8 @@
 
 // stamp sets the lease's token and holder and the engine's sequence on an
 // order. It returns false, and marks the engine as not synced, if the holder is
-// releasing the lease, if the lease is not valid, or if the engine's record has
-// been replaced or deleted.
+// releasing the lease, if the lease is not valid, if the engine's record has
+// been replaced or deleted, or if nothing shows that a load has room.
 //
 // A holder that was paused or cut off may still consider its lease valid. So
 // the lease is checked right before each order, after the last wait, against a
@@ -213,6 +223,14 @@
 	}
 
 	o.Sequence, o.Token, o.Holder = eng.sequence, h.lease.Token, h.cfg.Self
+
+	if !o.Unload && !h.hasRoom(eng, *o, clock.Now()) {
+		eng.synced = false
+
+		return false
+	}
+
+	eng.recordSent(*o, clock.Now())
 	h.sentOrders.begin()
 
 	return true
@@ -267,7 +285,7 @@
 // the cause may be a delayed order of a former holder instead, so the engine
 // must report its models before it gets other orders.
 func (h *Holder) resolveInDoubt(ctx context.Context, eng *trackedEngine, o Order) (again bool) {
-	if clock.Sleep(ctx, maxReportAge) == nil {
+	if clock.Sleep(ctx, inDoubtDelay) == nil {
 		if r, err := h.requestReport(ctx, eng); err == nil && r.Sequence == o.Sequence {
 			return true
 		}
@@ -289,23 +307,6 @@
 	return h.cfg.Engines.Report(ctx, eng.origin)
 }
 
-// steady reports whether an engine's sequence, and whether it is busy, were
-// unchanged from the first report of them, which arrived before, until maxReportAge later,
-// when this report was requested at the earliest.
-//
-// The parts of a report may differ in age: its sequence may already count an
-// order of a former holder, or it may no longer be busy, while the model that it
-// loads is not yet listed.
-func (eng *trackedEngine) steady(r Report, requested, now time.Time) bool {
-	if eng.reportedAt.IsZero() || eng.reportedSequence != r.Sequence || eng.reportedBusy != r.Busy {
-		eng.reportedAt, eng.reportedSequence, eng.reportedBusy = now, r.Sequence, r.Busy
-
-		return false
-	}
-
-	return requested.Sub(eng.reportedAt) >= maxReportAge
-}
-
 // inquire asks an engine for a report and applies it.
 func (h *Holder) inquire(ctx context.Context, eng *trackedEngine) {
 	requested := clock.Now()
@@ -337,12 +338,10 @@
 		eng.down, h.published = false, false
 	}
 
-	// A report with a lower sequence predates the last order.
-	if r.Sequence < eng.sequence {
-		return
-	}
+	if !eng.observe(r, requested, now) {
+		h.cfg.Log.Info().Str("target", string(eng.origin.ID)).Uint64("sequence", r.Sequence).Uint64("expected", eng.sequence).Int("models", len(r.Resident)).Bool("busy", r.Busy).
+			Msg("report does not account for all orders yet")
 
-	if !eng.steady(r, requested, now) {
 		return
 	}
 
--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -42,6 +42,8 @@
 	// lateReports and lateOutcomes are the shares of reports and of orders that get the former
 	// answer of their engine.
 	lateReports, lateOutcomes float64
+	// states says that targets refuse calls, state limits, ask for rest and leave.
+	states bool
 }
 
 // action is something to be done at a time.
@@ -101,6 +103,12 @@
 		return
 	}
 
+	if s.states && s.draw.IntN(3) == 0 {
+		s.stateSomething(w)
+
+		return
+	}
+
 	if s.twice && s.draw.IntN(3) == 0 {
 		s.lateTwice(w, h)
 
@@ -226,6 +234,7 @@
 	s.ageModels(cmp.Or(s.modelsAge, s.between(1, 300*time.Millisecond)))
 	s.answers.reports, s.answers.orders = s.lateReports, s.lateOutcomes
 	s.answers.draw = rand.New(rand.NewPCG(s.draw.Uint64(), 1)) //nolint:gosec // Seeded.
+
 	time.Sleep(5 * time.Second)
 
 	for began := time.Now(); time.Since(began) < length; {
--- a/internal/placement/holder/trackedengine.go
+++ b/internal/placement/holder/trackedengine.go
@@ -1,13 +1,13 @@
 package holder
 
 import (
-	"strings"
 	"time"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/target"
+	"github.com/fulmarcross/fulmarcross/internal/placement/contents"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
@@ -40,11 +40,11 @@
 	// unloadWaits is true if the order that was accepted last unloads an adapter on which
 	// requests run.
 	unloadWaits bool
-	// reportedAt is when the first report of reportedSequence, the engine's newest,
-	// together with reportedBusy arrived.
-	reportedAt       time.Time
-	reportedSequence uint64
-	reportedBusy     bool
+	// contents are what the engine's own reports show that it holds. Unlike models, they
+	// contain nothing that only follows from answers to orders.
+	contents contents.Record
+	// reportedAt is when the last report arrived that models were replaced by.
+	reportedAt time.Time
 	// down is true when both this holder and another entry have failed to reach
 	// the engine. suspectedAt is when another entry last reported that it
 	// failed to reach it.
@@ -138,8 +138,7 @@
 	}
 
 	for _, pending := range r.Pending {
-		model, adapter, _ := strings.Cut(pending, "/")
-		adapter, _, _ = strings.Cut(adapter, "@")
+		model, adapter := splitPending(pending)
 
 		if resident := models[model]; resident != nil {
 			resident.adapters[adapter] = &trackedAdapter{ready: now.Add(adapterLoadTime)}
@@ -147,6 +146,7 @@
 	}
 
 	eng.models, eng.sequence, eng.synced, eng.unacceptedLoad = models, r.Sequence, !r.Busy, ""
+	eng.reportedAt = now
 
 	switch {
 	case !r.Busy:
@@ -169,7 +169,7 @@
 		return false
 	}
 
-	eng.born, eng.sequence = r.Born, 0
+	eng.born, eng.sequence, eng.contents = r.Born, 0, contents.Restarted()
 	eng.reportedAt, eng.loadEnds, eng.busySince, eng.restUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	eng.models, eng.unacceptedLoad = make(map[string]*trackedModel), ""
 	eng.speed = speed{}
--- a/internal/placement/swap/room.go
+++ b/internal/placement/swap/room.go
@@ -21,18 +21,23 @@
 	// minIdleTime is how long a model or adapter is not evicted after its last
 	// use, because requests for it may be on their way.
 	minIdleTime = 300 * time.Millisecond
-	// sizeMargin, in MB, exceeds the rounding errors in sums of models' sizes.
-	sizeMargin = 1e-3
+	// SizeMarginMB exceeds the rounding errors in sums of models' sizes.
+	SizeMarginMB = 1e-3
 )
 
-// adapterReserveMB returns the memory that is reserved for adapters, in MB.
-func adapterReserveMB(e *route.Engine) float64 {
+// UsableMB returns the memory of an engine for models, in MB. The rest is reserved for adapters.
+func UsableMB(e *route.Engine) float64 {
+	return e.MemoryMB - LargestAdapterMB(e)*float64(e.AdapterSlots)
+}
+
+// LargestAdapterMB returns the size of the largest adapter, in MB.
+func LargestAdapterMB(e *route.Engine) float64 {
 	largest := 0.0
 	for _, m := range e.Models {
 		largest = max(largest, m.AdapterMB)
 	}
 
-	return largest * float64(e.AdapterSlots)
+	return largest
 }
 
 // victim is a model that could be evicted.
@@ -50,7 +55,7 @@
 		return nil, 0, 0, true
 	}
 
-	if need.known() && !d.idleRooms[t.index].fits(need-sizeMargin) {
+	if need.known() && !d.idleRooms[t.index].fits(need-SizeMarginMB) {
 		return nil, 0, 0, false
 	}
 
--- a/internal/placement/swap/swap.go
+++ b/internal/placement/swap/swap.go
@@ -232,7 +232,7 @@
 func Decide(s *Snapshot) Decisions {
 	d := &decider{
 		Snapshot: s, ordered: make(map[instance.ID]bool), reserved: make(map[instance.ID]time.Duration), demandOf: make(map[string]Demand, len(s.Demands)),
-		replicas: make(map[string]int), nearby: make(map[string]int), usableMB: s.Engine.MemoryMB - adapterReserveMB(s.Engine), freeStoreLoads: s.FreeStoreLoads,
+		replicas: make(map[string]int), nearby: make(map[string]int), usableMB: UsableMB(s.Engine), freeStoreLoads: s.FreeStoreLoads,
 		storeLoadsEndIn: slices.Clone(s.StoreLoadsEndIn), readyIn: make(map[string]time.Duration),
 	}
 
