fix(holder): an unload without an answer counts among the late orders of a target

Of a load, an unload and a load that follow one another, all unanswered, only the loads were recorded. Their sequences have a gap then, so that room was kept for one of them, though all three can be carried out by the target's next process. Found by reading; TestUnloadWithoutAnswerLinksLateLoads was red before (20 of 30 MB kept free).

--- a/internal/placement/holder/lateorders.go
+++ b/internal/placement/holder/lateorders.go
@@ -10,20 +10,21 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
-// lateOrder is a load that was not answered. Its target may carry it out until the end,
+// lateOrder is an order that was not answered. Its target may carry it out until the end,
 // also as another process than the one that it was sent to.
 type lateOrder struct {
 	// process is the process that the order was sent to.
 	process int64
 	// sequence is the number of orders that the target must have accepted before.
 	sequence uint64
-	// mb is the size of the model, infinite if it is not known, and zero for an adapter.
+	// mb is the size of the model, infinite if it is not known, and zero for an adapter and for
+	// an unload, which only lets the orders with the next sequence follow.
 	mb      float64
 	adapter bool
 	until   time.Time
 }
 
-// lateOrders are the loads that were not answered, by target. The zero value has none.
+// lateOrders are the orders that were not answered, by target. The zero value has none.
 //
 // An order contains a sequence, so that it has no effect after another one. A target that
 // starts anew under its id counts from zero, and its sequence may reach that of an order to
@@ -140,12 +141,8 @@
 	return mb
 }
 
-// recordInDoubt records a load that was not answered.
+// recordInDoubt records an order that was not answered.
 func (h *Holder) recordInDoubt(eng *trackedEngine, o Order, now time.Time) {
-	if o.Unload {
-		return
-	}
-
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
@@ -153,8 +150,8 @@
 		h.lateOrders = make(lateOrders)
 	}
 
-	late := lateOrder{process: eng.process(), sequence: o.Sequence, adapter: o.Adapter != "", until: now.Add(ledger.OrderLifetime)}
-	if !late.adapter {
+	late := lateOrder{process: eng.process(), sequence: o.Sequence, adapter: !o.Unload && o.Adapter != "", until: now.Add(ledger.OrderLifetime)}
+	if !o.Unload && !late.adapter {
 		late.mb = takenBy(h.engineConfig(eng).Models[o.Model].MB)
 	}
 
--- a/internal/placement/holder/lateorders_test.go
+++ b/internal/placement/holder/lateorders_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
 // TestLateOrdersReserve checks which unanswered orders keep memory and slots free.
@@ -28,6 +30,7 @@
 		"next process, beyond":      {orders: []lateOrder{load}, process: 2, sequence: 5},
 		"over":                      {orders: []lateOrder{{process: 1, sequence: 4, mb: 10, until: now}}, process: 2},
 		"one after the other":       {orders: []lateOrder{load, {process: 1, sequence: 5, mb: 20, until: until}, {process: 1, sequence: 6, adapter: true, until: until}}, process: 2, sequence: 4, mb: 30, slots: 1},
+		"load, unload and load":     {orders: []lateOrder{load, {process: 1, sequence: 5, until: until}, {process: 1, sequence: 6, mb: 20, until: until}}, process: 2, mb: 30},
 		"two of one sequence":       {orders: []lateOrder{load, {process: 1, sequence: 4, mb: 20, until: until}, adapter, adapter}, process: 2, sequence: 4, mb: 20, slots: 1},
 		"adapter":                   {orders: []lateOrder{adapter}, process: 2, slots: 1},
 		"the largest of several":    {orders: []lateOrder{load, {process: 1, sequence: 9, mb: 30, until: until}, adapter}, process: 2, mb: 30, slots: 1},
@@ -46,3 +49,19 @@
 		})
 	}
 }
+
+// TestUnloadWithoutAnswerLinksLateLoads guards against room for only one of two late loads whose sequences an unload without an answer lies between.
+func TestUnloadWithoutAnswerLinksLateLoads(t *testing.T) {
+	now := time.Now()
+	e := &route.Engine{Models: map[string]route.Model{"a": {MB: 10}, "b": {MB: 20}}}
+	h := &Holder{cfg: Config{Routes: func() *route.Config { return &route.Config{Services: map[string]route.Service{"s": {Engine: e}}} }}}
+	eng := &trackedEngine{born: 1}
+	eng.origin.ID, eng.target.Service = "t", "s"
+
+	for _, o := range []Order{{Model: "a", Sequence: 3}, {Unload: true, Model: "a", Sequence: 4}, {Model: "b", Sequence: 5}} {
+		h.recordInDoubt(eng, o, now)
+	}
+
+	mb, _ := h.lateOrders.reserve("t", 2, 0, now)
+	assert.Equal(t, mb, 30.0)
+}
