--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -76,6 +76,9 @@
 	Heads bool
 	// Retries makes the limit on retries small.
 	Retries bool
+	// Told says that engines answer orders and requests for a report twice, report models that are
+	// old, and start anew.
+	Told bool
 	// Command starts an entry, with Env added to its environment.
 	Command, Env []string
 	// Dir is the directory for settings and logs.
@@ -422,6 +425,10 @@
 		all = append(all, s.holdersInTurn(), s.holdersInTurn())
 	}
 
+	if s.Told {
+		all = append(all, s.answerTwice(draw, engine), s.answerTwice(draw, engine), s.startAnew(engine))
+	}
+
 	if s.Heads {
 		all = append(all, s.cutHeads(engine, desk), s.cutHeads(engine, desk))
 	}
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -61,6 +61,13 @@
 	assert.Assert(t, r.Answered > 0)
 }
 
+// TestSoakTold plays one short seed in which engines answer twice and report old models.
+func TestSoakTold(t *testing.T) {
+	r := play(t, Options{Seed: 7, Entries: 3, Length: 5 * time.Second, Told: true})
+	assert.Equal(t, len(r.Broken), 0, "%v", r.Broken)
+	assert.Assert(t, r.Answered > 0)
+}
+
 // TestMissingProgram guards against a panic where one clear error is due.
 func TestMissingProgram(t *testing.T) {
 	_, err := Run(t.Context(), Options{Seed: 1, Entries: 2, Dir: t.TempDir(), Command: []string{"missing"}})
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -42,6 +42,14 @@
 	states  statements
 	brittle brittleState
 	crash   crashState
+	// former are the models that were held, as they were last looked at.
+	former []formerModels
+}
+
+// formerModels are the models that were held at a time.
+type formerModels struct {
+	at     time.Time
+	models []inventory.ResidentModel
 }
 
 // model is a model that is loaded or being loaded.
@@ -80,6 +88,10 @@
 	LostAnswers int
 	// EndlessAnswers is the number of next requests that are answered by bytes without end.
 	EndlessAnswers int
+	// TwiceAnswered is the number of next orders and requests for a report that are answered twice.
+	TwiceAnswered int
+	// OldModels is how much older the models in reports are than the rest.
+	OldModels time.Duration
 	// CutHeads is the number of next requests that run and whose answers end within their heads.
 	CutHeads int
 }
@@ -300,7 +312,25 @@
 
 	w.start()
 
-	return holder.Report{Busy: w.busy, Sequence: w.sequence, Resident: w.list()}
+	return holder.Report{Busy: w.busy, Sequence: w.sequence, Resident: w.reported()}
+}
+
+// formerKept is the number of former lists that are kept.
+const formerKept = 64
+
+// reported returns the models that a report names, which may be older than the rest of it.
+func (w *Worker) reported() []inventory.ResidentModel {
+	now := time.Now()
+	w.former = append(w.former, formerModels{now, w.list()})
+	w.former = w.former[max(0, len(w.former)-formerKept):]
+
+	for _, f := range slices.Backward(w.former) {
+		if now.Sub(f.at) >= w.faults.OldModels {
+			return f.models
+		}
+	}
+
+	return w.former[0].models
 }
 
 func (w *Worker) list() []inventory.ResidentModel {
@@ -338,6 +368,8 @@
 
 	w.start()
 
+	w.reported()
+
 	t.Resident, t.Sequence, t.Software = w.list(), w.sequence, w.Software
 
 	for name := range w.disk {
@@ -416,7 +448,7 @@
 
 	w.process++
 	w.sequence, w.busy = 0, false
-	w.held, w.memory = make(map[string]*model), make(map[string]bool)
+	w.held, w.memory, w.former = make(map[string]*model), make(map[string]bool), nil
 }
 
 // Upgrade makes the worker a new process of other software, which holds nothing.
@@ -440,6 +472,9 @@
 // TakeFault reports whether the answer must be lost, and counts it.
 func (w *Worker) TakeFault() bool { return w.takeOne(&w.faults.LostAnswers) }
 
+// AnswersTwice implements platform.Worker.
+func (w *Worker) AnswersTwice() bool { return w.takeOne(&w.faults.TwiceAnswered) }
+
 // takeEndless reports whether the answer must have no end, and counts it.
 func (w *Worker) takeEndless() bool { return w.takeOne(&w.faults.EndlessAnswers) }
 
