--- a/internal/fleet/node/reach.go
+++ b/internal/fleet/node/reach.go
@@ -3,10 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,8 +28,6 @@
 	roundTargets = 4
 	// roundInterval is the time between two rounds while this entry is cut off.
 	roundInterval = 400 * time.Millisecond
-	// holdTime is how long a new connection must not be reset to count as reached.
-	holdTime = 50 * time.Millisecond
 	// recentReach is how long a connection that opened shows that targets are reached.
 	recentReach = 150 * time.Millisecond
 	// avoidTime is how long no requests are passed on to a neighbour that did not reach
@@ -97,22 +92,6 @@
 	})
 }
 
-// Answered implements relay.Reach.
-func (r *reachability) Answered(service string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	r.of(service).Answered(time.Now())
-}
-
-// Silent implements relay.Reach.
-func (r *reachability) Silent(service string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	return r.of(service).Silent(time.Now())
-}
-
 // apply changes the state of a service and logs if it is cut off from now on or no longer.
 // The caller holds the lock.
 func (r *reachability) apply(service string, change func(s *serviceReach, now time.Time)) {
@@ -193,44 +172,28 @@
 	defer cancel()
 
 	var (
-		all            sync.WaitGroup
-		reached, reset atomic.Int64
+		all     sync.WaitGroup
+		reached atomic.Int64
 	)
 
 	for _, t := range targets {
 		all.Go(func() {
 			c, err := n.pool.Open(ctx, t.Address)
-			switch {
-			case err != nil:
-			case holds(c):
+			if err == nil {
 				reached.Add(1)
-			default:
-				reset.Add(1)
+
+				_ = c.Close()
 			}
 		})
 	}
 
 	all.Wait()
 
-	round.Reached, round.Reset = int(reached.Load()), int(reset.Load())
+	round.Reached = int(reached.Load())
 
 	return round
 }
 
-// holds reports whether a new connection is not reset at once, and closes it. A proxy, a firewall
-// or a kernel may open connections on behalf of a target that is not reached.
-func holds(c net.Conn) bool {
-	defer c.Close()
-
-	if c.SetReadDeadline(time.Now().Add(holdTime)) != nil {
-		return false
-	}
-
-	_, err := c.Read(make([]byte, 1))
-
-	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // someTargets returns at most roundTargets targets of a service, drawn at random.
 func (n *Node) someTargets(service string) []inventory.Target {
 	var out []inventory.Target
--- a/internal/serving/relay/reuse.go
+++ b/internal/serving/relay/reuse.go
@@ -54,7 +54,9 @@
 
 // countConnection counts the connection of an attempt in the metrics.
 func (d *delivery) countConnection(reused bool) {
-	d.newConn = !reused
+	if d.Reach != nil && !reused {
+		d.Reach.Reached(d.service)
+	}
 
 	if d.Metrics == nil {
 		return
--- a/internal/serving/relay/statement.go
+++ b/internal/serving/relay/statement.go
@@ -28,8 +28,6 @@
 		return
 	}
 
-	d.recordReach()
-
 	heard.At = clock.Now()
 	heard.SentAt = heard.At.Add(-time.Since(sentAt))
 
