--- a/internal/fleet/node/cutoff_test.go
+++ b/internal/fleet/node/cutoff_test.go
@@ -106,10 +106,10 @@
 	how          network.Cut
 }
 
-func cutCases() map[string]cutCase {
+func cutCases(how ...network.Cut) map[string]cutCase {
 	out := make(map[string]cutCase)
 
-	for _, how := range []network.Cut{network.Silent, network.Reset, network.Refuse} {
+	for _, how := range how {
 		out["one, "+how.String()] = cutCase{4, 1, false, how}
 		out["the holder, "+how.String()] = cutCase{4, 1, true, how}
 		out["most, "+how.String()] = cutCase{7, 5, true, how}
@@ -121,32 +121,44 @@
 // TestCutOffEntryServesAsOthers guards against an entry that reaches no target and refuses
 // its callers although other entries reach all.
 func TestCutOffEntryServesAsOthers(t *testing.T) {
-	for name, tc := range cutCases() {
-		t.Run(name, func(t *testing.T) {
-			simulateSite(t, site.Options{Entries: tc.entries, Network: delayed()}, func(t *testing.T, s *site.Site) {
-				cut, others := cutSome(t, s, tc.cut, tc.ofHolder, tc.how)
-				_ = try(t, s.Entries, contactTime, "early")
+	for name, tc := range cutCases(network.Silent, network.Reset, network.Refuse) {
+		t.Run(name, func(t *testing.T) { tc.play(t) })
+	}
+}
 
-				var (
-					wg    sync.WaitGroup
-					there *tries
-				)
+// TestEntryWhoseConnectionsBreakServesAsOthers guards against the same where connections open and are then reset.
+func TestEntryWhoseConnectionsBreakServesAsOthers(t *testing.T) {
+	for name, tc := range cutCases(network.Break) {
+		t.Run(name, func(t *testing.T) { tc.play(t) })
+	}
+}
 
-				wg.Go(func() { there = try(t, cut, 5*time.Second, "there") })
+// play cuts entries off and compares them with the others.
+func (tc cutCase) play(t *testing.T) {
+	t.Helper()
 
-				elsewhere := try(t, others, 5*time.Second, "elsewhere")
+	simulateSite(t, site.Options{Entries: tc.entries, Network: delayed()}, func(t *testing.T, s *site.Site) {
+		cut, others := cutSome(t, s, tc.cut, tc.ofHolder, tc.how)
+		_ = try(t, s.Entries, contactTime, "early")
 
-				wg.Wait()
-				heal(s)
+		var (
+			wg    sync.WaitGroup
+			there *tries
+		)
 
-				failed := there.sent - there.served
-				assert.Assert(t, failed <= 10+(there.sent+elsewhere.sent)/50, "%d of %d failed: %v", failed, there.sent, there.errs[:min(5, len(there.errs))])
-				assert.Assert(t, there.share() >= elsewhere.share()*2/3, "%v there, %v elsewhere", there.share(), elsewhere.share())
-				assert.Assert(t, elsewhere.share() > 0.95, "%v", elsewhere.errs)
-				assert.DeepEqual(t, s.Broken(), []string(nil))
-			})
-		})
-	}
+		wg.Go(func() { there = try(t, cut, 5*time.Second, "there") })
+
+		elsewhere := try(t, others, 5*time.Second, "elsewhere")
+
+		wg.Wait()
+		heal(s)
+
+		failed := there.sent - there.served
+		assert.Assert(t, failed <= 10+(there.sent+elsewhere.sent)/50, "%d of %d failed: %v", failed, there.sent, there.errs[:min(5, len(there.errs))])
+		assert.Assert(t, there.share() >= elsewhere.share()*2/3, "%v there, %v elsewhere", there.share(), elsewhere.share())
+		assert.Assert(t, elsewhere.share() > 0.95, "%v", elsewhere.errs)
+		assert.DeepEqual(t, s.Broken(), []string(nil))
+	})
 }
 
 // TestAllCutOffRefuseAtOnce guards against callers who wait for a target that no entry
--- a/internal/standin/network/cut.go
+++ b/internal/standin/network/cut.go
@@ -20,10 +20,12 @@
 	Reset
 	// Refuse refuses new connections and leaves those that are open.
 	Refuse
+	// Break resets connections, and new ones as soon as they have opened.
+	Break
 )
 
 func (c Cut) String() string {
-	return [...]string{Whole: "whole", Silent: "silent", Reset: "reset", Refuse: "refuse"}[c]
+	return [...]string{Whole: "whole", Silent: "silent", Reset: "reset", Refuse: "refuse", Break: "break"}[c]
 }
 
 // SetCut partitions the process that dials from an address from the one that listens on
@@ -40,7 +42,7 @@
 	var broken []*delayed
 
 	for _, d := range n.ends {
-		if c == Reset && d.at == at && (d.from == from || d.to == from) {
+		if (c == Reset || c == Break) && d.at == at && (d.from == from || d.to == from) {
 			broken = append(broken, d)
 		}
 	}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -75,7 +75,7 @@
 		}
 	case Reset, Refuse:
 		return nil, refused
-	case Whole:
+	case Whole, Break:
 	}
 
 	n.mu.Lock()
@@ -91,6 +91,10 @@
 
 	select {
 	case l.accepted <- far:
+		if n.cutBetween(from, at) == Break {
+			reset(near)
+		}
+
 		return near, nil
 	case <-l.closed:
 		near.Close()
@@ -103,6 +107,18 @@
 	}
 }
 
+// reset resets a connection that has just opened.
+func reset(c net.Conn) {
+	if d, ok := c.(*delayed); ok {
+		d.reset.Store(true)
+		_ = d.Conn.Close() // Both ends then fail.
+
+		return
+	}
+
+	_ = c.Close()
+}
+
 // Client returns an HTTP client on the network, which opens a connection for each request.
 func (n *Network) Client() *http.Client { return n.ClientFrom(netip.AddrPort{}) }
 
