fix(holder): a restarted engine must say for a second what it holds, too

Its record began as one that holds nothing, so that its first report counted and models were loaded there at once. Restarted, its two cases and its guard go; another guard holds what the former process held.

--- a/internal/placement/contents/contents.go
+++ b/internal/placement/contents/contents.go
@@ -67,10 +67,6 @@
 	until time.Time
 }
 
-// Restarted returns the record of a process that has taken the place of another one. It holds
-// nothing yet.
-func Restarted() Record { return Record{shown: true} }
-
 // Shown returns the number of orders after which the contents are known. It reports false if they
 // are not known.
 func (c *Record) Shown() (sequence uint64, known bool) { return c.sequence, c.shown }
--- a/internal/placement/holder/targetlist.go
+++ b/internal/placement/holder/targetlist.go
@@ -6,7 +6,6 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
-	"github.com/fulmarcross/fulmarcross/internal/placement/contents"
 	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
@@ -28,10 +27,6 @@
 		eng := h.engines[id]
 		if eng == nil || eng.target.StartedMs != t.StartedMs && eng.born != t.StartedMs || eng.target.Address != t.Address {
 			eng = &trackedEngine{origin: t, target: t, models: make(map[string]*trackedModel)}
-			if !t.ReplacedAt.IsZero() {
-				eng.contents = contents.Restarted()
-			}
-
 			eng.updateCopies(t, now)
 			h.engines[id] = eng
 			h.published = false
--- a/internal/placement/holder/trackedengine.go
+++ b/internal/placement/holder/trackedengine.go
@@ -169,7 +169,7 @@
 		return false
 	}
 
-	eng.born, eng.sequence, eng.contents = r.Born, 0, contents.Restarted()
+	eng.born, eng.sequence, eng.contents = r.Born, 0, contents.Record{}
 	eng.reportedAt, eng.loadEnds, eng.busySince, eng.restUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	eng.models, eng.unacceptedLoad = make(map[string]*trackedModel), ""
 	eng.speed = speed{}
