--- a/internal/placement/holder/lateanswers_test.go
+++ b/internal/placement/holder/lateanswers_test.go
@@ -27,7 +27,7 @@
 }
 
 // take takes the answer to a call, if there is one, and returns the first that waits.
-func (l *lateAnswers) take(id instance.ID, a *answer, twice float64) *answer {
+func (l *lateAnswers) take(id instance.ID, a *answer, share *float64) *answer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -40,7 +40,7 @@
 		waiting = append(waiting, a)
 	}
 
-	if a != nil && l.draw != nil && l.draw.Float64() < twice {
+	if a != nil && l.draw != nil && l.draw.Float64() < *share {
 		waiting = append(waiting, a)
 	}
 
@@ -53,6 +53,14 @@
 	return waiting[0]
 }
 
+// set sets how many calls are answered twice.
+func (l *lateAnswers) set(reports, orders float64, draw *rand.Rand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.reports, l.orders, l.draw = reports, orders, draw
+}
+
 // fail drops what waits on a connection that is given up.
 func (l *lateAnswers) fail(id instance.ID) {
 	l.mu.Lock()
@@ -69,7 +77,7 @@
 		own = &answer{outcome: out}
 	}
 
-	switch told := l.take(id, own, l.orders); {
+	switch told := l.take(id, own, &l.orders); {
 	case told == nil:
 		l.fail(id)
 
@@ -83,7 +91,7 @@
 
 // report returns a report as its receiver reads it. The answer to an order is none.
 func (l *lateAnswers) report(id instance.ID, r holder.Report) (holder.Report, error) {
-	told := l.take(id, &answer{report: &r}, l.reports)
+	told := l.take(id, &answer{report: &r}, &l.reports)
 	if told.report == nil {
 		l.fail(id)
 
--- a/internal/placement/holder/roomschedule_test.go
+++ b/internal/placement/holder/roomschedule_test.go
@@ -234,8 +234,7 @@
 	s.rowsAge = s.between(1, 1500*time.Millisecond)
 	s.mu.Unlock()
 	s.ageModels(cmp.Or(s.modelsAge, s.between(1, 300*time.Millisecond)))
-	s.answers.reports, s.answers.orders = s.lateReports, s.lateOutcomes
-	s.answers.draw = rand.New(rand.NewPCG(s.draw.Uint64(), 1)) //nolint:gosec // Seeded.
+	s.answers.set(s.lateReports, s.lateOutcomes, rand.New(rand.NewPCG(s.draw.Uint64(), 1))) //nolint:gosec // Seeded.
 
 	time.Sleep(5 * time.Second)
 
