refactor: a group that ends with its first error, one way to start an engine's next process

agreement.go counted disagreements in a channel and cancelled by hand; an errgroup does both, and the error says who did not agree. The soak's two troubles in which an engine starts anew share startNext. The stand-in's worker remembers what it holds in a function of its own, where Describe threw away the result of another one. Behaviour is unchanged.

--- a/internal/fleet/node/agreement.go
+++ b/internal/fleet/node/agreement.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"sync"
+	"fmt"
 
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -38,6 +39,12 @@
 	return origin.Unknown()
 }
 
+// disagreementError says that an entry does not take the same software for the only one, or does not
+// answer.
+type disagreementError struct{ Entry instance.ID }
+
+func (e *disagreementError) Error() string { return fmt.Sprintf("entry %s does not agree", e.Entry) }
+
 // askAll returns what this entry and all others take for the only software of a service, and that
 // it is unknown if they differ, if one does not answer or if there are no others.
 func (o *origins) askAll(ctx context.Context, service string) origin.Origin {
@@ -46,26 +53,21 @@
 		return origin.Unknown()
 	}
 
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-
-	against := make(chan struct{}, len(others))
-
-	var wg sync.WaitGroup
+	g, ctx := errgroup.WithContext(ctx)
 
 	for _, id := range others {
-		wg.Go(func() {
+		g.Go(func() error {
 			if !o.says(ctx, id, service, own) {
-				against <- struct{}{}
-
-				cancel()
+				return &disagreementError{Entry: id}
 			}
+
+			return nil
 		})
 	}
 
-	wg.Wait()
+	if err := g.Wait(); err != nil {
+		o.node.cfg.Log.Debug().Err(err).Str("service", service).Msg("software not known without the store")
 
-	if len(against) > 0 {
 		return origin.Unknown()
 	}
 
--- a/internal/standin/soak/software.go
+++ b/internal/standin/soak/software.go
@@ -56,15 +56,20 @@
 		},
 		end: func() {
 			if began {
-				s.targets[engine].set(Reset)
-				s.site.Upgrade(engine, to)
-				s.targets[engine].set(Calm)
+				s.startNext(engine, to)
 			}
 		},
 		excuses: string(engine),
 	}
 }
 
+// startNext makes an engine a new process of the software, which holds nothing.
+func (s *soak) startNext(engine instance.ID, to instance.Software) {
+	s.targets[engine].set(Reset)
+	s.site.Upgrade(engine, to)
+	s.targets[engine].set(Calm)
+}
+
 // streams counts the streams of clients that take them up.
 type streams struct {
 	mu sync.Mutex
--- a/internal/standin/soak/told.go
+++ b/internal/standin/soak/told.go
@@ -37,7 +37,7 @@
 	return event{
 		name:    string(engine) + " starts anew",
 		begin:   func() { s.targets[engine].set(Reset) },
-		end:     func() { s.site.Upgrade(engine, versions[0]); s.targets[engine].set(Calm) },
+		end:     func() { s.startNext(engine, versions[0]) },
 		excuses: string(engine),
 	}
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -318,11 +318,17 @@
 // formerKept is the number of former lists that are kept.
 const formerKept = 64
 
+// remember records the models that are held.
+func (w *Worker) remember() {
+	w.former = append(w.former, formerModels{time.Now(), w.list()})
+	w.former = w.former[max(0, len(w.former)-formerKept):]
+}
+
 // reported returns the models that a report names, which may be older than the rest of it.
 func (w *Worker) reported() []inventory.ResidentModel {
+	w.remember()
+
 	now := time.Now()
-	w.former = append(w.former, formerModels{now, w.list()})
-	w.former = w.former[max(0, len(w.former)-formerKept):]
 
 	for _, f := range slices.Backward(w.former) {
 		if now.Sub(f.at) >= w.faults.OldModels {
@@ -368,7 +374,7 @@
 
 	w.start()
 
-	w.reported()
+	w.remember()
 
 	t.Resident, t.Sequence, t.Software = w.list(), w.sequence, w.Software
 
