fix(holder): a release of the lease waits for work without a trace of earlier waits

Cause: a hand-over that timed out left a goroutine that went on waiting for the WaitGroup of the work in flight. The holder went on, and its next work added to the WaitGroup from zero before that goroutine had run: "sync: WaitGroup is reused before previous Wait has returned", which ends the process. Loads were also still asked after while a release waited.

Callers saw: an entry that ends with all its requests.

Change: work is a weighted semaphore. A release takes all of it or gives up with its context, and leaves nothing behind; while it waits no work begins.

--- a/internal/placement/holder/decide.go
+++ b/internal/placement/holder/decide.go
@@ -453,17 +453,22 @@
 }
 
 // startWork starts a goroutine that sends orders to an engine or requests its
-// report. Each engine has at most one such goroutine at a time. The caller
-// holds the lock.
+// report, unless the lease is being released. Each engine has at most one such
+// goroutine at a time. The caller holds the lock.
 func (h *Holder) startWork(eng *trackedEngine, work func()) {
+	if !h.work.TryAcquire(1) {
+		return
+	}
+
 	eng.inFlight = true
 
-	h.work.Go(func() {
+	go func() {
 		work()
 
 		h.mu.Lock()
 		eng.inFlight = false
 		h.mu.Unlock()
+		h.work.Release(1)
 		h.Wake()
-	})
+	}()
 }
--- a/internal/placement/holder/holder.go
+++ b/internal/placement/holder/holder.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/clock"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
@@ -23,8 +25,12 @@
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
-// cell is the number of the only cell.
-const cell = 0
+const (
+	// cell is the number of the only cell.
+	cell = 0
+	// allWork is more than the number of goroutines that work at a time.
+	allWork = math.MaxInt64
+)
 
 // Config configures a Holder.
 type Config struct {
@@ -67,9 +73,9 @@
 	cfg     Config
 	started time.Time
 	wake    chan struct{}
-	// work counts the goroutines that send orders to engines or request their
-	// reports.
-	work sync.WaitGroup
+	// work is held, one unit each, by the goroutines that send orders to engines or request their
+	// reports, and whole by a release of the lease.
+	work *semaphore.Weighted
 
 	mu    sync.Mutex
 	watch lease.Watch
@@ -136,7 +142,7 @@
 
 	return &Holder{
 		cfg: cfg, started: now, snapshotAt: now.Add(firstLeaseCheck - snapshotTimeout), wake: make(chan struct{}, 1),
-		engines: make(map[instance.ID]*trackedEngine), shortRates: rates{span: shortRateSpan}, longRates: rates{span: longRateSpan},
+		work: semaphore.NewWeighted(allWork), engines: make(map[instance.ID]*trackedEngine), shortRates: rates{span: shortRateSpan}, longRates: rates{span: longRateSpan},
 	}
 }
 
--- a/internal/placement/holder/holder_test.go
+++ b/internal/placement/holder/holder_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -280,6 +281,38 @@
 	})
 }
 
+// TestOrdersAfterHandOverTimesOut guards against work that begins beside an earlier hand-over's wait for work.
+func TestOrdersAfterHandOverTimesOut(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"slow orders": 500 * time.Millisecond, "slower than hand-overs": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2)
+
+				time.Sleep(5 * time.Second)
+
+				old := cl.leaseHolder()
+				cl.setOrderDelay(delay)
+
+				for i := range 200 {
+					cl.ask(fmt.Sprintf("m%d/a%d", i%3, i))
+					time.Sleep(100 * time.Millisecond)
+					cl.handOverFor(old, 20*time.Millisecond)
+				}
+
+				cl.setOrderDelay(0)
+				time.Sleep(5 * time.Second)
+
+				if cl.leaseHolder() == old {
+					cl.handOverFor(old, 9*time.Second)
+				}
+
+				assert.Assert(t, cl.leaseHolder() != old)
+				cl.finishReleased()
+			})
+		})
+	}
+}
+
 // TestReleaseDuringRenewal releases the lease while a renewal is in flight on a
 // slow store. The renewal changes the row's version, and the release must
 // still succeed: otherwise no entry could send orders until the lease expires.
--- a/internal/placement/holder/leaseterm.go
+++ b/internal/placement/holder/leaseterm.go
@@ -300,11 +300,12 @@
 	}
 
 	// Orders in flight must be resolved before another entry sends its own.
-	if clock.Wait(ctx, &h.work) != nil {
+	if h.work.Acquire(ctx, allWork) != nil {
 		h.cfg.Log.Warn().Msg("lease not released, orders are in flight")
 
 		return
 	}
+	defer h.work.Release(allWork)
 
 	next := held.Record
 	next.Released, next.WriteID = true, uuid.NewString()
--- a/internal/placement/holder/world_test.go
+++ b/internal/placement/holder/world_test.go
@@ -573,6 +573,14 @@
 	return ""
 }
 
+// handOverFor makes a holder hand the lease to a peer, for at most a time.
+func (cl *cluster) handOverFor(from instance.ID, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(cl.t.Context(), limit)
+	defer cancel()
+
+	cl.holders[from].HandOver(ctx, cl.peers(from)[0])
+}
+
 // finish checks the invariants of all tests and ends the bubble's goroutines.
 // Tests in which the lease is released use finishReleased, since the next
 // holder may then send orders at once.
