--- a/internal/placement/holder/lateorders.go
+++ b/internal/placement/holder/lateorders.go
@@ -97,10 +97,12 @@
 // the engine may still be carried out. This holder has not heard which of them were left
 // unanswered.
 func (h *Holder) mayHaveForeignOrders(eng *trackedEngine, now time.Time) bool {
-	if !h.formerOrders(now) {
-		return false
-	}
+	return h.formerOrders(now) && h.recentlyReplaced(eng, now)
+}
 
+// recentlyReplaced reports whether orders to a former process of the engine may still be carried
+// out. The caller holds the lock.
+func (h *Holder) recentlyReplaced(eng *trackedEngine, now time.Time) bool {
 	replaced := eng.target.ReplacedAt
 	if eng.born != 0 && eng.born != eng.target.StartedMs {
 		replaced = now
--- a/internal/placement/holder/lateorders_test.go
+++ b/internal/placement/holder/lateorders_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
+	"github.com/fulmarcross/fulmarcross/internal/placement/ledger"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
 
@@ -65,3 +67,42 @@
 	mb, _ := h.lateOrders.reserve("t", 2, 0, now)
 	assert.Equal(t, mb, 30.0)
 }
+
+// TestRoomOnReplacedTarget guards against room by an order's answer where orders to the target's former processes may take its place.
+func TestRoomOnReplacedTarget(t *testing.T) {
+	now := time.Now()
+	e := &route.Engine{MemoryMB: 36, Models: map[string]route.Model{"a": {MB: 10}, "b": {MB: 10}, "c": {MB: 10}, "d": {MB: 10}}}
+
+	for name, tc := range map[string]struct {
+		replacedAt time.Time
+		// listed is the process in the target list.
+		listed int64
+		shown  bool
+		room   bool
+	}{
+		"never replaced":                  {listed: 2, room: true},
+		"replaced just now":               {listed: 2, replacedAt: now},
+		"replaced just now, report":       {listed: 2, replacedAt: now, shown: true, room: true},
+		"replaced, not in the list yet":   {listed: 1},
+		"replaced, orders may still come": {listed: 2, replacedAt: now.Add(time.Second - ledger.OrderLifetime)},
+		"replaced long ago":               {listed: 2, replacedAt: now.Add(-ledger.OrderLifetime), room: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &Holder{cfg: Config{Routes: func() *route.Config { return &route.Config{Services: map[string]route.Service{"s": {Engine: e}}} }}}
+			eng := &trackedEngine{born: 2}
+			eng.target = inventory.Target{Service: "s", StartedMs: tc.listed, ReplacedAt: tc.replacedAt}
+
+			for _, requested := range []time.Time{now.Add(-5 * time.Second), now.Add(-3 * time.Second)} {
+				eng.observe(Report{Resident: []inventory.ResidentModel{{Model: "a"}, {Model: "b"}, {Model: "c"}}}, requested, requested)
+			}
+
+			eng.recordSent(Order{Unload: true, Model: "a"}, now)
+
+			if tc.shown {
+				eng.observe(Report{Sequence: 1, Resident: []inventory.ResidentModel{{Model: "b"}, {Model: "c"}}}, now, now)
+			}
+
+			assert.Equal(t, h.hasRoom(eng, Order{Model: "d", Sequence: 1}, now), tc.room)
+		})
+	}
+}
--- a/internal/placement/holder/room.go
+++ b/internal/placement/holder/room.go
@@ -17,8 +17,10 @@
 // hasRoom reports whether a load fits into an engine, whatever has become of the orders before it.
 // It does not use the record that the load was decided on. The caller holds the lock.
 func (h *Holder) hasRoom(eng *trackedEngine, o Order, now time.Time) bool {
-	// The orders of a former term are not known, so that only a report shows what was accepted.
-	if shown, known := eng.contents.Shown(); !known || shown != o.Sequence && h.formerOrders(now) {
+	// Orders of a former term or to a former process are not known, so that only a report shows what
+	// was accepted.
+	othersOrders := h.formerOrders(now) || h.recentlyReplaced(eng, now)
+	if shown, known := eng.contents.Shown(); !known || shown != o.Sequence && othersOrders {
 		return false
 	}
 
