--- a/internal/placement/contents/contents.go
+++ b/internal/placement/contents/contents.go
@@ -84,6 +84,10 @@
 	return c.observe(r, requested, c.settle(r, requested, arrived))
 }
 
+// Unanswered records that the engine has not answered a request for a report. What it says after
+// that may be an answer to a request before.
+func (c *Record) Unanswered() { c.since = time.Time{} }
+
 func (c *Record) observe(r Report, requested time.Time, counts bool) bool {
 	if counts && !r.Busy {
 		c.show(r, requested)
--- a/internal/placement/contents/contents_test.go
+++ b/internal/placement/contents/contents_test.go
@@ -77,10 +77,11 @@
 
 	for name, tc := range map[string]struct {
 		// second is a report that arrives between the first and the last.
-		second    Report
-		orderedAt bool
-		last      int
-		counts    bool
+		second     Report
+		orderedAt  bool
+		unanswered bool
+		last       int
+		counts     bool
 	}{
 		"for a second":              {second: same, last: 1001, counts: true},
 		"for less":                  {second: same, last: 1000},
@@ -88,6 +89,7 @@
 		"another sequence between":  {second: Report{Sequence: 5, Items: items("a")}, last: 1400},
 		"busy between":              {second: Report{Sequence: 4, Busy: true, Items: items("a")}, last: 1400},
 		"an order was sent between": {second: same, orderedAt: true, last: 1400},
+		"no answer between":         {second: same, unanswered: true, last: 1400},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := shown("a")
@@ -98,6 +100,10 @@
 				c.Sent(unload("a", 4), at(15000))
 			}
 
+			if tc.unanswered {
+				c.Unanswered()
+			}
+
 			assert.Equal(t, c.Observe(same, at(tc.last), at(tc.last+1)), tc.counts)
 		})
 	}
--- a/internal/placement/holder/orders.go
+++ b/internal/placement/holder/orders.go
@@ -304,7 +304,14 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 
-	return h.cfg.Engines.Report(ctx, eng.origin)
+	r, err := h.cfg.Engines.Report(ctx, eng.origin)
+	if err != nil {
+		h.mu.Lock()
+		eng.contents.Unanswered()
+		h.mu.Unlock()
+	}
+
+	return r, err
 }
 
 // inquire asks an engine for a report and applies it.
