fix(crash): three deaths under copies of one request convict it

So copies that came at five entries at once crashed their targets, and the next five, seconds later, crashed them again.

Callers saw: whatever else those targets ran was cut off twice over (BUDGET).

Change: three deaths at the same time convict a single request that has not run soundly lately if nothing else explains them: no target ended beside them without it, and no other request was on all of them. A rack takes along what did not run it, or what ran beside it. What many requests share is not concerned.

The case "deaths at the same time" of TestVerdict wanted three such deaths to convict nothing; BUDGET counts from the third. Seven cases take its place: two at the same time, sound before, two requests, part of a rack, a shared part (none of them blocked), copies of a request and of a content (blocked; red before).

TestSilentLinksBlockNothing, TestPartCrashesTargets, TestPopularRequestIsNotBlocked and the other tests of crashes pass.

--- a/internal/serving/crash/crash.go
+++ b/internal/serving/crash/crash.go
@@ -33,6 +33,9 @@
 	soundPeriod = time.Minute
 	// maxSound bounds the fingerprints of each of the two periods.
 	maxSound = 4096
+	// copiedDeaths is the number of deaths at the same time from which copies of one request are
+	// taken to have caused them.
+	copiedDeaths = 3
 	// maxDeaths bounds the deaths that are remembered.
 	maxDeaths = 256
 	// maxExposures bounds the fingerprints of one death, and maxBlocks the blocks of peers.
--- a/internal/serving/crash/verdict.go
+++ b/internal/serving/crash/verdict.go
@@ -56,6 +56,9 @@
 	deaths []*death
 	// sound is when a request with it last ran soundly, before all of the deaths.
 	sound time.Time
+	// alone says that at the time of the deaths no target ended without it, and that it has no
+	// equal: no other suspect of its scope was on all of the targets.
+	alone bool
 }
 
 // convict returns what crashes targets, with the last death for each, and the suspects of
@@ -117,9 +120,38 @@
 
 	dropContested(out)
 
+	for _, s := range out {
+		s.alone = v.isAlone(s, out)
+	}
+
 	return out
 }
 
+// isAlone reports whether nothing but the suspect explains that targets ended at the same time: a
+// rack takes what did not run it along, or what ran beside it.
+func (v *verdict) isAlone(s *suspicion, all map[request.Fingerprint]*suspicion) bool {
+	beside := func(d *death) bool {
+		return !slices.Contains(s.deaths, d) && slices.ContainsFunc(s.deaths, func(own *death) bool { return d.at.Sub(own.at).Abs() <= observation })
+	}
+
+	if slices.ContainsFunc(v.deaths, beside) {
+		return false
+	}
+
+	for _, other := range all {
+		if other != s && other.fp.Scope() == s.fp.Scope() && other.covers(s) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// covers reports whether all deaths of a suspicion are of this one, too.
+func (s *suspicion) covers(other *suspicion) bool {
+	return !slices.ContainsFunc(other.deaths, func(d *death) bool { return !slices.Contains(s.deaths, d) })
+}
+
 // dropContested drops, from the suspicions of what has run soundly lately, the deaths that
 // something shared which has not may have caused as well, if it is suspected of others too.
 func dropContested(all map[request.Fingerprint]*suspicion) {
@@ -171,7 +203,7 @@
 			continue
 		}
 
-		if !slices.ContainsFunc(s.deaths, func(d *death) bool { return !slices.Contains(other.deaths, d) }) {
+		if other.covers(s) {
 			return true
 		}
 	}
@@ -198,14 +230,20 @@
 	return 1
 }
 
-// convicts reports whether there are enough deaths, one after the other.
+// convicts reports whether there are enough deaths, one after the other or under copies of one
+// request.
 func (s *suspicion) convicts() bool {
 	limit := limitsOf(s.fp.Scope()).unknown
 	if !s.sound.IsZero() {
 		limit = limitsOf(s.fp.Scope()).sound
 	}
 
-	return len(s.deaths) >= limit && s.inTurn() >= limit
+	return len(s.deaths) >= limit && (s.inTurn() >= limit || s.inCopies())
+}
+
+// inCopies reports whether copies of one request, sent at the same time, crashed the targets.
+func (s *suspicion) inCopies() bool {
+	return s.fp.Scope().Single() && s.sound.IsZero() && s.alone && len(s.deaths) >= copiedDeaths
 }
 
 // inTurn returns how many of the deaths came one after the other: a request was sent to
