--- a/internal/serving/crash/verdict.go
+++ b/internal/serving/crash/verdict.go
@@ -56,8 +56,9 @@
 	deaths []*death
 	// sound is when a request with it last ran soundly, before all of the deaths.
 	sound time.Time
-	// alone says that at the time of the deaths no target ended without it, and that it has no
-	// equal: no other suspect of its scope was on all of the targets.
+	// alone says of what may be copies of one request that at the time of the deaths no target
+	// ended without it, and that it has no equal: no other suspect of its scope was on all of the
+	// targets.
 	alone bool
 }
 
@@ -121,7 +122,7 @@
 	dropContested(out)
 
 	for _, s := range out {
-		s.alone = v.isAlone(s, out)
+		s.alone = s.mayBeCopies() && v.isAlone(s, out)
 	}
 
 	return out
@@ -238,12 +239,13 @@
 		limit = limitsOf(s.fp.Scope()).sound
 	}
 
-	return len(s.deaths) >= limit && (s.inTurn() >= limit || s.inCopies())
+	return len(s.deaths) >= limit && (s.alone || s.inTurn() >= limit)
 }
 
-// inCopies reports whether copies of one request, sent at the same time, crashed the targets.
-func (s *suspicion) inCopies() bool {
-	return s.fp.Scope().Single() && s.sound.IsZero() && s.alone && len(s.deaths) >= copiedDeaths
+// mayBeCopies reports whether copies of one request, sent at the same time, may have crashed the
+// targets.
+func (s *suspicion) mayBeCopies() bool {
+	return s.fp.Scope().Single() && s.sound.IsZero() && len(s.deaths) >= copiedDeaths
 }
 
 // inTurn returns how many of the deaths came one after the other: a request was sent to
