--- a/internal/placement/contents/contents_test.go
+++ b/internal/placement/contents/contents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,13 +24,9 @@
 
 // item returns a model, or an adapter if the name has a slash.
 func item(name string) Item {
-	for i := range name {
-		if name[i] == '/' {
-			return Item{Model: name[:i], Adapter: name[i+1:]}
-		}
-	}
+	model, adapter, _ := strings.Cut(name, "/")
 
-	return Item{Model: name}
+	return Item{Model: model, Adapter: adapter}
 }
 
 // shown returns the record of an engine that holds items after two orders.
