test(network): idle connections of the stand-in network show that they were closed

Cause: conn.usable asks the kernel whether an idle connection was closed or has received anything. Connections of net.Pipe have no kernel, so that one that its target had closed was used for a request, which then failed with 502.

Change: the end that was dialled implements syscall.Conn. It is unusable once the other end has ended or a partition has reset it.

--- a/internal/standin/network/faults.go
+++ b/internal/standin/network/faults.go
@@ -150,7 +150,7 @@
 	n.deliveries.Go(a.deliver)
 	n.deliveries.Go(b.deliver)
 
-	return a, b
+	return dialled{a}, b
 }
 
 func (n *Network) delayed(c net.Conn, from, to netip.AddrPort) *delayed {
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -109,7 +109,7 @@
 
 // reset resets a connection that has just opened.
 func reset(c net.Conn) {
-	if d, ok := c.(*delayed); ok {
+	if d, ok := c.(dialled); ok {
 		d.reset.Store(true)
 		_ = d.Conn.Close() // Both ends then fail.
 
