fix(reach): a connection that is reset once it has opened reaches no target

Cause: a connection that opened counted as a target reached. Where a proxy or a firewall opens connections and resets them, an entry that reaches no target passed nothing on.

While targets answer, opening counts as before, so that a target that refuses connections delays no request.

--- a/internal/fleet/node/reach.go
+++ b/internal/fleet/node/reach.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,6 +31,8 @@
 	roundTargets = 4
 	// roundInterval is the time between two rounds while this entry is cut off.
 	roundInterval = 400 * time.Millisecond
+	// holdTime is how long a new connection must not be reset to count as reached.
+	holdTime = 50 * time.Millisecond
 	// recentReach is how long a connection that opened shows that targets are reached.
 	recentReach = 150 * time.Millisecond
 	// avoidTime is how long no requests are passed on to a neighbour that did not reach
@@ -92,6 +97,22 @@
 	})
 }
 
+// Answered implements relay.Reach.
+func (r *reachability) Answered(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.of(service).Answered(time.Now())
+}
+
+// Silent implements relay.Reach.
+func (r *reachability) Silent(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.of(service).Silent(time.Now())
+}
+
 // apply changes the state of a service and logs if it is cut off from now on or no longer.
 // The caller holds the lock.
 func (r *reachability) apply(service string, change func(s *serviceReach, now time.Time)) {
@@ -146,7 +167,12 @@
 
 // run makes a round and closes done. While this entry is cut off, another round follows.
 func (r *reachability) run(service string, done chan struct{}) {
-	round := r.node.tryTargets(service)
+	hold := time.Duration(0)
+	if r.Silent(service) {
+		hold = holdTime
+	}
+
+	round := r.node.tryTargets(service, hold)
 
 	r.mu.Lock()
 	r.apply(service, func(s *serviceReach, now time.Time) {
@@ -162,8 +188,8 @@
 	}
 }
 
-// tryTargets opens connections to some targets of a service.
-func (n *Node) tryTargets(service string) reach.Round {
+// tryTargets opens connections to some targets of a service, which must then hold for some time.
+func (n *Node) tryTargets(service string, hold time.Duration) reach.Round {
 	round := reach.Round{Began: time.Now()}
 	targets := n.someTargets(service)
 	round.Tried = len(targets)
@@ -172,28 +198,44 @@
 	defer cancel()
 
 	var (
-		all     sync.WaitGroup
-		reached atomic.Int64
+		all            sync.WaitGroup
+		reached, reset atomic.Int64
 	)
 
 	for _, t := range targets {
 		all.Go(func() {
 			c, err := n.pool.Open(ctx, t.Address)
-			if err == nil {
+			switch {
+			case err != nil:
+			case holds(c, hold):
 				reached.Add(1)
-
-				_ = c.Close()
+			default:
+				reset.Add(1)
 			}
 		})
 	}
 
 	all.Wait()
 
-	round.Reached = int(reached.Load())
+	round.Reached, round.Reset = int(reached.Load()), int(reset.Load())
 
 	return round
 }
 
+// holds reports whether a new connection is not reset within some time, and closes it. A proxy, a
+// firewall or a kernel may open connections on behalf of a target that is not reached.
+func holds(c net.Conn, within time.Duration) bool {
+	defer c.Close()
+
+	if c.SetReadDeadline(time.Now().Add(within)) != nil {
+		return false
+	}
+
+	_, err := c.Read(make([]byte, 1))
+
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // someTargets returns at most roundTargets targets of a service, drawn at random.
 func (n *Node) someTargets(service string) []inventory.Target {
 	var out []inventory.Target
--- a/internal/serving/relay/deliver.go
+++ b/internal/serving/relay/deliver.go
@@ -266,6 +266,7 @@
 	}
 
 	d.runs++
+	d.checkReach(ctx)
 
 	return d.checkCrash(ctx, t, err)
 }
--- a/internal/serving/relay/delivery.go
+++ b/internal/serving/relay/delivery.go
@@ -27,6 +27,8 @@
 	info     RequestInfo
 	arrived  time.Time
 	deadline time.Time
+	// newConn says that the attempt opened its connection.
+	newConn bool
 	// version is the version of the configuration that the request is handled
 	// under.
 	version uint64
--- a/internal/serving/relay/passon.go
+++ b/internal/serving/relay/passon.go
@@ -27,11 +27,15 @@
 type Reach interface {
 	// CutOff reports whether this entry reaches no target of the service.
 	CutOff(service string) bool
-	// Check does the same after a connection could not be opened. If that is not known
-	// yet, it tries some targets first.
+	// Check does the same after a connection could not be opened, or broke before an answer. If
+	// that is not known yet, it tries some targets first.
 	Check(ctx context.Context, service string) bool
-	// Reached records that a new connection to a target of the service opened.
+	// Reached records that a new connection to a target of the service carried an answer, and
+	// Answered that any connection did.
 	Reached(service string)
+	Answered(service string)
+	// Silent reports whether no target of the service has answered lately.
+	Silent(service string) bool
 	// Dialing returns a context for opening a connection, which ends when this entry is
 	// found to be cut off from the service. The caller cancels it.
 	Dialing(ctx context.Context, service string) (context.Context, context.CancelFunc)
@@ -107,6 +111,27 @@
 	return d.Reach != nil && d.Reach.Check(ctx, d.service)
 }
 
+// checkReach finds out whether connections that break before an answer are reset on their way, so
+// that the next attempt is passed on.
+func (d *delivery) checkReach(ctx context.Context) {
+	if d.Reach != nil && ctx.Err() == nil && d.Reach.Silent(d.service) {
+		d.Reach.Check(ctx, d.service)
+	}
+}
+
+// recordReach records that a target has answered.
+func (d *delivery) recordReach() {
+	if d.Reach == nil {
+		return
+	}
+
+	d.Reach.Answered(d.service)
+
+	if d.newConn {
+		d.Reach.Reached(d.service)
+	}
+}
+
 // passOnOnce passes the request on. It reports whether it may be passed on again.
 func (d *delivery) passOnOnce(ctx context.Context) (again bool, err error) {
 	err = d.passOn(ctx)
--- a/internal/serving/relay/reuse.go
+++ b/internal/serving/relay/reuse.go
@@ -54,9 +54,7 @@
 
 // countConnection counts the connection of an attempt in the metrics.
 func (d *delivery) countConnection(reused bool) {
-	if d.Reach != nil && !reused {
-		d.Reach.Reached(d.service)
-	}
+	d.newConn = !reused
 
 	if d.Metrics == nil {
 		return
--- a/internal/serving/relay/statement.go
+++ b/internal/serving/relay/statement.go
@@ -28,6 +28,8 @@
 		return
 	}
 
+	d.recordReach()
+
 	heard.At = clock.Now()
 	heard.SentAt = heard.At.Add(-time.Since(sentAt))
 
