--- a/internal/standin/network/idle.go
+++ b/internal/standin/network/idle.go
@@ -1,6 +1,7 @@
 package network
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
@@ -36,12 +37,9 @@
 		return err
 	}
 
-	defer syscall.Close(fds[0])
-	defer syscall.Close(fds[1])
-
 	f(uintptr(fds[0]))
 
-	return nil
+	return errors.Join(syscall.Close(fds[0]), syscall.Close(fds[1]))
 }
 
 // Read implements syscall.RawConn. It does not wait.
