--- a/internal/fleet/node/reach.go
+++ b/internal/fleet/node/reach.go
@@ -31,8 +31,9 @@
 	roundTargets = 4
 	// roundInterval is the time between two rounds while this entry is cut off.
 	roundInterval = 400 * time.Millisecond
-	// holdTime is how long a new connection must not be reset to count as reached.
-	holdTime = 50 * time.Millisecond
+	// holdTime is how long a new connection must not be reset to count as reached while no target
+	// answers.
+	holdTime = 150 * time.Millisecond
 	// recentReach is how long a connection that opened shows that targets are reached.
 	recentReach = 150 * time.Millisecond
 	// avoidTime is how long no requests are passed on to a neighbour that did not reach
