--- a/internal/placement/contents/contents.go
+++ b/internal/placement/contents/contents.go
@@ -38,8 +38,6 @@
 // Record is what is known of one process of an engine. The zero value knows nothing. It is not
 // safe for concurrent use.
 type Record struct {
-	// fresh says that a report of no accepted order counts at once.
-	fresh bool
 	// shown says that the engine held items after it had accepted sequence orders.
 	shown    bool
 	sequence uint64
@@ -54,11 +52,6 @@
 	since     time.Time
 }
 
-// Fresh returns the record of a process that has replaced no other. While nothing is known of it, a
-// report that it has accepted no order counts at once: only orders change what an engine holds, so
-// that its models at that sequence are of no age.
-func Fresh() Record { return Record{fresh: true} }
-
 // Order is a load or an unload that takes effect if the engine has accepted Sequence orders.
 type Order struct {
 	Item
@@ -80,10 +73,9 @@
 
 // Observe records a report that was requested and arrived at these times. It reports whether it
 // counts: all orders that the engine has accepted since the last report that counted are visible
-// in it, the engine has said the same for longer than a report can be old, or the record is fresh
-// and the engine has accepted none.
+// in it, or the engine has said the same for longer than a report can be old.
 func (c *Record) Observe(r Report, requested, arrived time.Time) bool {
-	return c.observe(r, requested, c.settle(r, requested, arrived) || c.accounts(&r) || c.unordered(&r))
+	return c.observe(r, requested, c.settle(r, requested, arrived) || c.accounts(&r))
 }
 
 // Settles does the same for a report that may predate the last order: it counts only if the engine
@@ -127,10 +119,6 @@
 	return c.shown && !r.Busy && r.Sequence >= c.sequence && r.Sequence-c.sequence == c.items.orders(r.Items)
 }
 
-func (c *Record) unordered(r *Report) bool {
-	return c.fresh && !c.shown && !r.Busy && r.Sequence == 0
-}
-
 // reloadOrders is the number of orders that remove all adapters from a model that stays: an unload
 // of the model and a load.
 const reloadOrders = 2
--- a/internal/placement/holder/targetlist.go
+++ b/internal/placement/holder/targetlist.go
@@ -6,7 +6,6 @@
 
 	"github.com/fulmarcross/fulmarcross/internal/fleet/instance"
 	"github.com/fulmarcross/fulmarcross/internal/fleet/inventory"
-	"github.com/fulmarcross/fulmarcross/internal/placement/contents"
 	"github.com/fulmarcross/fulmarcross/internal/placement/swap"
 	"github.com/fulmarcross/fulmarcross/internal/serving/route"
 )
@@ -27,8 +26,7 @@
 
 		eng := h.engines[id]
 		if eng == nil || eng.target.StartedMs != t.StartedMs && eng.born != t.StartedMs || eng.target.Address != t.Address {
-			replaced := eng != nil || !t.ReplacedAt.IsZero()
-			eng = &trackedEngine{origin: t, target: t, models: make(map[string]*trackedModel), contents: recordOf(replaced)}
+			eng = &trackedEngine{origin: t, target: t, models: make(map[string]*trackedModel)}
 			eng.updateCopies(t, now)
 			h.engines[id] = eng
 			h.published = false
@@ -51,16 +49,6 @@
 	}
 }
 
-// recordOf returns the record of a process. One that replaced another may have been crashed by a
-// request that returns with its model, so that no load there is hurried.
-func recordOf(replaced bool) contents.Record {
-	if replaced {
-		return contents.Record{}
-	}
-
-	return contents.Fresh()
-}
-
 // removeUnlisted deletes the engines that are not on the target list.
 func (h *Holder) removeUnlisted(targets map[instance.ID]inventory.Target, now time.Time) {
 	for id, eng := range h.engines {
