refactor(reach): one call records an answer and whether its connection was new

Read once more: each answer on a new connection took the lock of the reach twice, by two methods that only one place called, one after the other. Answered now says whether the connection was new. Two comments say what the code does since. No verdict changes.

--- a/internal/fleet/node/reach.go
+++ b/internal/fleet/node/reach.go
@@ -34,7 +34,7 @@
 	// holdTime is how long a new connection must not be reset to count as reached while no target
 	// answers.
 	holdTime = 150 * time.Millisecond
-	// recentReach is how long a connection that opened shows that targets are reached.
+	// recentReach is how long an answer on a new connection shows that targets are reached.
 	recentReach = 150 * time.Millisecond
 	// avoidTime is how long no requests are passed on to a neighbour that did not reach
 	// the service, or was not reached.
@@ -87,25 +87,23 @@
 	return r.of(service).CutOff()
 }
 
-// Reached implements relay.Reach.
-func (r *reachability) Reached(service string) {
+// Answered implements relay.Reach.
+func (r *reachability) Answered(service string, newConn bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	r.of(service).Answered(time.Now())
+
+	if !newConn {
+		return
+	}
+
 	r.apply(service, func(s *serviceReach, now time.Time) {
 		s.reachedAt = now
 		s.Reached(now)
 	})
 }
 
-// Answered implements relay.Reach.
-func (r *reachability) Answered(service string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	r.of(service).Answered(time.Now())
-}
-
 // Silent implements relay.Reach.
 func (r *reachability) Silent(service string) bool {
 	r.mu.Lock()
--- a/internal/serving/relay/passon.go
+++ b/internal/serving/relay/passon.go
@@ -30,10 +30,9 @@
 	// Check does the same after a connection could not be opened, or broke before an answer. If
 	// that is not known yet, it tries some targets first.
 	Check(ctx context.Context, service string) bool
-	// Reached records that a new connection to a target of the service carried an answer, and
-	// Answered that any connection did.
-	Reached(service string)
-	Answered(service string)
+	// Answered records that a connection to a target of the service, perhaps a new one, carried an
+	// answer.
+	Answered(service string, newConn bool)
 	// Silent reports whether no target of the service has answered lately.
 	Silent(service string) bool
 	// Dialing returns a context for opening a connection, which ends when this entry is
@@ -119,19 +118,6 @@
 	}
 }
 
-// recordReach records that a target has answered.
-func (d *delivery) recordReach() {
-	if d.Reach == nil {
-		return
-	}
-
-	d.Reach.Answered(d.service)
-
-	if d.newConn {
-		d.Reach.Reached(d.service)
-	}
-}
-
 // passOnOnce passes the request on. It reports whether it may be passed on again.
 func (d *delivery) passOnOnce(ctx context.Context) (again bool, err error) {
 	err = d.passOn(ctx)
--- a/internal/serving/relay/passon_test.go
+++ b/internal/serving/relay/passon_test.go
@@ -32,8 +32,7 @@
 
 func (r *fakeReach) CutOff(string) bool                 { return r.cut }
 func (r *fakeReach) Check(context.Context, string) bool { return r.found }
-func (r *fakeReach) Reached(string)                     {}
-func (r *fakeReach) Answered(string)                    {}
+func (r *fakeReach) Answered(string, bool)              {}
 func (r *fakeReach) Silent(string) bool                 { return false }
 func (r *fakeReach) Neighbours(string) []Neighbour      { return r.neighbours }
 func (r *fakeReach) Avoid(_ string, id instance.ID)     { r.avoided = append(r.avoided, id) }
--- a/internal/serving/relay/reuse.go
+++ b/internal/serving/relay/reuse.go
@@ -52,7 +52,7 @@
 	c.target.AddIdle(n)
 }
 
-// countConnection counts the connection of an attempt in the metrics.
+// countConnection records whether an attempt opened its connection, and counts it in the metrics.
 func (d *delivery) countConnection(reused bool) {
 	d.newConn = !reused
 
--- a/internal/serving/relay/statement.go
+++ b/internal/serving/relay/statement.go
@@ -28,7 +28,9 @@
 		return
 	}
 
-	d.recordReach()
+	if d.Reach != nil {
+		d.Reach.Answered(d.service, d.newConn)
+	}
 
 	heard.At = clock.Now()
 	heard.SentAt = heard.At.Add(-time.Since(sentAt))
