--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -78,9 +78,9 @@
 	return result{status: resp.StatusCode, stamped: resp.Header.Get("Server-Stamp") != "", body: string(data), whole: err == nil, err: err}
 }
 
-// streamHeader is the header of a request to a model.
-func streamHeader(model string) map[string]string {
-	return map[string]string{"Model": model, "Token-Count": "100,120", "Prompt-Prefix": "5c1e07a2:50,e4402b7d:50"}
+// streamHeader is the header of a request to a model, whose prompt begins with a shared part.
+func streamHeader(model string, shared int) map[string]string {
+	return map[string]string{"Model": model, "Token-Count": "100,120", "Prompt-Prefix": fmt.Sprintf("5c1e07%02x:50,e440%04x:50", shared, attempts.Load())}
 }
 
 func (r result) String() string {
--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -123,15 +124,24 @@
 	fmt.Fprintf(c.record, "%8.3f  %s\n", c.since().Seconds(), fmt.Sprintf(format, args...))
 }
 
+// The ports that free returns: none that connections get by themselves.
+const (
+	firstPort = 20000
+	ports     = 10000
+)
+
 // free returns a free loopback address.
 func free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer l.Close()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
 
-	return l.Addr().String()
+			return address
+		}
+	}
 }
 
 // startEntries starts entries with settings like those of a small deployment.
--- a/review/rig2/latecrash.go
+++ b/review/rig2/latecrash.go
@@ -79,7 +79,7 @@
 			}
 
 			id := attemptID()
-			r := ask(c.entries[i%3].callers, "POST", fmt.Sprintf("/note/sound/%d", i), id, streamHeader("m0"), fmt.Sprintf("text %d", i), 15*time.Second)
+			r := ask(c.entries[i%3].callers, "POST", fmt.Sprintf("/note/sound/%d", i), id, streamHeader("m0", i%8), fmt.Sprintf("text %d", i), 15*time.Second)
 			asked++
 
 			if r.status == 200 && r.stamped && r.whole {
@@ -88,11 +88,13 @@
 		}
 	})
 
+	same := streamHeader("m0", 0)
+
 	for i := range comings {
 		e := c.entries[i%len(c.entries)]
 		id := attemptID()
 		c.log("client sends %s to %s id=%s", used, e.name, id)
-		r := ask(e.callers, "POST", used, id, streamHeader("m0"), "the same text each time", 15*time.Second)
+		r := ask(e.callers, "POST", used, id, same, "the same text each time", 15*time.Second)
 		c.log("client got id=%s %v", id, r)
 		time.Sleep(pause)
 	}
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -52,7 +52,7 @@
 			// The objectives are 100 ms and 600 ms.
 			path, header, leave := fmt.Sprintf("/book/work-100/%d", i), map[string]string{}, 50*time.Millisecond
 			if i%2 == 0 {
-				path, header, leave = fmt.Sprintf("/note/sound/%d", i), streamHeader("m0"), 300*time.Millisecond
+				path, header, leave = fmt.Sprintf("/note/sound/%d", i), streamHeader("m0", i%8), 300*time.Millisecond
 			}
 
 			if !trouble || i/2%leaveEach >= leavers {
--- a/review/rig2/preempted.go
+++ b/review/rig2/preempted.go
@@ -7,18 +7,25 @@
 )
 
 // preempted sends streams that their workers preempt for two and a half seconds, in the middle of
-// the stream. These workers do not drop a request when its connection closes. It counts the
-// streams that go on at another worker while the one before still works on them 400 ms later.
+// the stream. Two of the six workers do not drop a request when its connection closes. It counts
+// the streams that go on at another worker while the one before still works on them 400 ms later.
 func preempted(c *cluster, trouble bool) int {
 	const (
-		streams = 6
+		streams = 18
+		workers = 6
+		keepers = 2
 		overlap = 400 * time.Millisecond
 	)
 
 	c.store.put("op", "config", clusterConfig(7, []string{"m0"}))
 
-	for i := range 6 {
-		if err := c.addWorker(fmt.Sprintf("i-%d", i+1), "redactor", []string{"m0"}, 2*time.Second, "goes-on=1"); err != nil {
+	for i := range workers {
+		var options []string
+		if i < keepers {
+			options = []string{"goes-on=1"}
+		}
+
+		if err := c.addWorker(fmt.Sprintf("i-%d", i+1), "redactor", []string{"m0"}, 2*time.Second, options...); err != nil {
 			return couldNotRun
 		}
 	}
@@ -68,21 +75,30 @@
 		path = "/note/sound/%d"
 	}
 
-	whole := 0
+	var (
+		whole int
+		all   sync.WaitGroup
+	)
 
 	for i := range streams {
 		e, id := c.entries[i%len(c.entries)], attemptID()
 		c.log("client sends to %s id=%s", e.name, id)
-		r := ask(e.callers, "POST", fmt.Sprintf(path, i), id, streamHeader("m0"), fmt.Sprintf("text %d", i), 15*time.Second)
-		c.log("client got id=%s %v", id, r)
+		all.Go(func() {
+			r := ask(e.callers, "POST", fmt.Sprintf(path, i), id, streamHeader("m0", i), fmt.Sprintf("text %d", i), 15*time.Second)
+			c.log("client got id=%s %v", id, r)
 
-		if r.status == 200 && r.whole {
-			whole++
-		}
+			mu.Lock()
+			defer mu.Unlock()
+
+			if r.status == 200 && r.whole {
+				whole++
+			}
+		})
 
-		time.Sleep(time.Second)
+		time.Sleep(1500 * time.Millisecond)
 	}
 
+	all.Wait()
 	time.Sleep(4 * time.Second)
 
 	mu.Lock()
