test(review): case 8, a paused stream is broken off by its entry

closeStalled closes the connection to a sound worker after 1.6 s without an event, before there is a target for the retry. The request then queues with the queue deadline of its arrival, which has passed, and is refused at once; finish breaks the answer off. The former case 8 is case 9 now, and preempts for 2.2 s, for which its clients wait.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(c *cluster, trouble bool) int{
 	"latecrash": lateCrash,
 	"leaving":   leaving,
+	"impatient": impatient,
 	"preempted": preempted,
 }
 
--- a/review/rig2/preempted.go
+++ b/review/rig2/preempted.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// preempted sends streams that their workers preempt for two and a half seconds, in the middle of
-// the stream. Two of the six workers do not drop a request when its connection closes. It counts
+// preempted sends streams that their workers preempt for 2.2 seconds, in the middle of the
+// stream. Two of the six workers do not drop a request when its connection closes. It counts
 // the streams that go on at another worker while the one before still works on them 400 ms later.
 func preempted(c *cluster, trouble bool) int {
 	const (
@@ -70,7 +70,7 @@
 
 	time.Sleep(4 * time.Second) // Machines are in touch after contact_ms.
 
-	path := "/note/preempted-2500/%d"
+	path := "/note/preempted-2200/%d"
 	if !trouble {
 		path = "/note/sound/%d"
 	}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	mu       sync.Mutex
 	models   []string
 	sequence uint64
+	loading  bool
 	active   atomic.Int64
 	stamps   atomic.Int64
 	options  map[string]string
@@ -35,6 +37,8 @@
 	allEvents  = 40
 	// preemptedAt is the event before which a request with the path /preempted-MS/ is preempted.
 	preemptedAt = 10
+	// loadTime is load_s of the configuration.
+	loadTime = 6 * time.Second
 )
 
 func runWorker(args []string) int {
@@ -98,7 +102,7 @@
 
 func (w *worker) report(rw http.ResponseWriter, _ *http.Request) {
 	out := w.state()
-	out["busy"], out["queued"], out["active"], out["kv_used"], out["kv_total"], out["handles"] = false, 0, w.active.Load(), 0, 118877, 0
+	out["busy"], out["queued"], out["active"], out["kv_used"], out["kv_total"], out["handles"] = w.isLoading(), 0, w.active.Load(), 0, 118877, 0
 	data, _ := json.Marshal(out)
 
 	rw.Header().Set("Content-Type", "application/json")
@@ -124,26 +128,57 @@
 		status = http.StatusConflict
 	}
 
+	if w.loading {
+		status = http.StatusConflict
+	}
+
 	if status == http.StatusAccepted {
 		w.sequence++
+		w.loading = true
 
-		var kept []string
+		go w.carryOut(o.Operation, o.Model)
+	}
 
-		for _, m := range w.models {
-			if m != o.Model {
-				kept = append(kept, m)
-			}
-		}
+	go w.tell("order "+o.Operation+" "+o.Holder, strconv.FormatUint(o.Token, 10), o.Model, "", status)
+	rw.WriteHeader(status)
+}
 
-		if o.Operation == "load" {
-			kept = append(kept, o.Model)
+// carryOut carries out an order. A load takes load_s.
+func (w *worker) carryOut(operation, model string) {
+	if operation == "load" {
+		time.Sleep(loadTime)
+	}
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	var kept []string
+
+	for _, m := range w.models {
+		if m != model {
+			kept = append(kept, m)
 		}
+	}
 
-		w.models = kept
+	if operation == "load" {
+		kept = append(kept, model)
 	}
 
-	go w.tell("order "+o.Operation+" "+o.Holder, strconv.FormatUint(o.Token, 10), o.Model, "", status)
-	rw.WriteHeader(status)
+	w.models, w.loading = kept, false
+}
+
+func (w *worker) isLoading() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.loading
+}
+
+func (w *worker) holds(model string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return slices.Contains(w.models, model)
 }
 
 // tell tells the rig what this worker does, and waits until the rig has written it down.
@@ -168,6 +203,12 @@
 		return
 	}
 
+	if w.service == "redactor" && !w.holds(r.Header.Get("Model")) {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+
+		return
+	}
+
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
