test(review): case 9, a client that reads slowly loses its answer

TCP_USER_TIMEOUT of 3 s on clients' connections lets the kernel reset those whose receive window is closed, though the worker has written all of the answer. It is taken off only where the rule of bounded memory is in force. Ports are given out once.

--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -66,6 +67,50 @@
 	return read(bufio.NewReader(c), method)
 }
 
+// receiveBuffer is the size of the receive buffer of a client whose windows are small.
+const receiveBuffer = 2048
+
+// askSlowly sends one request on a new connection with small windows. It reads nothing for some
+// time after the first bytes of the answer, and then reads the rest.
+func askSlowly(address, path, id string, header map[string]string, body string, deadline, pause time.Duration) result {
+	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+
+	c, err := d.Dial("tcp", address)
+	if err != nil {
+		return result{err: err}
+	}
+	defer c.Close()
+
+	_ = c.SetDeadline(time.Now().Add(deadline))
+
+	var head strings.Builder
+
+	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: rig.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", path, id, deadline.Milliseconds())
+
+	for name, value := range header {
+		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
+	}
+
+	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(body), body)
+
+	if _, err := io.WriteString(c, head.String()); err != nil {
+		return result{err: err}
+	}
+
+	r := bufio.NewReaderSize(c, 16)
+	if _, err := r.Peek(1); err != nil {
+		return result{err: err}
+	}
+
+	time.Sleep(pause)
+
+	return read(r, http.MethodPost)
+}
+
 func read(r *bufio.Reader, method string) result {
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -23,6 +23,9 @@
 	began   time.Time
 	control string
 
+	// settings are the rules and bounds in the settings of entries.
+	settings string
+
 	mu      sync.Mutex
 	entries []*entry
 	workers []*workerProc
@@ -47,6 +50,14 @@
 	seq               uint64
 }
 
+// The rules and bounds of the sheets.
+const (
+	contraste = `"rules":["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"],
+"bounds":{"graceSeconds":8,"turnPauseMs":3000,"repeatRatio":0.2,"repeatBurst":54,"repeatWindowSeconds":10}`
+	dalakonvert = `"rules":["base","drain","config","cost","retry","recover","health","pool","fleet","stream","engine","platform"],
+"bounds":{"graceSeconds":8,"turnPauseMs":3000,"repeatRatio":0.2,"repeatBurst":178,"repeatWindowSeconds":10}`
+)
+
 // event is what a worker tells of a request.
 type event struct {
 	Worker, Kind, ID, Path, After string
@@ -69,7 +80,7 @@
 		return nil, err
 	}
 
-	c := &cluster{store: newStore(), dir: dir, record: f, began: time.Now(), onEvent: func(event) {}}
+	c := &cluster{store: newStore(), dir: dir, record: f, settings: contraste, began: time.Now(), onEvent: func(event) {}}
 
 	return c, c.listen()
 }
@@ -130,14 +141,24 @@
 	ports     = 10000
 )
 
-// free returns a free loopback address.
+// given are the ports that free has returned.
+var given = make(map[int]bool)
+
+// free returns a loopback address that was free and that it has not returned before.
 func free() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		port := firstPort + rand.IntN(ports)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 
 		l, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = l.Close()
+		if err != nil {
+			continue
+		}
+
+		_ = l.Close()
+
+		if !given[port] {
+			given[port] = true
 
 			return address
 		}
@@ -160,9 +181,8 @@
 	for _, e := range c.entries {
 		e.settings = filepath.Join(c.dir, e.name+".json")
 		text := fmt.Sprintf(`{"name":%q,"dataCentre":"centro-a","callers":%q,"readiness":%q,"peers":%q,"seeds":%s,"metrics":%q,"strength":0.4,"memoryMB":284,
-"rules":["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"],"store":%q,
-"bounds":{"graceSeconds":8,"turnPauseMs":3000,"repeatRatio":0.2,"repeatBurst":54,"repeatWindowSeconds":10}}`,
-			e.name, e.callers, e.readiness, e.peers, seedText, e.metrics, c.store.addr)
+"store":%q,%s}`,
+			e.name, e.callers, e.readiness, e.peers, seedText, e.metrics, c.store.addr, c.settings)
 
 		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 			return err
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,10 +15,11 @@
 )
 
 var cases = map[string]func(c *cluster, trouble bool) int{
-	"latecrash": lateCrash,
-	"leaving":   leaving,
-	"impatient": impatient,
-	"preempted": preempted,
+	"latecrash":  lateCrash,
+	"leaving":    leaving,
+	"impatient":  impatient,
+	"preempted":  preempted,
+	"slowreader": slowReader,
 }
 
 func main() {
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -37,6 +37,10 @@
 	allEvents  = 40
 	// preemptedAt is the event before which a request with the path /preempted-MS/ is preempted.
 	preemptedAt = 10
+	// A stream with the path /bulk/ has bulkEvents pieces, each with bulkBytes more.
+	bulkEvents = 100
+	bulkBytes  = 250
+	bulkPause  = 15 * time.Millisecond
 	// loadTime is load_s of the configuration.
 	loadTime = 6 * time.Second
 )
@@ -262,6 +266,12 @@
 		crashAfter = time.Duration(n) * time.Millisecond
 	}
 
+	pieces, pause, pad := allEvents, eventPause, ""
+
+	if strings.Contains(r.URL.Path, "/bulk/") {
+		pieces, pause, pad = bulkEvents, bulkPause, strings.Repeat("x", bulkBytes)
+	}
+
 	first, _ := strconv.Atoi(after)
 	began := time.Time{}
 
@@ -276,12 +286,12 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	time.Sleep(60 * time.Millisecond)
 
-	for n := first + 1; n <= allEvents; n++ {
+	for n := first + 1; n <= pieces; n++ {
 		if began.IsZero() {
 			began = time.Now()
 		}
 
-		_, err := fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", n, n, r.URL.Path)
+		_, err := fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s%s\n\n", n, n, r.URL.Path, pad)
 
 		switch gone := err != nil || r.Context().Err() != nil; {
 		case gone && w.options["goes-on"] == "":
@@ -304,8 +314,8 @@
 			os.Exit(3)
 		}
 
-		time.Sleep(eventPause)
+		time.Sleep(pause)
 	}
 
-	w.tell("answers", id, r.URL.Path, "", allEvents)
+	w.tell("answers", id, r.URL.Path, "", pieces)
 }
