--- a/review/rig2/slowreader.go
+++ b/review/rig2/slowreader.go
@@ -52,6 +52,7 @@
 	time.Sleep(5 * time.Second) // Machines are in touch after contact_ms.
 
 	var (
+		e                  = c.entries[0]
 		all                sync.WaitGroup
 		whole, lost, other int
 	)
