--- a/review/rig2/impatient.go
+++ b/review/rig2/impatient.go
@@ -8,13 +8,13 @@
 	"time"
 )
 
-// impatient sends streams for a model that one worker holds, more than it has places for, so that
-// some wait at their entry. The worker preempts one stream in six for two seconds. The entry gets
-// SIGHUP meanwhile. It counts the streams whose connections end without a complete answer although
+// impatient sends streams to one entry for a model that one worker holds: half as many as that has
+// places, and more than the entry's even share of them, so that some wait. The worker preempts one
+// stream in six for two seconds. The entry gets SIGHUP meanwhile. It counts the streams whose connections end without a complete answer although
 // their worker has not broken them off.
 func impatient(c *cluster, trouble bool) int {
 	const (
-		clients     = 64
+		clients     = 24
 		preemptEach = 6
 		before      = 500 * time.Millisecond
 		configApply = 2 * time.Second
