--- a/review/rig2/latecrash.go
+++ b/review/rig2/latecrash.go
@@ -13,7 +13,7 @@
 	const (
 		contact = 3 * time.Second
 		allowed = 3
-		comings = 16
+		comings = 14
 		pause   = 4 * time.Second
 		path    = "/note/crash-500/one"
 	)
